--- /dev/null
+++ b/internal/qlcore/qlcore.go
@@ -0,0 +1,483 @@
+package qlcore
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/quetzallane/quetzallane/internal/qlclaim"
+	"github.com/quetzallane/quetzallane/internal/qldispatch"
+	"github.com/quetzallane/quetzallane/internal/qlentry"
+	"github.com/quetzallane/quetzallane/internal/qlinvariant"
+	"github.com/quetzallane/quetzallane/internal/qlmember"
+	"github.com/quetzallane/quetzallane/internal/qlring"
+	"github.com/quetzallane/quetzallane/internal/qlusage"
+	"github.com/quetzallane/quetzallane/internal/qlwire"
+	"github.com/quetzallane/quetzallane/pkg/qlcode"
+	"github.com/quetzallane/quetzallane/pkg/qlconfig"
+)
+
+// Core is one router's decisions. It is not safe for several goroutines.
+type Core struct {
+	config     Config
+	random     *rand.Rand
+	now        time.Duration
+	members    *qlmember.Members
+	dispatcher *qldispatch.Dispatcher
+	home       *qlusage.Home
+	entry      *qlentry.Entry
+	acceptor   *qlclaim.Acceptor
+	proposer   *qlclaim.Proposer
+
+	configuration *qlconfig.Configuration
+	list          List
+	leavingVMs    map[string]bool
+	live          *qlring.Ring
+	poolRings     map[string]*qlring.Ring
+	viewChanged   bool
+	leaving       bool
+	closed        bool
+
+	requests map[uint64]*requestState
+	epochs   map[string]uint64
+	// revisions holds the configuration revision heard from each listed
+	// router since this process started.
+	revisions map[string]uint64
+	ready     bool
+
+	grants   []qldispatch.Grant
+	messages []*qlwire.Message
+
+	reportSequence uint64
+	reportAt       time.Duration
+	offerAt        time.Duration
+	offerSoonAt    time.Duration
+	idleOffered    map[string]bool
+	copyAt         time.Duration
+	slowAt         time.Duration
+}
+
+// New returns a core that knows no other router and no configuration.
+func New(config Config) *Core {
+	if config.ClaimWindow == 0 {
+		config.ClaimWindow = DefaultClaimWindow
+	}
+	if config.ReportPeriod == 0 {
+		config.ReportPeriod = DefaultReportPeriod
+	}
+	if config.Monitor == nil {
+		config.Monitor = &qlinvariant.Monitor{}
+	}
+	c := &Core{
+		config:      config,
+		random:      config.Random,
+		leavingVMs:  make(map[string]bool),
+		poolRings:   make(map[string]*qlring.Ring),
+		requests:    make(map[uint64]*requestState),
+		epochs:      make(map[string]uint64),
+		revisions:   make(map[string]uint64),
+		idleOffered: make(map[string]bool),
+	}
+	c.live = qlring.New([]qlring.Node{qlring.NewNode(config.Self, config.Zone)})
+	c.buildRoles()
+	return c
+}
+
+func (c *Core) buildRoles() {
+	c.members = qlmember.New(qlmember.Config{
+		Self:        c.config.Self,
+		Zone:        c.config.Zone,
+		Incarnation: c.config.Epoch,
+		Random:      c.random,
+		Send:        c.send,
+		Digest:      c.digest,
+		Heard:       c.heard,
+		Changed:     func() { c.viewChanged = true },
+		Died:        c.died,
+	})
+	c.dispatcher = qldispatch.New(qldispatch.Config{
+		Self:     c.config.Self,
+		Limits:   c.dispatchLimits,
+		Fallback: c.fallback,
+		Grant:    c.granted,
+		Monitor:  c.config.Monitor,
+	})
+	c.home = qlusage.New(qlusage.Config{
+		Limits:      c.usageLimits,
+		LargestCost: c.largestCost,
+		Monitor:     c.config.Monitor,
+	})
+	c.entry = qlentry.New(qlentry.Config{
+		Self:    c.config.Self,
+		Zone:    c.config.Zone,
+		Start:   c.start,
+		Refuse:  c.refuseNotSent,
+		Send:    c.send,
+		Want:    c.want,
+		Done:    c.ownDone,
+		Monitor: c.config.Monitor,
+	})
+	c.acceptor = qlclaim.NewAcceptor(qlclaim.AcceptorConfig{
+		Self:      c.config.Self,
+		Window:    c.config.ClaimWindow,
+		Connected: c.connected,
+	})
+	c.proposer = qlclaim.NewProposer(qlclaim.ProposerConfig{
+		Window:    c.config.ClaimWindow,
+		Epoch:     c.config.Epoch,
+		Acceptors: c.acceptorsOf,
+		Send:      c.send,
+		Decided:   c.claimDecided,
+	})
+}
+
+// send sends a message; one to this router itself is handled in this step.
+func (c *Core) send(to string, message *qlwire.Message) {
+	if to == c.config.Self {
+		c.messages = append(c.messages, message)
+		return
+	}
+	c.config.Send(to, message)
+}
+
+// settle handles what a step left to do in this process until nothing is.
+func (c *Core) settle() {
+	for {
+		if c.viewChanged {
+			c.viewChanged = false
+			c.applyView()
+		}
+		switch {
+		case len(c.grants) > 0:
+			grant := c.grants[0]
+			c.grants = c.grants[1:]
+			c.entry.Grant(c.now, c.config.Self, c.config.Epoch, grant)
+		case len(c.messages) > 0:
+			message := c.messages[0]
+			c.messages = c.messages[1:]
+			c.handle(c.config.Self, c.config.Epoch, message)
+		default:
+			c.grants = c.grants[:0]
+			return
+		}
+	}
+}
+
+// advance takes a clock reading; the clock never goes back.
+func (c *Core) advance(now time.Duration) {
+	c.now = max(c.now, now)
+}
+
+// Receive takes a message from another router. Messages of an earlier start
+// of the sender are dropped.
+func (c *Core) Receive(now time.Duration, from string, epoch uint64, message *qlwire.Message) {
+	c.advance(now)
+	if known := c.epochs[from]; epoch < known {
+		return
+	} else if epoch > known {
+		c.epochs[from] = epoch
+		c.dispatcher.StartEpoch(c.now, from, epoch)
+	}
+	c.members.Note(c.now, from)
+	c.handle(from, epoch, message)
+	c.settle()
+}
+
+func (c *Core) handle(from string, epoch uint64, message *qlwire.Message) {
+	switch body := message.GetBody().(type) {
+	case *qlwire.Message_Probe:
+		c.members.Probe(c.now, from, body.Probe)
+	case *qlwire.Message_ProbeAck:
+		c.members.Ack(c.now, from, body.ProbeAck)
+	case *qlwire.Message_IndirectProbe:
+		c.members.IndirectProbe(from, body.IndirectProbe)
+	case *qlwire.Message_Demand:
+		c.dispatcher.ApplyDemand(c.now, from, body.Demand)
+	case *qlwire.Message_Grant:
+		c.entry.Grant(c.now, from, epoch, decodeGrant(c.config.Self, body.Grant))
+	case *qlwire.Message_Done:
+		c.dispatcher.Done(c.now, from, body.Done.GetGrant(), body.Done.GetCost(), qldispatch.Outcome(body.Done.GetOutcome()))
+	case *qlwire.Message_Offer:
+		c.applyLevels(from, body.Offer.GetLevels())
+	case *qlwire.Message_UsageReport:
+		c.answerReport(from, epoch, body.UsageReport)
+	case *qlwire.Message_UsageReply:
+		c.dispatcher.ApplyTotals(c.now, body.UsageReply)
+	case *qlwire.Message_ClaimRequest:
+		c.answerClaim(from, body.ClaimRequest)
+	case *qlwire.Message_ClaimReply:
+		c.proposer.Reply(from, body.ClaimReply)
+	case *qlwire.Message_ClaimRelease:
+		c.acceptor.Release(c.now, from, body.ClaimRelease)
+	case *qlwire.Message_ClaimSync:
+		c.answerSync(from, body.ClaimSync)
+	case *qlwire.Message_ClaimCopy:
+		c.acceptor.ApplyCopy(c.now, from, body.ClaimCopy)
+	}
+}
+
+func decodeGrant(self string, grant *qlwire.Grant) qldispatch.Grant {
+	return qldispatch.NewGrant(qldispatch.GrantConfig{
+		Entry:    self,
+		Number:   grant.GetGrant(),
+		Customer: grant.GetCustomer(),
+		Pool:     grant.GetPool(),
+		Upstream: grant.GetUpstream(),
+		Echo:     time.Duration(grant.GetEcho()),
+		Held:     time.Duration(grant.GetHeld()),
+	})
+}
+
+// granted routes a grant of this router's dispatcher to its entry.
+func (c *Core) granted(grant qldispatch.Grant) {
+	if grant.Entry() == c.config.Self {
+		c.grants = append(c.grants, grant)
+		return
+	}
+	c.config.Send(grant.Entry(), &qlwire.Message{
+		Body: &qlwire.Message_Grant{
+			Grant: &qlwire.Grant{
+				Grant:    grant.Number(),
+				Customer: grant.Customer(),
+				Pool:     grant.Pool(),
+				Upstream: grant.Upstream(),
+				Echo:     int64(grant.Echo()),
+				Held:     int64(grant.Held()),
+			},
+		},
+	})
+}
+
+func (c *Core) want(customer, pool string, waiting int, estimate float64, seen uint64) int {
+	return c.dispatcher.Want(c.now, customer, pool, waiting, estimate, seen)
+}
+
+func (c *Core) ownDone(number uint64, cost float64, outcome qldispatch.Outcome) {
+	c.dispatcher.Done(c.now, c.config.Self, number, cost, outcome)
+}
+
+// Submit takes a caller's request. It ends in Start or Refuse, once.
+func (c *Core) Submit(now time.Duration, request Request) {
+	c.advance(now)
+	c.requests[request.ID] = &requestState{
+		request: request,
+	}
+	if c.closed {
+		c.refuse(request.ID, qlcode.Stopping, 0, "")
+		return
+	}
+	if request.Key != "" && !request.Repeatable {
+		c.proposer.Claim(c.now, request.ID, qlclaim.Key(request.Customer, request.Key), request.BodyHash, request.Name)
+	} else {
+		c.enqueue(c.requests[request.ID], false)
+	}
+	c.settle()
+}
+
+func (c *Core) enqueue(state *requestState, urgent bool) {
+	request := state.request
+	customer := c.configuration.Customer(request.Customer)
+	if customer == nil {
+		c.refuse(request.ID, qlcode.UnknownKey, 0, "")
+		return
+	}
+	if !c.hasUpstream(request.Pool) {
+		c.refuse(request.ID, qlcode.NoUpstream, time.Second, "")
+		return
+	}
+	if state.deadline == 0 {
+		state.deadline = c.now + customer.MaxWait()
+	}
+	c.entry.Submit(c.now, qlentry.Request{
+		ID:          request.ID,
+		Customer:    request.Customer,
+		Pool:        request.Pool,
+		Hint:        request.Hint,
+		Deadline:    state.deadline,
+		QueueLength: customer.QueueLength(),
+		Urgent:      urgent,
+	})
+}
+
+func (c *Core) hasUpstream(name string) bool {
+	pool := c.configuration.Pool(name)
+	if pool == nil {
+		return false
+	}
+	for _, upstream := range pool.Upstreams() {
+		if !upstream.Leaving && !c.leavingVMs[upstream.ID] {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) claimDecided(id uint64, result qlclaim.Result, holder string) {
+	state := c.requests[id]
+	if state == nil {
+		c.proposer.Release(id)
+		return
+	}
+	switch result {
+	case qlclaim.Claimed:
+		c.enqueue(state, false)
+	case qlclaim.Duplicate:
+		c.refuse(id, qlcode.DuplicateKey, 0, holder)
+	case qlclaim.DuplicateMismatch:
+		c.refuse(id, qlcode.KeyBodyMismatch, 0, holder)
+	case qlclaim.Unavailable:
+		c.refuse(id, qlcode.ClaimUnavailable, time.Second, "")
+	}
+}
+
+func (c *Core) start(id uint64, assignment qlentry.Assignment) {
+	state := c.requests[id]
+	if state == nil {
+		c.entry.Finish(c.now, id, 0, qldispatch.Declined)
+		return
+	}
+	if state.request.Key != "" && !state.request.Repeatable && !c.proposer.Good(c.now, id) {
+		c.entry.Finish(c.now, id, 0, qldispatch.Declined)
+		c.refuse(id, qlcode.ClaimUnavailable, time.Second, "")
+		return
+	}
+	state.starts++
+	c.config.Start(id, assignment)
+}
+
+// ClaimGoodUntil returns the time up to which the request's claim protects
+// it; ok is false for a request that needs none.
+func (c *Core) ClaimGoodUntil(id uint64) (until time.Duration, ok bool) {
+	state := c.requests[id]
+	if state == nil || state.request.Key == "" || state.request.Repeatable {
+		return 0, false
+	}
+	return c.proposer.GoodUntil(id), true
+}
+
+func (c *Core) refuseNotSent(id uint64, code qlcode.Code, retryAfter time.Duration) {
+	c.refuse(id, code, retryAfter, "")
+}
+
+func (c *Core) refuse(id uint64, code qlcode.Code, retryAfter time.Duration, holder string) {
+	if c.requests[id] == nil {
+		return
+	}
+	delete(c.requests, id)
+	c.proposer.Release(id)
+	c.config.Refuse(id, Refusal{
+		code:       code,
+		retryAfter: retryAfter,
+		holder:     holder,
+	})
+}
+
+// Cancel takes out a request whose caller left while it waited.
+func (c *Core) Cancel(now time.Duration, id uint64) {
+	c.advance(now)
+	if c.requests[id] == nil {
+		return
+	}
+	c.entry.Cancel(c.now, id)
+	c.refuse(id, qlcode.CallerLeft, 0, "")
+	c.settle()
+}
+
+// Progress notes what a running request has cost so far.
+func (c *Core) Progress(now time.Duration, id uint64, cost float64) {
+	c.advance(now)
+	c.entry.Progress(id, cost)
+}
+
+// Finish ends a request that was sent, or one whose caller gave up before it
+// was (outcome Declined or Unreached): then its claim is given back.
+func (c *Core) Finish(now time.Duration, id uint64, cost float64, outcome qldispatch.Outcome) {
+	c.advance(now)
+	c.entry.Finish(c.now, id, cost, outcome)
+	delete(c.requests, id)
+	if outcome == qldispatch.Declined || outcome == qldispatch.Unreached {
+		c.proposer.Release(id)
+	} else {
+		c.proposer.Finish(id)
+	}
+	c.settle()
+}
+
+// Retry puts a started request back in front: it was certainly not sent, or
+// may be repeated. The customer's retry budget decides.
+func (c *Core) Retry(now time.Duration, id uint64, outcome qldispatch.Outcome) {
+	c.advance(now)
+	state := c.requests[id]
+	if state == nil {
+		return
+	}
+	notSent := outcome == qldispatch.Declined || outcome == qldispatch.Unreached
+	c.config.Monitor.Check(notSent || state.request.Repeatable, qlinvariant.UnrepeatableSentTwice, state.request.Name)
+	c.entry.Finish(c.now, id, 0, outcome)
+	c.enqueue(state, true)
+	c.settle()
+}
+
+// ApplyLoad takes an upstream's load report.
+func (c *Core) ApplyLoad(now time.Duration, upstream string, running int) {
+	c.advance(now)
+	c.dispatcher.ApplyLoad(c.now, upstream, running)
+	c.settle()
+}
+
+// ApplyLoadFailure notes an upstream that does not answer a load poll.
+func (c *Core) ApplyLoadFailure(now time.Duration, upstream string) {
+	c.advance(now)
+	c.dispatcher.ApplyLoadFailure(c.now, upstream)
+	c.settle()
+}
+
+// OwnedUpstreams returns the upstreams whose load this router polls.
+func (c *Core) OwnedUpstreams() []string {
+	return c.dispatcher.Owned()
+}
+
+// Leave begins a planned stop: the other routers hear of it and take over
+// what this one owns. Requests are still taken until Close.
+func (c *Core) Leave(now time.Duration) {
+	c.advance(now)
+	if c.leaving {
+		return
+	}
+	c.leaving = true
+	c.viewChanged = true
+	c.members.Announce()
+	c.settle()
+}
+
+// Close ends the taking of requests; those that wait or run go on.
+func (c *Core) Close(now time.Duration) {
+	c.advance(now)
+	c.closed = true
+}
+
+// Unfinished returns the number of callers' requests not ended yet.
+func (c *Core) Unfinished() int {
+	return len(c.requests)
+}
+
+// Serving returns the number of other routers' requests that run by grants
+// of this router.
+func (c *Core) Serving() int {
+	return c.dispatcher.Granted()
+}
+
+// Abandon ends a request whose handling stopped: one that waits is taken
+// out, and one that was started is finished. A claim is given back only when
+// the request was certainly not sent.
+func (c *Core) Abandon(now time.Duration, id uint64, notSent bool) {
+	c.advance(now)
+	if c.requests[id] == nil {
+		return
+	}
+	outcome := qldispatch.Abandoned
+	if notSent {
+		outcome = qldispatch.Declined
+	}
+	c.entry.Cancel(c.now, id)
+	c.Finish(now, id, 0, outcome)
+}
--- /dev/null
+++ b/internal/qlcore/tick.go
@@ -0,0 +1,248 @@
+package qlcore
+
+import (
+	"time"
+
+	"github.com/quetzallane/quetzallane/internal/qlclaim"
+	"github.com/quetzallane/quetzallane/internal/qldispatch"
+	"github.com/quetzallane/quetzallane/internal/qlentry"
+	"github.com/quetzallane/quetzallane/internal/qlmember"
+	"github.com/quetzallane/quetzallane/internal/qlring"
+	"github.com/quetzallane/quetzallane/internal/qlusage"
+	"github.com/quetzallane/quetzallane/internal/qlwire"
+)
+
+// Tick does what time alone demands. Call it every few tens of milliseconds.
+func (c *Core) Tick(now time.Duration) {
+	c.advance(now)
+	c.members.Tick(c.now)
+	c.proposer.Tick(c.now)
+	c.offerSoon()
+	if c.now >= c.slowAt {
+		c.slowAt = c.now + _slowPeriod
+		c.slowTick()
+	}
+	if c.now >= c.reportAt {
+		c.reportAt = c.now + c.config.ReportPeriod
+		c.report()
+	}
+	if c.now >= c.offerAt {
+		c.offerAt = c.now + _offerPeriod
+		c.offer()
+	}
+	if c.now >= c.copyAt {
+		c.copyAt = c.now + _copyPeriod
+		c.catchUp()
+	}
+	c.settle()
+}
+
+// slowTick does the periodic work that need not be done at once.
+func (c *Core) slowTick() {
+	c.entry.Costs(func(number uint64, cost float64) {
+		c.dispatcher.Progress(c.config.Self, number, cost)
+	})
+	c.dispatcher.SetOwnAdopted(c.entry.OwnAdopted())
+	c.dispatcher.Tick(c.now)
+	c.entry.Tick(c.now)
+	c.home.Tick(c.now)
+	c.acceptor.Tick(c.now)
+}
+
+// Flush sends the demands that changed. Call it soon after events; waiting a
+// few milliseconds lets several changes share a message.
+func (c *Core) Flush(now time.Duration) {
+	c.advance(now)
+	c.entry.Flush(c.now)
+	c.settle()
+}
+
+// Pending reports whether Flush has something to send.
+func (c *Core) Pending() bool {
+	return c.entry.Pending()
+}
+
+// catchUp lets a fresh router learn what it missed: the revision of every
+// router, and the claims that it should remember.
+func (c *Core) catchUp() {
+	if !c.Ready() && !c.leaving {
+		c.members.Announce()
+	}
+	for _, id := range c.acceptor.MissingCopies(c.now) {
+		c.send(id, &qlwire.Message{
+			Body: &qlwire.Message_ClaimSync{
+				ClaimSync: &qlwire.ClaimSync{},
+			},
+		})
+	}
+}
+
+// report sends each customer's usage to its home, one message for each home
+// and pool.
+func (c *Core) report() {
+	if c.config.Isolated {
+		return
+	}
+	for _, pool := range c.dispatcher.Pools() {
+		items := make(map[string][]*qlwire.UsageItem)
+		var homes []string
+		for _, item := range c.dispatcher.Report(c.now, pool) {
+			home := c.homeOf(pool, item.GetCustomer())
+			if items[home] == nil {
+				homes = append(homes, home)
+			}
+			items[home] = append(items[home], item)
+		}
+		for _, home := range homes {
+			c.reportSequence++
+			c.send(home, &qlwire.Message{
+				Body: &qlwire.Message_UsageReport{
+					UsageReport: &qlwire.UsageReport{
+						Sequence:    c.reportSequence,
+						VirtualTime: c.dispatcher.VirtualTime(pool),
+						Items:       items[home],
+						Pool:        pool,
+					},
+				},
+			})
+		}
+	}
+}
+
+func (c *Core) homeOf(pool, customer string) string {
+	owner, ok := c.live.Owner(pool + "/" + customer)
+	if !ok {
+		return c.config.Self
+	}
+	return owner.ID()
+}
+
+func (c *Core) answerReport(from string, epoch uint64, report *qlwire.UsageReport) {
+	c.dispatcher.AdvanceVirtualTime(report.GetPool(), report.GetVirtualTime())
+	reply := c.home.Report(c.now, from, epoch, report)
+	c.send(from, &qlwire.Message{
+		Body: &qlwire.Message_UsageReply{
+			UsageReply: reply,
+		},
+	})
+}
+
+func (c *Core) answerClaim(from string, request *qlwire.ClaimRequest) {
+	verdict, holder := c.acceptor.Request(c.now, from, request)
+	c.send(from, &qlwire.Message{
+		Body: &qlwire.Message_ClaimReply{
+			ClaimReply: &qlwire.ClaimReply{
+				Attempt: request.GetAttempt(),
+				Verdict: uint32(verdict),
+				Holder:  holder,
+			},
+		},
+	})
+}
+
+func (c *Core) answerSync(from string, sync *qlwire.ClaimSync) {
+	for _, copied := range c.acceptor.Copy(c.now, qlring.NewNode(from, c.members.Zone(from)), sync.GetSequence()) {
+		c.send(from, &qlwire.Message{
+			Body: &qlwire.Message_ClaimCopy{
+				ClaimCopy: copied,
+			},
+		})
+	}
+}
+
+// offer tells a few routers, other ones each time, about the slots here.
+func (c *Core) offer() {
+	var levels []*qlwire.PoolLevel
+	for _, level := range c.levels() {
+		if level.GetFree() > 0 || level.GetWaiting() > 0 {
+			levels = append(levels, level)
+		}
+	}
+	c.sendOffer(levels)
+}
+
+// offerSoon makes slots known that came free while nothing waits here.
+func (c *Core) offerSoon() {
+	if c.now < c.offerSoonAt {
+		return
+	}
+	var fresh []*qlwire.PoolLevel
+	for _, level := range c.levels() {
+		idle := level.GetFree() > 0 && level.GetWaiting() == 0
+		if idle && !c.idleOffered[level.GetPool()] {
+			fresh = append(fresh, level)
+		}
+		c.idleOffered[level.GetPool()] = idle
+	}
+	if len(fresh) > 0 {
+		c.offerSoonAt = c.now + _offerSoon
+		c.sendOffer(fresh)
+	}
+}
+
+func (c *Core) sendOffer(levels []*qlwire.PoolLevel) {
+	if len(levels) == 0 {
+		return
+	}
+	others := withoutNode(c.live.Nodes(), c.config.Self)
+	for _, i := range c.random.Perm(len(others))[:min(_offerPeers, len(others))] {
+		c.config.Send(others[i].ID(), &qlwire.Message{
+			Body: &qlwire.Message_Offer{
+				Offer: &qlwire.Offer{
+					Levels: levels,
+				},
+			},
+		})
+	}
+}
+
+// State is a router's state for dumps.
+type State struct {
+	Router            string                  `json:"router"`
+	Zone              string                  `json:"zone"`
+	Epoch             uint64                  `json:"epoch"`
+	Uptime            string                  `json:"uptime"`
+	Ready             bool                    `json:"ready"`
+	Leaving           bool                    `json:"leaving"`
+	Watches           bool                    `json:"watches"`
+	Revision          uint64                  `json:"configuration-revision"`
+	ListRevision      uint64                  `json:"list-revision"`
+	Members           []qlmember.MemberState  `json:"members"`
+	Dispatcher        []qldispatch.PoolState  `json:"dispatcher"`
+	Home              []qlusage.CustomerState `json:"usage-home"`
+	Queues            []qlentry.QueueState    `json:"queues"`
+	Running           int                     `json:"running"`
+	Claims            int                     `json:"claims"`
+	Vouches           bool                    `json:"vouches"`
+	ViolationsByName  map[string]uint64       `json:"invariant-violations"`
+	FalseAlarms       uint64                  `json:"false-suspicions"`
+	AcceptorsForAKey  int                     `json:"acceptors-per-key"`
+	UnfinishedRequest int                     `json:"unfinished-requests"`
+}
+
+// State returns the state of every role.
+func (c *Core) State() State {
+	queues, running := c.entry.State()
+	return State{
+		Router:            c.config.Self,
+		Zone:              c.config.Zone,
+		Epoch:             c.config.Epoch,
+		Uptime:            c.now.Round(time.Millisecond).String(),
+		Ready:             c.Ready(),
+		Leaving:           c.leaving,
+		Watches:           c.Watches(),
+		Revision:          c.Revision(),
+		ListRevision:      c.list.Revision,
+		Members:           c.members.State(),
+		Dispatcher:        c.dispatcher.State(c.now),
+		Home:              c.home.State(),
+		Queues:            queues,
+		Running:           running,
+		Claims:            c.acceptor.Len(),
+		Vouches:           c.acceptor.Vouches(c.now),
+		ViolationsByName:  c.config.Monitor.Counts(),
+		FalseAlarms:       c.members.FalseAlarms(),
+		AcceptorsForAKey:  qlclaim.Acceptors,
+		UnfinishedRequest: c.Unfinished(),
+	}
+}
--- /dev/null
+++ b/internal/qlcore/view.go
@@ -0,0 +1,289 @@
+package qlcore
+
+import (
+	"sort"
+	"time"
+
+	"github.com/quetzallane/quetzallane/internal/qlclaim"
+	"github.com/quetzallane/quetzallane/internal/qldispatch"
+	"github.com/quetzallane/quetzallane/internal/qlentry"
+	"github.com/quetzallane/quetzallane/internal/qlinvariant"
+	"github.com/quetzallane/quetzallane/internal/qlring"
+	"github.com/quetzallane/quetzallane/internal/qlusage"
+	"github.com/quetzallane/quetzallane/internal/qlwire"
+	"github.com/quetzallane/quetzallane/pkg/qlconfig"
+)
+
+// AdoptConfiguration puts a checked configuration in force if its revision
+// is higher than that in force; it reports whether it did.
+func (c *Core) AdoptConfiguration(now time.Duration, next *qlconfig.Configuration) bool {
+	c.advance(now)
+	before := c.Revision()
+	if next.Revision() <= before {
+		return false
+	}
+	c.configuration = next
+	c.config.Monitor.Check(c.Revision() > before, qlinvariant.ConfigurationReverts, c.config.Self)
+	c.viewChanged = true
+	c.settle()
+	c.dispatcher.RefreshLimits(c.now)
+	c.settle()
+	c.members.Push()
+	return true
+}
+
+// AdoptList takes the VM list if its revision is higher; it reports whether
+// it did.
+func (c *Core) AdoptList(now time.Duration, list List) bool {
+	c.advance(now)
+	if list.Revision <= c.list.Revision {
+		return false
+	}
+	c.list = list
+	c.leavingVMs = make(map[string]bool, len(list.LeavingUpstreams))
+	for _, id := range list.LeavingUpstreams {
+		c.leavingVMs[id] = true
+	}
+	c.members.SetList(c.now, list.Revision, list.Routers)
+	c.acceptor.SetRing(c.now, qlring.New(c.members.Listed()))
+	c.viewChanged = true
+	c.settle()
+	return true
+}
+
+// Revision returns the revision of the configuration in force, or 0.
+func (c *Core) Revision() uint64 {
+	if c.configuration == nil {
+		return 0
+	}
+	return c.configuration.Revision()
+}
+
+// ListRevision returns the revision of the VM list in use, or 0.
+func (c *Core) ListRevision() uint64 {
+	return c.list.Revision
+}
+
+// Configuration returns the configuration in force, or nil.
+func (c *Core) Configuration() *qlconfig.Configuration {
+	return c.configuration
+}
+
+// Ready reports whether requests may be taken: a majority of the listed
+// routers has told its revision since this process started, and the highest
+// of them is in force. Once ready, a router stays so until it leaves.
+func (c *Core) Ready() bool {
+	if c.ready || c.configuration == nil || c.list.Revision == 0 {
+		return c.ready && !c.leaving
+	}
+	listed := c.members.Listed()
+	heard := 1
+	for _, node := range listed {
+		revision, ok := c.revisions[node.ID()]
+		if !ok {
+			continue
+		}
+		if revision > c.Revision() {
+			return false
+		}
+		heard++
+	}
+	c.ready = heard > len(listed)/2
+	return c.ready && !c.leaving
+}
+
+// connected reports whether a majority of the listed routers was heard
+// inside a quarter of the claim window.
+func (c *Core) connected(now time.Duration) bool {
+	return c.members.HeardWithin(now, c.config.ClaimWindow/4) > len(c.members.IDs())/2
+}
+
+func (c *Core) acceptorsOf(key string) []string {
+	nodes := qlring.New(c.members.Listed()).Spread(key, qlclaim.Acceptors)
+	ids := make([]string, 0, len(nodes))
+	for _, node := range nodes {
+		ids = append(ids, node.ID())
+	}
+	return ids
+}
+
+// applyView works out anew who owns what, after a change of the members,
+// the VM list or the configuration.
+func (c *Core) applyView() {
+	c.live = qlring.New(c.members.Live())
+	if c.configuration == nil {
+		return
+	}
+	for _, name := range c.configuration.PoolNames() {
+		c.applyPool(c.configuration.Pool(name))
+	}
+}
+
+func (c *Core) applyPool(pool *qlconfig.Pool) {
+	owners := make(map[string]string, len(pool.Upstreams()))
+	zones := make(map[string]string)
+	var owned []qldispatch.ReplicaConfig
+	for _, upstream := range pool.Upstreams() {
+		owner := c.ownerOf(upstream)
+		owners[upstream.ID] = owner.ID()
+		zones[owner.ID()] = owner.Zone()
+		if owner.ID() == c.config.Self {
+			owned = append(owned, qldispatch.ReplicaConfig{
+				ID:      upstream.ID,
+				Zone:    upstream.Zone,
+				Slots:   upstream.Slots,
+				Leaving: upstream.Leaving || c.leavingVMs[upstream.ID],
+			})
+		}
+	}
+	c.dispatcher.SetPool(c.now, qldispatch.PoolConfig{
+		Name:        pool.Name(),
+		LargestCost: pool.LargestCost(),
+		Replicas:    owned,
+	})
+	c.setDispatchers(pool.Name(), owners, zones)
+}
+
+// ownerOf returns an upstream's dispatcher: one in its own zone, if any. A
+// router that is leaving leaves its upstreams to the others, while any are.
+func (c *Core) ownerOf(upstream qlconfig.UpstreamText) qlring.Node {
+	ring := c.live
+	if c.leaving && len(ring.Nodes()) > 1 {
+		ring = qlring.New(withoutNode(ring.Nodes(), c.config.Self))
+	}
+	owner, _ := ring.OwnerInZone(upstream.ID, upstream.Zone)
+	return owner
+}
+
+func withoutNode(nodes []qlring.Node, id string) []qlring.Node {
+	var kept []qlring.Node
+	for _, node := range nodes {
+		if node.ID() != id {
+			kept = append(kept, node)
+		}
+	}
+	return kept
+}
+
+func (c *Core) setDispatchers(pool string, owners, zones map[string]string) {
+	ids := make([]string, 0, len(zones))
+	for id := range zones {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	nodes := make([]qlring.Node, 0, len(ids))
+	dispatchers := make([]qlentry.DispatcherConfig, 0, len(ids))
+	for _, id := range ids {
+		nodes = append(nodes, qlring.NewNode(id, zones[id]))
+		dispatchers = append(dispatchers, qlentry.DispatcherConfig{
+			ID:   id,
+			Zone: zones[id],
+		})
+	}
+	c.poolRings[pool] = qlring.New(nodes)
+	c.entry.SetPool(c.now, pool, owners, dispatchers)
+}
+
+func (c *Core) dispatchLimits(id string) (qldispatch.Limits, bool) {
+	customer := c.customer(id)
+	if customer == nil {
+		return qldispatch.Limits{}, false
+	}
+	return qldispatch.Limits{
+		Share:       customer.Share(),
+		MaxInFlight: customer.MaxInFlight(),
+		CostRate:    customer.CostRate(),
+	}, true
+}
+
+func (c *Core) usageLimits(id string) (qlusage.Limits, bool) {
+	customer := c.customer(id)
+	if customer == nil {
+		return qlusage.Limits{}, false
+	}
+	return qlusage.Limits{
+		Share:       customer.Share(),
+		MaxInFlight: customer.MaxInFlight(),
+		CostRate:    customer.CostRate(),
+	}, true
+}
+
+func (c *Core) customer(id string) *qlconfig.Customer {
+	if c.configuration == nil {
+		return nil
+	}
+	return c.configuration.Customer(id)
+}
+
+func (c *Core) largestCost(name string) float64 {
+	if c.configuration == nil || c.configuration.Pool(name) == nil {
+		return 1
+	}
+	return c.configuration.Pool(name).LargestCost()
+}
+
+func (c *Core) fallback(pool, customer string) (rank, total int) {
+	ring := c.poolRings[pool]
+	if ring == nil {
+		return 0, 1
+	}
+	return ring.RankOf(customer, c.config.Self), len(ring.Nodes())
+}
+
+func (c *Core) digest() *qlwire.Digest {
+	return &qlwire.Digest{
+		ConfigurationRevision: c.Revision(),
+		ListRevision:          c.list.Revision,
+		Levels:                c.levels(),
+		Leaving:               c.leaving,
+	}
+}
+
+func (c *Core) levels() []*qlwire.PoolLevel {
+	var levels []*qlwire.PoolLevel
+	for _, pool := range c.dispatcher.Pools() {
+		levels = append(levels, c.dispatcher.Level(c.now, pool))
+	}
+	return levels
+}
+
+func (c *Core) heard(from string, digest *qlwire.Digest) {
+	c.revisions[from] = digest.GetConfigurationRevision()
+	c.applyLevels(from, digest.GetLevels())
+	ahead := digest.GetConfigurationRevision() > c.Revision() || digest.GetListRevision() > c.list.Revision
+	if ahead && c.config.Behind != nil {
+		c.config.Behind(from)
+	}
+}
+
+func (c *Core) applyLevels(from string, levels []*qlwire.PoolLevel) {
+	for _, level := range levels {
+		if !c.config.Isolated {
+			c.dispatcher.AdvanceVirtualTime(level.GetPool(), level.GetVirtualTime())
+		}
+		c.entry.SetLevel(c.now, from, level)
+	}
+}
+
+func (c *Core) died(id string) {
+	c.viewChanged = true
+	c.entry.DropLink(id)
+	c.dispatcher.DropEntry(c.now, id)
+}
+
+// Watches reports whether this router is one of the few in its zone that
+// watch the configuration service.
+func (c *Core) Watches() bool {
+	var zone []qlring.Node
+	for _, node := range c.live.Nodes() {
+		if node.Zone() == c.config.Zone {
+			zone = append(zone, node)
+		}
+	}
+	return qlring.New(zone).RankOf("watch", c.config.Self) < _watchersPerZone
+}
+
+// Clock returns the last clock reading.
+func (c *Core) Clock() time.Duration {
+	return c.now
+}
--- /dev/null
+++ b/internal/qldispatch/usage.go
@@ -0,0 +1,156 @@
+package qldispatch
+
+import (
+	"sort"
+	"time"
+
+	"github.com/quetzallane/quetzallane/internal/qlwire"
+)
+
+// _reportRefresh is how often an unchanged but active customer is reported,
+// well within the time after which a home forgets a silent dispatcher.
+const _reportRefresh = 40 * time.Second
+
+// _leaseRefresh renews the allotment of customers that are waiting.
+const _leaseRefresh = 2 * time.Second
+
+// Report returns, sorted by customer, the usage of the pool's customers that
+// changed since the last report or are due again.
+func (d *Dispatcher) Report(now time.Duration, name string) []*qlwire.UsageItem {
+	p := d.pools[name]
+	if p == nil {
+		return nil
+	}
+	var items []*qlwire.UsageItem
+	for customer, a := range p.accounts {
+		if !a.reportDue(now) {
+			continue
+		}
+		a.dirty = false
+		a.reportedAt = now
+		item := &qlwire.UsageItem{
+			Customer: customer,
+			Used:     a.service.Used(),
+			Included: a.service.Included(),
+			InFlight: uint32(a.inFlight),
+			Waiting:  uint32(a.waiting),
+			Allotted: uint32(d.allotment(now, a)),
+		}
+		if a.confirmed {
+			item.KnownVirtualTime = a.service.Total()
+		}
+		items = append(items, item)
+	}
+	sort.Slice(items, func(i, j int) bool {
+		return items[i].GetCustomer() < items[j].GetCustomer()
+	})
+	return items
+}
+
+func (a *account) reportDue(now time.Duration) bool {
+	if a.dirty {
+		return true
+	}
+	age := now - a.reportedAt
+	if a.waiting > 0 {
+		return age >= _leaseRefresh
+	}
+	return a.inFlight > 0 && age >= _reportRefresh
+}
+
+// ApplyTotals takes a usage home's answer.
+func (d *Dispatcher) ApplyTotals(now time.Duration, reply *qlwire.UsageReply) {
+	p := d.pools[reply.GetPool()]
+	if p == nil {
+		return
+	}
+	p.virtualTime = max(p.virtualTime, reply.GetVirtualTime())
+	for _, total := range reply.GetTotals() {
+		a := p.accounts[total.GetCustomer()]
+		if a == nil {
+			continue
+		}
+		a.confirmed = true
+		a.service.SetTotal(total.GetVirtualTime(), total.GetIncluded())
+		a.allotted = int(total.GetMaxInFlight())
+		a.allottedRate = total.GetCostRate()
+		a.allottedUntil = now + _allotmentLease
+		d.unpark(a)
+		p.queue.Fix(a.flow)
+	}
+	d.pump(now, p)
+}
+
+// CustomerState is one customer's state for dumps.
+type CustomerState struct {
+	Customer    string  `json:"customer"`
+	VirtualTime float64 `json:"virtual-time"`
+	Used        float64 `json:"used"`
+	Waiting     int     `json:"waiting"`
+	InFlight    int     `json:"in-flight"`
+	Allotment   int     `json:"allotment"`
+}
+
+// UpstreamState is one upstream's state for dumps.
+type UpstreamState struct {
+	Upstream  string `json:"upstream"`
+	Slots     int    `json:"slots"`
+	InUse     int    `json:"in-use"`
+	Foreign   int    `json:"foreign"`
+	Limit     int    `json:"limit"`
+	InService bool   `json:"in-service"`
+	Leaving   bool   `json:"leaving"`
+}
+
+// PoolState is one pool's state for dumps.
+type PoolState struct {
+	Pool        string          `json:"pool"`
+	VirtualTime float64         `json:"virtual-time"`
+	Level       float64         `json:"level"`
+	Upstreams   []UpstreamState `json:"upstreams"`
+	Customers   []CustomerState `json:"customers"`
+}
+
+// State returns the dispatcher's state for dumps, sorted.
+func (d *Dispatcher) State(now time.Duration) []PoolState {
+	states := make([]PoolState, 0, len(d.names))
+	for _, name := range d.names {
+		states = append(states, d.poolState(now, d.pools[name]))
+	}
+	return states
+}
+
+func (d *Dispatcher) poolState(now time.Duration, p *pool) PoolState {
+	state := PoolState{
+		Pool:        p.name,
+		VirtualTime: p.virtualTime,
+		Level:       p.level,
+		Upstreams:   make([]UpstreamState, 0, len(p.replicas)),
+		Customers:   make([]CustomerState, 0, len(p.accounts)),
+	}
+	for _, r := range p.replicas {
+		state.Upstreams = append(state.Upstreams, UpstreamState{
+			Upstream:  r.id,
+			Slots:     r.slots,
+			InUse:     r.inUse,
+			Foreign:   r.foreignNow(now),
+			Limit:     r.limit,
+			InService: r.inService(now),
+			Leaving:   r.leaving,
+		})
+	}
+	for customer, a := range p.accounts {
+		state.Customers = append(state.Customers, CustomerState{
+			Customer:    customer,
+			VirtualTime: a.service.VirtualTime(),
+			Used:        a.service.Used(),
+			Waiting:     a.waiting,
+			InFlight:    a.inFlight,
+			Allotment:   d.allotment(now, a),
+		})
+	}
+	sort.Slice(state.Customers, func(i, j int) bool {
+		return state.Customers[i].Customer < state.Customers[j].Customer
+	})
+	return state
+}
--- /dev/null
+++ b/internal/qllog/qllog.go
@@ -0,0 +1,32 @@
+// Package qllog makes loggers that write one line of key=value pairs for
+// each event.
+//
+// # Usage
+//
+//	log, err := qllog.New(os.Stderr, "info")
+//	log.Info("request-ended", zap.String("request", id), zap.Int("code", 100))
+package qllog
+
+import (
+	"io"
+
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// New returns a logger at the level: debug, info, warn or error.
+func New(w io.Writer, level string) (*zap.Logger, error) {
+	parsed, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, errors.NotValidf("log level %q (write debug, info, warn or error)", level)
+	}
+	config := zap.NewProductionEncoderConfig()
+	config.TimeKey = "time"
+	config.MessageKey = "event"
+	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	config.EncodeDuration = zapcore.StringDurationEncoder
+	core := zapcore.NewCore(zaplogfmt.NewEncoder(config), zapcore.Lock(zapcore.AddSync(w)), parsed)
+	return zap.New(core), nil
+}
--- /dev/null
+++ b/internal/qlmember/qlmember.go
@@ -0,0 +1,590 @@
+// Package qlmember decides which of the listed routers answer.
+//
+// The platform's VM list says who may be a member and lags. Each router
+// probes one other at a time, in a shuffled order, and asks a few others to
+// probe it when it does not answer. One that answers nobody is suspected,
+// and after a while taken for dead. Rumours of suspicion and death ride on
+// probes; a router that hears one about itself contradicts it with a higher
+// incarnation. Traffic for each router does not grow with the fleet.
+//
+// Views differ between routers at any time, and both sides of a partition
+// take each other for dead. Nothing here prevents that; docs/DESIGN.md says
+// for each use of a view why that is safe.
+//
+// # Usage
+//
+//	m := qlmember.New(qlmember.Config{Self: "r1", Zone: "z1", Incarnation: start, Send: send, Random: random})
+//	m.SetList(now, revision, listed)
+//	m.Tick(now) // every few tens of milliseconds
+//	live := m.Live()
+package qlmember
+
+import (
+	"math/bits"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/quetzallane/quetzallane/internal/qlring"
+	"github.com/quetzallane/quetzallane/internal/qlwire"
+)
+
+// State is what a router believes of another.
+type State uint32
+
+// The states, by rising precedence within an incarnation.
+const (
+	Alive State = iota + 1
+	Suspect
+	Dead
+)
+
+// String returns the state's name.
+func (s State) String() string {
+	switch s {
+	case Alive:
+		return "alive"
+	case Suspect:
+		return "suspect"
+	case Dead:
+		return "dead"
+	}
+	return "invalid"
+}
+
+const (
+	// DefaultProbeInterval is the time between probes.
+	DefaultProbeInterval = 500 * time.Millisecond
+	// DefaultProbeTimeout is the wait for an answer before others are asked.
+	DefaultProbeTimeout = 150 * time.Millisecond
+	// DefaultSuspicion is the time from suspicion to death.
+	DefaultSuspicion = 2 * time.Second
+	_indirectProbes  = 2
+	// _updatesPerProbe bounds the rumours on one probe.
+	_updatesPerProbe = 6
+	// _revisionPush is how many peers hear of a new revision at once.
+	_revisionPush = 2
+)
+
+// Config configures Members.
+type Config struct {
+	Self string
+	Zone string
+	// Incarnation is higher than at any earlier start of this router.
+	Incarnation   uint64
+	ProbeInterval time.Duration
+	ProbeTimeout  time.Duration
+	Suspicion     time.Duration
+	Random        *rand.Rand
+	// Send sends a probe, an answer or a request for an indirect probe.
+	Send func(to string, message *qlwire.Message)
+	// Digest returns what rides on probes; rumours are added here.
+	Digest func() *qlwire.Digest
+	// Heard receives each digest from a member.
+	Heard func(from string, digest *qlwire.Digest)
+	// Changed is called after the set of live members changed.
+	Changed func()
+	// Died is called for each member taken for dead or gone from the list.
+	Died func(id string)
+}
+
+// Listed is one router of the platform's VM list.
+type Listed struct {
+	ID      string
+	Zone    string
+	Address string
+	Leaving bool
+}
+
+type member struct {
+	listed      Listed
+	incarnation uint64
+	state       State
+	leaving     bool
+	suspectedAt time.Duration
+	heardAt     time.Duration
+	heard       bool
+}
+
+type rumour struct {
+	update *qlwire.MemberUpdate
+	left   int
+}
+
+type pendingProbe struct {
+	target   string
+	sequence uint64
+	sentAt   time.Duration
+	indirect bool
+	answered bool
+}
+
+type relay struct {
+	origin   string
+	sequence uint64
+}
+
+// Members is one router's view. It is not safe for several goroutines.
+type Members struct {
+	config       Config
+	listRevision uint64
+	members      map[string]*member
+	order        []string
+	next         int
+	sequence     uint64
+	probe        *pendingProbe
+	nextProbeAt  time.Duration
+	incarnation  uint64
+	rumours      map[string]*rumour
+	relays       map[uint64]relay
+	falseAlarms  uint64
+}
+
+// New returns a view with no other member.
+func New(config Config) *Members {
+	if config.ProbeInterval == 0 {
+		config.ProbeInterval = DefaultProbeInterval
+	}
+	if config.ProbeTimeout == 0 {
+		config.ProbeTimeout = DefaultProbeTimeout
+	}
+	if config.Suspicion == 0 {
+		config.Suspicion = DefaultSuspicion
+	}
+	return &Members{
+		config:      config,
+		members:     make(map[string]*member),
+		incarnation: config.Incarnation,
+		rumours:     make(map[string]*rumour),
+		relays:      make(map[uint64]relay),
+	}
+}
+
+// SetList takes the VM list under its revision; an older one is ignored.
+// Routers new to it are taken for alive until they fail to answer.
+func (m *Members) SetList(now time.Duration, revision uint64, list []Listed) bool {
+	if revision <= m.listRevision {
+		return false
+	}
+	m.listRevision = revision
+	listed := make(map[string]bool, len(list))
+	for _, l := range list {
+		listed[l.ID] = true
+		if l.ID == m.config.Self {
+			continue
+		}
+		known := m.members[l.ID]
+		if known == nil {
+			known = &member{
+				state:   Alive,
+				heardAt: now,
+			}
+			m.members[l.ID] = known
+			m.insert(l.ID)
+		}
+		known.listed = l
+	}
+	for _, id := range m.IDs() {
+		if !listed[id] {
+			m.remove(id)
+		}
+	}
+	m.config.Changed()
+	return true
+}
+
+func (m *Members) insert(id string) {
+	at := 0
+	if len(m.order) > 0 {
+		at = m.config.Random.IntN(len(m.order) + 1)
+	}
+	m.order = append(m.order, "")
+	copy(m.order[at+1:], m.order[at:])
+	m.order[at] = id
+}
+
+func (m *Members) remove(id string) {
+	delete(m.members, id)
+	delete(m.rumours, id)
+	for i, other := range m.order {
+		if other == id {
+			m.order = append(m.order[:i], m.order[i+1:]...)
+			break
+		}
+	}
+	m.config.Died(id)
+}
+
+// IDs returns the other listed routers, sorted.
+func (m *Members) IDs() []string {
+	ids := make([]string, 0, len(m.members))
+	for id := range m.members {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// ListRevision returns the revision of the VM list in use.
+func (m *Members) ListRevision() uint64 {
+	return m.listRevision
+}
+
+// Address returns a member's address, or "".
+func (m *Members) Address(id string) string {
+	if known := m.members[id]; known != nil {
+		return known.listed.Address
+	}
+	return ""
+}
+
+// Live returns this router and those that answer and are not leaving.
+func (m *Members) Live() []qlring.Node {
+	nodes := []qlring.Node{qlring.NewNode(m.config.Self, m.config.Zone)}
+	for _, id := range m.IDs() {
+		if known := m.members[id]; known.state != Dead && !known.leaving && !known.listed.Leaving {
+			nodes = append(nodes, qlring.NewNode(id, known.listed.Zone))
+		}
+	}
+	return nodes
+}
+
+// Listed returns this router and all others of the VM list, dead or alive.
+func (m *Members) Listed() []qlring.Node {
+	nodes := []qlring.Node{qlring.NewNode(m.config.Self, m.config.Zone)}
+	for _, id := range m.IDs() {
+		nodes = append(nodes, qlring.NewNode(id, m.members[id].listed.Zone))
+	}
+	return nodes
+}
+
+// Zone returns a listed router's zone.
+func (m *Members) Zone(id string) string {
+	if id == m.config.Self {
+		return m.config.Zone
+	}
+	if known := m.members[id]; known != nil {
+		return known.listed.Zone
+	}
+	return ""
+}
+
+// HeardWithin counts the listed routers, this one included, that were heard
+// within the age.
+func (m *Members) HeardWithin(now, age time.Duration) int {
+	count := 1
+	for _, known := range m.members {
+		if known.heard && now-known.heardAt <= age {
+			count++
+		}
+	}
+	return count
+}
+
+// Note marks a member as heard: any message is a sign of life.
+func (m *Members) Note(now time.Duration, id string) {
+	known := m.members[id]
+	if known == nil {
+		return
+	}
+	known.heardAt = now
+	known.heard = true
+}
+
+// Tick sends the next probe when it is due and judges the one before.
+func (m *Members) Tick(now time.Duration) {
+	m.askOthers(now)
+	if now >= m.nextProbeAt {
+		m.conclude(now)
+		m.startProbe(now)
+		// Jitter keeps a fleet that started at once from probing in step.
+		jitter := time.Duration(m.config.Random.Int64N(int64(m.config.ProbeInterval) / 4))
+		m.nextProbeAt = now + m.config.ProbeInterval - m.config.ProbeInterval/8 + jitter
+	}
+	m.expireSuspects(now)
+}
+
+func (m *Members) startProbe(now time.Duration) {
+	if len(m.order) == 0 {
+		return
+	}
+	m.next++
+	if m.next >= len(m.order) {
+		m.next = 0
+		m.config.Random.Shuffle(len(m.order), func(i, j int) {
+			m.order[i], m.order[j] = m.order[j], m.order[i]
+		})
+	}
+	m.sequence++
+	m.probe = &pendingProbe{
+		target:   m.order[m.next],
+		sequence: m.sequence,
+		sentAt:   now,
+	}
+	m.sendProbe(m.probe.target, m.sequence)
+}
+
+func (m *Members) sendProbe(to string, sequence uint64) {
+	m.config.Send(to, &qlwire.Message{
+		Body: &qlwire.Message_Probe{
+			Probe: &qlwire.Probe{
+				Sequence: sequence,
+				Digest:   m.digest(to),
+			},
+		},
+	})
+}
+
+// Push tells a few random members of a new revision at once.
+func (m *Members) Push() {
+	for range min(_revisionPush, len(m.order)) {
+		m.sequence++
+		m.sendProbe(m.order[m.config.Random.IntN(len(m.order))], m.sequence)
+	}
+}
+
+// Announce tells every member about a planned stop.
+func (m *Members) Announce() {
+	for _, id := range m.IDs() {
+		m.sequence++
+		m.sendProbe(id, m.sequence)
+	}
+}
+
+func (m *Members) askOthers(now time.Duration) {
+	p := m.probe
+	if p == nil || p.answered || p.indirect || now-p.sentAt < m.config.ProbeTimeout {
+		return
+	}
+	p.indirect = true
+	asked := 0
+	for _, i := range m.config.Random.Perm(len(m.order)) {
+		id := m.order[i]
+		if asked == _indirectProbes {
+			return
+		}
+		if id == p.target || m.members[id].state != Alive {
+			continue
+		}
+		asked++
+		m.config.Send(id, &qlwire.Message{
+			Body: &qlwire.Message_IndirectProbe{
+				IndirectProbe: &qlwire.IndirectProbe{
+					Sequence: p.sequence,
+					Subject:  p.target,
+				},
+			},
+		})
+	}
+}
+
+func (m *Members) conclude(now time.Duration) {
+	p := m.probe
+	m.probe = nil
+	if p == nil || p.answered {
+		return
+	}
+	known := m.members[p.target]
+	if known == nil || known.state != Alive {
+		return
+	}
+	m.set(now, p.target, known, known.incarnation, Suspect)
+}
+
+func (m *Members) expireSuspects(now time.Duration) {
+	for _, id := range m.IDs() {
+		known := m.members[id]
+		if known.state == Suspect && now-known.suspectedAt >= m.config.Suspicion {
+			m.set(now, id, known, known.incarnation, Dead)
+		}
+	}
+}
+
+func (m *Members) set(now time.Duration, id string, known *member, incarnation uint64, state State) {
+	before := known.state
+	known.incarnation = incarnation
+	known.state = state
+	if state == Suspect {
+		known.suspectedAt = now
+	}
+	if before == Suspect && state == Alive {
+		m.falseAlarms++
+	}
+	m.spread(id, incarnation, state)
+	if (before == Dead) != (state == Dead) {
+		if state == Dead {
+			m.config.Died(id)
+		}
+		m.config.Changed()
+	}
+}
+
+// spread starts a rumour; it rides on a number of probes that grows with the
+// logarithm of the fleet.
+func (m *Members) spread(id string, incarnation uint64, state State) {
+	m.rumours[id] = &rumour{
+		update: &qlwire.MemberUpdate{
+			Id:          id,
+			Incarnation: incarnation,
+			State:       uint32(state),
+		},
+		left: 3 * bits.Len(uint(len(m.members)+1)),
+	}
+}
+
+func (m *Members) digest(to string) *qlwire.Digest {
+	digest := m.config.Digest()
+	// A router that is suspected must hear it, or it cannot contradict.
+	if known := m.members[to]; known != nil && known.state != Alive {
+		digest.Updates = append(digest.Updates, &qlwire.MemberUpdate{
+			Id:          to,
+			Incarnation: known.incarnation,
+			State:       uint32(known.state),
+		})
+	}
+	ids := make([]string, 0, len(m.rumours))
+	for id := range m.rumours {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool {
+		a, b := m.rumours[ids[i]], m.rumours[ids[j]]
+		if a.left != b.left {
+			return a.left > b.left
+		}
+		return ids[i] < ids[j]
+	})
+	for _, id := range ids[:min(len(ids), _updatesPerProbe)] {
+		r := m.rumours[id]
+		digest.Updates = append(digest.Updates, r.update)
+		if r.left--; r.left <= 0 {
+			delete(m.rumours, id)
+		}
+	}
+	return digest
+}
+
+// Probe takes a probe and answers its sender.
+func (m *Members) Probe(now time.Duration, from string, probe *qlwire.Probe) {
+	m.hear(now, from, probe.GetDigest())
+	m.config.Send(from, &qlwire.Message{
+		Body: &qlwire.Message_ProbeAck{
+			ProbeAck: &qlwire.ProbeAck{
+				Sequence:           probe.GetSequence(),
+				Digest:             m.digest(from),
+				SubjectIncarnation: m.incarnation,
+			},
+		},
+	})
+}
+
+// IndirectProbe probes a subject on behalf of another router.
+func (m *Members) IndirectProbe(from string, request *qlwire.IndirectProbe) {
+	if m.members[request.GetSubject()] == nil {
+		return
+	}
+	m.sequence++
+	if len(m.relays) > 2*len(m.members)+16 {
+		// Unanswered relays are of no use once there are this many.
+		clear(m.relays)
+	}
+	m.relays[m.sequence] = relay{
+		origin:   from,
+		sequence: request.GetSequence(),
+	}
+	m.sendProbe(request.GetSubject(), m.sequence)
+}
+
+// Ack takes the answer to a probe, relaying it where it was asked for.
+func (m *Members) Ack(now time.Duration, from string, ack *qlwire.ProbeAck) {
+	m.hear(now, from, ack.GetDigest())
+	if r, ok := m.relays[ack.GetSequence()]; ok && ack.GetSubject() == "" {
+		delete(m.relays, ack.GetSequence())
+		m.config.Send(r.origin, &qlwire.Message{
+			Body: &qlwire.Message_ProbeAck{
+				ProbeAck: &qlwire.ProbeAck{
+					Sequence:           r.sequence,
+					Subject:            from,
+					SubjectIncarnation: ack.GetSubjectIncarnation(),
+				},
+			},
+		})
+		return
+	}
+	subject := from
+	if ack.GetSubject() != "" {
+		subject = ack.GetSubject()
+	}
+	if p := m.probe; p != nil && p.target == subject && p.sequence == ack.GetSequence() {
+		p.answered = true
+	}
+	m.apply(now, subject, ack.GetSubjectIncarnation(), Alive)
+}
+
+func (m *Members) hear(now time.Duration, from string, digest *qlwire.Digest) {
+	m.Note(now, from)
+	if digest == nil {
+		return
+	}
+	if known := m.members[from]; known != nil && known.leaving != digest.GetLeaving() {
+		known.leaving = digest.GetLeaving()
+		m.config.Changed()
+	}
+	for _, update := range digest.GetUpdates() {
+		m.apply(now, update.GetId(), update.GetIncarnation(), State(update.GetState()))
+	}
+	m.config.Heard(from, digest)
+}
+
+// apply takes news of a member. Higher incarnations go first; within one,
+// death goes before suspicion and suspicion before life.
+func (m *Members) apply(now time.Duration, id string, incarnation uint64, state State) {
+	if id == m.config.Self {
+		if state != Alive && incarnation >= m.incarnation {
+			m.incarnation = incarnation + 1
+			m.spread(id, m.incarnation, Alive)
+		}
+		return
+	}
+	known := m.members[id]
+	if known == nil || incarnation < known.incarnation {
+		return
+	}
+	if incarnation == known.incarnation && state <= known.state {
+		return
+	}
+	if state == known.state {
+		known.incarnation = incarnation
+		return
+	}
+	m.set(now, id, known, incarnation, state)
+}
+
+// FalseAlarms counts the suspicions that were contradicted in time.
+func (m *Members) FalseAlarms() uint64 {
+	return m.falseAlarms
+}
+
+// MemberState is one member's state for dumps.
+type MemberState struct {
+	ID          string `json:"id"`
+	Zone        string `json:"zone"`
+	State       string `json:"state"`
+	Leaving     bool   `json:"leaving"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// State returns the view for dumps, sorted.
+func (m *Members) State() []MemberState {
+	states := make([]MemberState, 0, len(m.members))
+	for _, id := range m.IDs() {
+		known := m.members[id]
+		states = append(states, MemberState{
+			ID:          id,
+			Zone:        known.listed.Zone,
+			State:       known.state.String(),
+			Leaving:     known.leaving || known.listed.Leaving,
+			Incarnation: known.incarnation,
+		})
+	}
+	return states
+}
--- /dev/null
+++ b/internal/qlplatform/qlplatform.go
@@ -0,0 +1,188 @@
+// Package qlplatform reads the platform's configuration service and VM list.
+//
+// Both are values under a key that can be read, or watched with a long poll.
+// Nothing is ever written. Every call counts against a budget that all
+// readers share, so callers wait between calls as the daemon decides.
+//
+// # Usage
+//
+//	client := qlplatform.New(qlplatform.Config{URL: "http://10.0.0.1:9000"})
+//	index, err := client.Index(ctx, after, 20*time.Second)
+//	part, err := client.Part(ctx, index.Parts[0])
+//	list, err := client.VMs(ctx, 0, 0)
+package qlplatform
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/quetzallane/quetzallane/internal/qlcore"
+	"github.com/quetzallane/quetzallane/internal/qlmember"
+	"github.com/quetzallane/quetzallane/pkg/qlconfig"
+	"github.com/quetzallane/quetzallane/pkg/qljson"
+)
+
+const (
+	_callTimeout = 5 * time.Second
+	_indexKey    = "index"
+	_partPrefix  = "part/"
+	_listKey     = "vms"
+)
+
+// ErrUnchanged is returned by a watch during which nothing changed.
+const ErrUnchanged = errors.ConstError("value unchanged")
+
+// VMs is the VM list as the platform serves it.
+type VMs struct {
+	Revision uint64 `json:"revision"`
+	VMs      []VM   `json:"vms"`
+}
+
+// VM is one listed machine.
+type VM struct {
+	ID string `json:"id"`
+	// Kind is router or upstream.
+	Kind    string `json:"kind"`
+	Zone    string `json:"zone"`
+	Address string `json:"address,omitempty"`
+	// State is live or leaving.
+	State string `json:"state"`
+}
+
+// The kinds and states of VMs.
+const (
+	KindRouter   = "router"
+	KindUpstream = "upstream"
+	StateLive    = "live"
+	StateLeaving = "leaving"
+)
+
+// List returns the list in the core's form.
+func (v *VMs) List() qlcore.List {
+	list := qlcore.List{
+		Revision: v.Revision,
+	}
+	for _, vm := range v.VMs {
+		leaving := vm.State == StateLeaving
+		if vm.Kind == KindRouter {
+			list.Routers = append(list.Routers, qlmember.Listed{
+				ID:      vm.ID,
+				Zone:    vm.Zone,
+				Address: vm.Address,
+				Leaving: leaving,
+			})
+		} else if leaving {
+			list.LeavingUpstreams = append(list.LeavingUpstreams, vm.ID)
+		}
+	}
+	return list
+}
+
+// ParseVMs reads a VM list.
+func ParseVMs(data []byte) (*VMs, error) {
+	list := &VMs{}
+	if err := qljson.Decode(_listKey, data, list); err != nil {
+		return nil, errors.Trace(err)
+	}
+	for _, vm := range list.VMs {
+		if vm.ID == "" || (vm.Kind != KindRouter && vm.Kind != KindUpstream) {
+			return nil, errors.NotValidf("%s: VM %q of kind %q", _listKey, vm.ID, vm.Kind)
+		}
+	}
+	return list, nil
+}
+
+// Config configures a Client.
+type Config struct {
+	// URL is the service's address.
+	URL string
+}
+
+// Client reads the platform's service. It is safe for several goroutines.
+type Client struct {
+	config Config
+	http   *http.Client
+	calls  atomic.Int64
+}
+
+// New returns a client.
+func New(config Config) *Client {
+	return &Client{
+		config: config,
+		http:   &http.Client{},
+	}
+}
+
+// Calls returns the number of calls made.
+func (c *Client) Calls() int64 {
+	return c.calls.Load()
+}
+
+// Index reads the configuration's index. With a wait it returns when the
+// revision exceeds after, or ErrUnchanged when the wait has passed.
+func (c *Client) Index(ctx context.Context, after uint64, wait time.Duration) (qlconfig.Index, error) {
+	var index qlconfig.Index
+	data, err := c.get(ctx, _indexKey, after, wait)
+	if err != nil {
+		return index, errors.Trace(err)
+	}
+	err = qljson.Decode(_indexKey, data, &index)
+	return index, errors.Trace(err)
+}
+
+// Part reads the part of the configuration with the hash.
+func (c *Client) Part(ctx context.Context, hash string) ([]byte, error) {
+	return c.get(ctx, _partPrefix+hash, 0, 0)
+}
+
+// VMs reads the VM list, waiting like Index.
+func (c *Client) VMs(ctx context.Context, after uint64, wait time.Duration) (*VMs, []byte, error) {
+	data, err := c.get(ctx, _listKey, after, wait)
+	if err != nil {
+		return nil, nil, errors.Trace(err)
+	}
+	list, err := ParseVMs(data)
+	return list, data, errors.Trace(err)
+}
+
+func (c *Client) get(ctx context.Context, key string, after uint64, wait time.Duration) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+_callTimeout)
+	defer cancel()
+	query := url.Values{}
+	if wait > 0 {
+		query.Set("after", strconv.FormatUint(after, 10))
+		query.Set("wait", wait.String())
+	}
+	target := fmt.Sprintf("%s/v1/values/%s?%s", c.config.URL, key, query.Encode())
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	c.calls.Add(1)
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, errors.Annotatef(err, "read %s", key)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode == http.StatusNotModified {
+		return nil, ErrUnchanged
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("read %s: status %d; the platform's operators can say why", key, response.StatusCode)
+	}
+	data, err := io.ReadAll(io.LimitReader(response.Body, qlconfig.PartMaxSize+1))
+	if err != nil {
+		return nil, errors.Annotatef(err, "read %s", key)
+	}
+	if len(data) > qlconfig.PartMaxSize {
+		return nil, errors.NotValidf("%s: over %d bytes; split it, so it", key, qlconfig.PartMaxSize)
+	}
+	return data, nil
+}
--- /dev/null
+++ b/internal/qlrouter/order.go
@@ -0,0 +1,68 @@
+package qlrouter
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/juju/errors"
+	"github.com/quetzallane/quetzallane/pkg/qlconfig"
+	"go.uber.org/zap"
+)
+
+// order gives an engine the order that the configuration in force holds, if
+// the engine does not follow it yet. The fencing number is the revision, so
+// an engine that checks refuses a router that was paused and is behind. An
+// engine that ignores fencing may be set back by such a router for one poll;
+// its dispatcher sees that in what the engine reports and orders again.
+func (r *Router) order(ctx context.Context, upstream qlconfig.UpstreamText) {
+	current := r.snapshot.Load()
+	if upstream.Load == "" || current == nil || !r.ready.Load() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, _loadTimeout)
+	defer cancel()
+	var state struct {
+		Loaded string `json:"loaded"`
+		Fence  uint64 `json:"fence"`
+	}
+	if err := getJSON(ctx, "http://"+upstream.Address+"/orders", &state); err != nil {
+		return
+	}
+	if state.Loaded == upstream.Load || state.Fence > current.Revision() {
+		return
+	}
+	err := postOrder(ctx, upstream, current.Revision())
+	r.log.Info("order-given",
+		zap.String("upstream", upstream.ID),
+		zap.String("load", upstream.Load),
+		zap.Uint64("fence", current.Revision()),
+		zap.Bool("taken", err == nil))
+}
+
+func postOrder(ctx context.Context, upstream qlconfig.UpstreamText, fence uint64) error {
+	body, err := json.Marshal(struct {
+		Load  string `json:"load"`
+		Fence uint64 `json:"fence"`
+	}{
+		Load:  upstream.Load,
+		Fence: fence,
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+upstream.Address+"/orders", bytes.NewReader(body))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return errors.Errorf("order refused: status %d", response.StatusCode)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/qlusage/qlusage.go
@@ -0,0 +1,308 @@
+// Package qlusage adds up each customer's service over all dispatchers.
+//
+// A usage home keeps the virtual time of the customers that rendezvous
+// hashing gives to its router. Dispatchers report counters that only they
+// change (the service since they started), so a report may be lost, repeated
+// or late without harm: the home adds the difference to the last one it
+// knows. A new home is whole after one report of each dispatcher, because
+// reports also carry the virtual time last heard from the home before.
+//
+// # How virtual time stays bounded
+//
+// A customer that becomes active starts at the system's virtual time, the
+// highest at which any dispatcher has granted: idleness earns no credit. An
+// active customer is kept within a cap on either side of it. The cap is what
+// a partition can leave to be repaid, so nobody starves to repay more.
+//
+// # Usage
+//
+//	home := qlusage.New(qlusage.Config{Limits: limits, LargestCost: largest})
+//	reply := home.Report(now, "r2", epoch, report)
+package qlusage
+
+import (
+	"sort"
+	"time"
+
+	"github.com/quetzallane/quetzallane/internal/qlinvariant"
+	"github.com/quetzallane/quetzallane/internal/qlwire"
+)
+
+const (
+	// _forgetSource drops a dispatcher that has not reported a customer. It
+	// is below the time after which a dispatcher forgets its own counters.
+	_forgetSource = 120 * time.Second
+	// CapRequests is the cap on virtual time ahead of or behind the system's,
+	// in largest requests at share 1.
+	CapRequests = 8
+	// _settle is how long a customer must have been backlogged before its
+	// virtual time is compared with the system's.
+	_settle = 2 * time.Second
+	// _allotmentLease mirrors the lease at dispatchers, with a margin for
+	// the way there.
+	_allotmentLease = 6 * time.Second
+)
+
+// Limits are a customer's share and bounds over the fleet.
+type Limits struct {
+	Share       float64
+	MaxInFlight int
+	CostRate    float64
+}
+
+// Config configures a Home.
+type Config struct {
+	// Limits returns what the configuration in force says of a customer.
+	Limits func(customer string) (limits Limits, ok bool)
+	// LargestCost returns the bound on one request's cost in a pool.
+	LargestCost func(pool string) float64
+	// Monitor receives the invariants' checks.
+	Monitor *qlinvariant.Monitor
+}
+
+// Home adds up usage. It is not safe for use by several goroutines.
+type Home struct {
+	config Config
+	pools  map[string]*pool
+}
+
+type pool struct {
+	virtualTime float64
+	customers   map[string]*record
+}
+
+type record struct {
+	virtualTime float64
+	active      bool
+	// backloggedFrom is when the customer last began to wait, or -1.
+	backloggedFrom time.Duration
+	sources        map[string]*source
+}
+
+// source is one dispatcher's last report of a customer.
+type source struct {
+	epoch    uint64
+	sequence uint64
+	used     float64
+	inFlight int
+	waiting  int
+	// held is the part of the bound that the dispatcher may be using.
+	held int
+	at   time.Duration
+}
+
+// New returns an empty home.
+func New(config Config) *Home {
+	return &Home{
+		config: config,
+		pools:  make(map[string]*pool),
+	}
+}
+
+// Report takes a dispatcher's report and returns the answer to it.
+func (h *Home) Report(now time.Duration, from string, epoch uint64, report *qlwire.UsageReport) *qlwire.UsageReply {
+	p := h.pool(report.GetPool())
+	p.virtualTime = max(p.virtualTime, report.GetVirtualTime())
+	reply := &qlwire.UsageReply{
+		Sequence:    report.GetSequence(),
+		Pool:        report.GetPool(),
+		VirtualTime: p.virtualTime,
+		Totals:      make([]*qlwire.UsageTotal, 0, len(report.GetItems())),
+	}
+	for _, item := range report.GetItems() {
+		limits, ok := h.config.Limits(item.GetCustomer())
+		if !ok {
+			delete(p.customers, item.GetCustomer())
+			continue
+		}
+		h.add(now, p, report, from, epoch, item, limits)
+		reply.Totals = append(reply.Totals, h.total(now, p, from, item, limits))
+	}
+	return reply
+}
+
+func (h *Home) pool(name string) *pool {
+	p := h.pools[name]
+	if p == nil {
+		p = &pool{
+			customers: make(map[string]*record),
+		}
+		h.pools[name] = p
+	}
+	return p
+}
+
+func (h *Home) add(now time.Duration, p *pool, report *qlwire.UsageReport, from string, epoch uint64, item *qlwire.UsageItem, limits Limits) {
+	r := p.customers[item.GetCustomer()]
+	if r == nil {
+		r = newRecord(p, item)
+		p.customers[item.GetCustomer()] = r
+	}
+	s := r.sources[from]
+	before := item.GetIncluded()
+	if s != nil && s.epoch == epoch {
+		if report.GetSequence() <= s.sequence {
+			return
+		}
+		before = s.used
+	} else {
+		s = &source{}
+		r.sources[from] = s
+		// What another home had added up for this dispatcher counts here too.
+		r.virtualTime = max(r.virtualTime, item.GetKnownVirtualTime())
+	}
+	r.virtualTime += (item.GetUsed() - before) / limits.Share
+	s.epoch = epoch
+	s.sequence = report.GetSequence()
+	s.used = item.GetUsed()
+	s.inFlight = int(item.GetInFlight())
+	s.waiting = int(item.GetWaiting())
+	s.held = int(item.GetAllotted())
+	s.at = now
+	h.settle(now, p, report.GetPool(), item.GetCustomer(), r, limits)
+}
+
+func newRecord(p *pool, item *qlwire.UsageItem) *record {
+	r := &record{
+		sources:        make(map[string]*source),
+		backloggedFrom: -1,
+	}
+	r.virtualTime = item.GetKnownVirtualTime()
+	if r.virtualTime == 0 {
+		r.virtualTime = p.virtualTime
+	}
+	// A home that is new for a customer known elsewhere must not take it for
+	// one that comes back from idleness.
+	r.active = item.GetKnownVirtualTime() != 0
+	return r
+}
+
+// settle applies the rules on idleness and the cap.
+func (h *Home) settle(now time.Duration, p *pool, poolName, customer string, r *record, limits Limits) {
+	inFlight, waiting := 0, 0
+	for id, s := range r.sources {
+		if now-s.at > _forgetSource {
+			delete(r.sources, id)
+			continue
+		}
+		inFlight += s.inFlight
+		waiting += s.waiting
+	}
+	active := inFlight+waiting > 0
+	if active && !r.active {
+		r.virtualTime = max(r.virtualTime, p.virtualTime)
+	}
+	r.active = active
+	if waiting == 0 || inFlight >= limits.MaxInFlight || limits.CostRate > 0 {
+		r.backloggedFrom = -1
+	} else if r.backloggedFrom < 0 {
+		r.backloggedFrom = now
+	}
+	bound := Cap(h.config.LargestCost(poolName), limits.Share)
+	if r.backloggedFrom >= 0 && now-r.backloggedFrom > _settle {
+		lag := p.virtualTime - r.virtualTime
+		h.config.Monitor.Check(lag <= bound && -lag <= bound, qlinvariant.FairnessGap, poolName, customer)
+	}
+	if active {
+		r.virtualTime = min(max(r.virtualTime, p.virtualTime-bound), p.virtualTime+bound)
+	}
+}
+
+// Cap returns the bound on the distance between a customer's virtual time
+// and the system's. One request moves the virtual time of a customer with a
+// small share by more than the largest cost, so the bound grows with it.
+func Cap(largestCost, share float64) float64 {
+	return CapRequests * largestCost * max(1, 1/share)
+}
+
+func (h *Home) total(now time.Duration, p *pool, from string, item *qlwire.UsageItem, limits Limits) *qlwire.UsageTotal {
+	r := p.customers[item.GetCustomer()]
+	s := r.sources[from]
+	part := r.part(from)
+	total := &qlwire.UsageTotal{
+		Customer:    item.GetCustomer(),
+		VirtualTime: r.virtualTime,
+		Included:    s.used,
+		CostRate:    limits.CostRate * part,
+	}
+	allotted := r.allot(now, from, part, limits.MaxInFlight)
+	s.held = max(s.held, allotted)
+	total.MaxInFlight = uint32(allotted)
+	return total
+}
+
+// part is the dispatcher's part of the customer's demand over the fleet.
+func (r *record) part(from string) float64 {
+	sum := 0
+	for _, s := range r.sources {
+		sum += s.inFlight + s.waiting
+	}
+	s := r.sources[from]
+	if sum == 0 {
+		return 1 / float64(max(len(r.sources), 1))
+	}
+	return float64(s.inFlight+s.waiting) / float64(sum)
+}
+
+// allot divides the bound by demand. A part is raised only out of what no
+// other dispatcher may still be using, so the sum never exceeds the bound.
+func (r *record) allot(now time.Duration, from string, part float64, bound int) int {
+	others := 0
+	for id, s := range r.sources {
+		if id != from && now-s.at < _allotmentLease {
+			others += s.held
+		}
+	}
+	// Rounding up may hand out more than the bound in sum; the rest that is
+	// not used by others is the limit then.
+	target := int(part*float64(bound) + 0.999)
+	return max(0, min(target, bound-others))
+}
+
+// Tick forgets customers without any recent report.
+func (h *Home) Tick(now time.Duration) {
+	for _, p := range h.pools {
+		for customer, r := range p.customers {
+			for id, s := range r.sources {
+				if now-s.at > _forgetSource {
+					delete(r.sources, id)
+				}
+			}
+			if len(r.sources) == 0 {
+				delete(p.customers, customer)
+			}
+		}
+	}
+}
+
+// CustomerState is one customer's state for dumps.
+type CustomerState struct {
+	Pool        string  `json:"pool"`
+	Customer    string  `json:"customer"`
+	VirtualTime float64 `json:"virtual-time"`
+	Active      bool    `json:"active"`
+	Dispatchers int     `json:"dispatchers"`
+}
+
+// State returns the home's state for dumps, sorted.
+func (h *Home) State() []CustomerState {
+	states := []CustomerState{}
+	for name, p := range h.pools {
+		for customer, r := range p.customers {
+			states = append(states, CustomerState{
+				Pool:        name,
+				Customer:    customer,
+				VirtualTime: r.virtualTime,
+				Active:      r.active,
+				Dispatchers: len(r.sources),
+			})
+		}
+	}
+	sort.Slice(states, func(i, j int) bool {
+		if states[i].Pool != states[j].Pool {
+			return states[i].Pool < states[j].Pool
+		}
+		return states[i].Customer < states[j].Customer
+	})
+	return states
+}
