Virtual time of the fleet is the median of dispatchers' levels

Cause: with the highest virtual time of any grant as the system's, one dispatcher that heard of one customer only served it far ahead and carried that to the fleet: the cap then forgave what the others were owed.

Ruled out: widening the cap (it would hide the same loss); the mean over backlogged customers at the homes (needs a count on the wire and is older when it arrives).

Change: each router takes the median of the levels heard within 3 s. A home that knows no virtual time yet clamps nobody.

--- a/internal/qlcore/qlcore.go
+++ b/internal/qlcore/qlcore.go
@@ -33,6 +33,7 @@
 	leavingVMs    map[string]bool
 	live          *qlring.Ring
 	poolRings     map[string]*qlring.Ring
+	poolLevels    map[string]map[string]heardLevel
 	viewChanged   bool
 	leaving       bool
 	closed        bool
@@ -72,6 +73,7 @@
 		random:      config.Random,
 		leavingVMs:  make(map[string]bool),
 		poolRings:   make(map[string]*qlring.Ring),
+		poolLevels:  make(map[string]map[string]heardLevel),
 		requests:    make(map[uint64]*requestState),
 		epochs:      make(map[string]uint64),
 		revisions:   make(map[string]uint64),
--- a/internal/qlcore/types.go
+++ b/internal/qlcore/types.go
@@ -43,6 +43,8 @@
 	_copyPeriod = time.Second
 	// _slowPeriod is the period of work that nothing waits for.
 	_slowPeriod = 100 * time.Millisecond
+	// _levelAge is the age at which a dispatcher's level no longer counts.
+	_levelAge = 3 * time.Second
 	// _watchersPerZone is how many routers of a zone watch the service.
 	_watchersPerZone = 2
 )
@@ -118,6 +120,12 @@
 	LeavingUpstreams []string
 }
 
+// heardLevel is the virtual time of the last grant at a dispatcher.
+type heardLevel struct {
+	level float64
+	at    time.Duration
+}
+
 type requestState struct {
 	request Request
 	// deadline is when waiting ends, over all tries.
--- a/internal/qlcore/view.go
+++ b/internal/qlcore/view.go
@@ -258,9 +258,7 @@
 
 func (c *Core) applyLevels(from string, levels []*qlwire.PoolLevel) {
 	for _, level := range levels {
-		if !c.config.Isolated {
-			c.dispatcher.AdvanceVirtualTime(level.GetPool(), level.GetVirtualTime())
-		}
+		c.noteLevel(level.GetPool(), from, level.GetLevel())
 		c.entry.SetLevel(c.now, from, level)
 	}
 }
--- a/internal/qldispatch/qldispatch.go
+++ b/internal/qldispatch/qldispatch.go
@@ -482,7 +482,6 @@
 	r.inUse++
 	r.peak = max(r.peak, r.inUse)
 	p.level = start
-	p.virtualTime = max(p.virtualTime, start)
 	if a.waiting > 0 {
 		p.queue.Fix(a.flow)
 	} else {
--- a/internal/qldispatch/replica.go
+++ b/internal/qldispatch/replica.go
@@ -164,13 +164,13 @@
 	return owned
 }
 
-// AdvanceVirtualTime takes a virtual time at which another router granted.
+// AdvanceVirtualTime takes the fleet's virtual time, which never goes back.
 func (d *Dispatcher) AdvanceVirtualTime(name string, virtualTime float64) {
 	p := d.pool(name)
 	p.virtualTime = max(p.virtualTime, virtualTime)
 }
 
-// VirtualTime returns the highest virtual time known of a grant in the pool.
+// VirtualTime returns the fleet's virtual time as known here.
 func (d *Dispatcher) VirtualTime(name string) float64 {
 	if p := d.pools[name]; p != nil {
 		return p.virtualTime
--- a/internal/qldispatch/types.go
+++ b/internal/qldispatch/types.go
@@ -192,7 +192,7 @@
 	queue       qlfair.Queue[*account]
 	accounts    map[string]*account
 	parked      []*account
-	// virtualTime is the highest start of service known from anywhere.
+	// virtualTime is the fleet's; level is that of the last grant here.
 	virtualTime float64
 	level       float64
 	waiting     int
--- a/internal/qlusage/qlusage.go
+++ b/internal/qlusage/qlusage.go
@@ -9,8 +9,9 @@
 //
 // # How virtual time stays bounded
 //
-// A customer that becomes active starts at the system's virtual time, the
-// highest at which any dispatcher has granted: idleness earns no credit. An
+// The system's virtual time is the median of the virtual times at which the
+// dispatchers granted last. A customer that becomes active starts there:
+// idleness earns no credit. An
 // active customer is kept within a cap on either side of it. The cap is what
 // a partition can leave to be repaid, so nobody starves to repay more.
 //
@@ -199,11 +200,12 @@
 		r.backloggedFrom = now
 	}
 	bound := Cap(h.config.LargestCost(poolName), limits.Share)
-	if r.backloggedFrom >= 0 && now-r.backloggedFrom > _settle {
+	if p.virtualTime > 0 && r.backloggedFrom >= 0 && now-r.backloggedFrom > _settle {
 		lag := p.virtualTime - r.virtualTime
 		h.config.Monitor.Check(lag <= bound && -lag <= bound, qlinvariant.FairnessGap, poolName, customer)
 	}
-	if active {
+	// A home that started empty knows no virtual time to hold anyone to.
+	if active && p.virtualTime > 0 {
 		r.virtualTime = min(max(r.virtualTime, p.virtualTime-bound), p.virtualTime+bound)
 	}
 }
