Fairness: slow estimates, damping, presumed service, level of the next

Cause of a gap of 13 to 19 largest requests even with ONE router (so not the exchange): the cost estimate was a fast average over ends, and of requests begun together the cheap ones end first; it fell, more were begun at too low a charge, and customers swung between 0 and 27 in flight. Second cause, with nine routers: all dispatchers see the same customer behind and serve it at once, so together they overshoot until the next report.

Ruled out: stale home answers (the same trace without exchange), heap order (virtual times were within 2 largest requests), a shorter report period (the overshoot comes within one).

Change: estimates average over about 100 requests; queues order by virtual time plus cost under way; what a dispatcher served since the last answer counts times the number of dispatchers at which the customer waits; a dispatcher's level is the virtual time of the customer it serves next.

--- a/internal/qlcore/level.go
+++ b/internal/qlcore/level.go
@@ -3,7 +3,7 @@
 import "sort"
 
 // The fleet's virtual time in a pool is the median of the levels of its
-// dispatchers: the virtual times of the customers that they granted last.
+// dispatchers: the virtual times of the customers that they serve next.
 //
 // Not the highest: a dispatcher that happens to hear of one customer only
 // serves it far ahead of the others, and a maximum would carry that to the
--- a/internal/qldispatch/qldispatch.go
+++ b/internal/qldispatch/qldispatch.go
@@ -479,6 +479,7 @@
 	a.activeAt = now
 	a.bucket -= cost
 	a.service.Charge(cost)
+	a.service.AddUnderWay(cost)
 	r.inUse++
 	r.peak = max(r.peak, r.inUse)
 	p.level = start
@@ -525,6 +526,7 @@
 	}
 	a := record.account
 	a.service.Charge(cost - record.charged)
+	a.service.AddUnderWay(cost - record.charged)
 	a.bucket += record.charged - cost
 	record.charged = cost
 	d.judge(now, record.replica, outcome)
@@ -544,6 +546,7 @@
 	}
 	a := record.account
 	a.service.Charge(cost - record.charged)
+	a.service.AddUnderWay(cost - record.charged)
 	a.bucket -= cost - record.charged
 	record.charged = cost
 	a.dirty = true
@@ -573,6 +576,7 @@
 	a := record.account
 	r := record.replica
 	a.inFlight--
+	a.service.AddUnderWay(-record.charged)
 	a.dirty = true
 	a.activeAt = now
 	r.inUse--
--- a/internal/qldispatch/replica.go
+++ b/internal/qldispatch/replica.go
@@ -147,12 +147,21 @@
 	return &qlwire.PoolLevel{
 		Pool:        name,
 		VirtualTime: p.virtualTime,
-		Level:       p.level,
+		Level:       p.currentLevel(),
 		Free:        uint32(free),
 		Waiting:     uint32(p.waiting),
 	}
 }
 
+// currentLevel is the virtual time of the customer that is next here. With
+// nobody waiting it is that of the last grant.
+func (p *pool) currentLevel() float64 {
+	if next := p.queue.Min(); next != nil {
+		return next.Account().VirtualTime()
+	}
+	return p.level
+}
+
 // Pools returns the names of the pools with upstreams owned here, sorted.
 func (d *Dispatcher) Pools() []string {
 	var owned []string
--- a/internal/qldispatch/usage.go
+++ b/internal/qldispatch/usage.go
@@ -71,7 +71,7 @@
 			continue
 		}
 		a.confirmed = true
-		a.service.SetTotal(total.GetVirtualTime(), total.GetIncluded())
+		a.service.SetTotal(total.GetVirtualTime(), total.GetIncluded(), int(total.GetServers()))
 		a.allotted = int(total.GetMaxInFlight())
 		a.allottedRate = total.GetCostRate()
 		a.allottedUntil = now + _allotmentLease
@@ -124,7 +124,7 @@
 	state := PoolState{
 		Pool:        p.name,
 		VirtualTime: p.virtualTime,
-		Level:       p.level,
+		Level:       p.currentLevel(),
 		Upstreams:   make([]UpstreamState, 0, len(p.replicas)),
 		Customers:   make([]CustomerState, 0, len(p.accounts)),
 	}
--- a/internal/qlentry/qlentry.go
+++ b/internal/qlentry/qlentry.go
@@ -148,7 +148,7 @@
 		}
 		e.queues[key] = q
 	}
-	if !q.learned && request.Hint > 0 {
+	if q.samples == 0 && request.Hint > 0 {
 		q.estimate = request.Hint
 	}
 	return q
@@ -309,13 +309,14 @@
 	}
 }
 
+// learn averages costs over many requests. Few would not do: of requests
+// that began together the cheap ones end first, so a fast average falls, more
+// are started at too low a charge, and the customer swings from far ahead to
+// far behind.
 func (q *queue) learn(cost float64) {
-	if !q.learned {
-		q.learned = true
-		q.estimate = cost
-		return
-	}
-	q.estimate += _learn * (cost - q.estimate)
+	q.samples++
+	weight := max(_learn, 1/float64(q.samples))
+	q.estimate += weight * (cost - q.estimate)
 }
 
 // Waiting returns the number of requests that wait in a pool.
--- a/internal/qlentry/types.go
+++ b/internal/qlentry/types.go
@@ -51,7 +51,7 @@
 	// _rebalance is how often waiting requests look for a better dispatcher.
 	_rebalance = 250 * time.Millisecond
 	// _learn is the weight of the newest cost in a customer's estimate.
-	_learn = 0.2
+	_learn = 0.01
 	// _retryDeposit and _retryMax make each customer's retry budget: a tenth
 	// of its requests, and a few in a row.
 	_retryDeposit = 0.1
@@ -154,7 +154,7 @@
 	placed    map[string]int
 	remote    int
 	estimate  float64
-	learned   bool
+	samples   int
 	retries   float64
 	lastUseAt time.Duration
 }
--- a/internal/qlfair/qlfair.go
+++ b/internal/qlfair/qlfair.go
@@ -8,7 +8,9 @@
 // A dispatcher knows the fleet's total only as of the last answer of the
 // customer's usage home. It therefore keeps two numbers: the home's total,
 // and how much of its own service that total included. What it has served
-// since is added at once, what others have served comes with the next answer.
+// since is added at once, and taken times the number of dispatchers at which
+// the customer waits: the others see the same customer behind and serve it at
+// the same time. Without that, all of them together overshoot.
 //
 // # Usage
 //
@@ -21,6 +23,9 @@
 //	queue.Fix(next)
 package qlfair
 
+// _damping is the weight of cost under way in the order of customers.
+const _damping = 1.0
+
 // AccountConfig configures an Account.
 type AccountConfig struct {
 	ID    string
@@ -37,14 +42,19 @@
 	total    float64
 	used     float64
 	included float64
+	// underWay is the cost charged for requests that have not ended.
+	underWay float64
+	// servers is the number of dispatchers that serve the customer.
+	servers float64
 }
 
 // NewAccount returns an account with no service of its own.
 func NewAccount(config AccountConfig) *Account {
 	return &Account{
-		id:    config.ID,
-		share: config.Share,
-		total: config.Start,
+		id:      config.ID,
+		share:   config.Share,
+		total:   config.Start,
+		servers: 1,
 	}
 }
 
@@ -89,16 +99,36 @@
 	return a.total
 }
 
-// VirtualTime returns the best estimate of the customer's virtual time.
+// VirtualTime returns the customer's virtual time as far as it is known.
 func (a *Account) VirtualTime() float64 {
 	return a.total + (a.used-a.included)/a.share
 }
 
+// AddUnderWay notes cost charged for a request that starts; a negative cost
+// notes that it ended.
+func (a *Account) AddUnderWay(cost float64) {
+	a.underWay += cost
+}
+
+// Order returns the value by which queues order customers: the virtual time
+// with what the other dispatchers are presumed to have served since the last
+// answer, and a weight on what is under way.
+//
+// By virtual time alone a customer that was behind is given many slots at
+// once, for all of them to weigh on it only when they end; it is far ahead by
+// then, gets none for as long, and so swings. The weight damps that.
+func (a *Account) Order() float64 {
+	presumed := a.servers * (a.used - a.included + _damping*a.underWay)
+	return a.total + presumed/a.share
+}
+
 // SetTotal takes the home's answer: the virtual time over the fleet, which
-// includes the first `included` units served here.
-func (a *Account) SetTotal(total, included float64) {
+// includes the first `included` units served here, and the number of
+// dispatchers that serve the customer.
+func (a *Account) SetTotal(total, included float64, servers int) {
 	a.total = total
 	a.included = included
+	a.servers = float64(max(servers, 1))
 }
 
 // Flow is one customer's place in one queue, with what its owner keeps there.
@@ -159,7 +189,7 @@
 		q.Fix(f)
 		return
 	}
-	f.key = f.account.VirtualTime()
+	f.key = f.account.Order()
 	f.index = len(q.flows)
 	q.flows = append(q.flows, f)
 	q.up(f.index)
@@ -186,7 +216,7 @@
 	if !f.Queued() {
 		return
 	}
-	f.key = f.account.VirtualTime()
+	f.key = f.account.Order()
 	if !q.down(f.index) {
 		q.up(f.index)
 	}
--- a/internal/qlusage/qlusage.go
+++ b/internal/qlusage/qlusage.go
@@ -9,8 +9,8 @@
 //
 // # How virtual time stays bounded
 //
-// The system's virtual time is the median of the virtual times at which the
-// dispatchers granted last. A customer that becomes active starts there:
+// The system's virtual time is the median of the virtual times of the
+// customers that the dispatchers serve next. A customer that becomes active starts there:
 // idleness earns no credit. An
 // active customer is kept within a cap on either side of it. The cap is what
 // a partition can leave to be repaid, so nobody starves to repay more.
@@ -226,6 +226,7 @@
 		VirtualTime: r.virtualTime,
 		Included:    s.used,
 		CostRate:    limits.CostRate * part,
+		Servers:     uint32(r.servers()),
 	}
 	allotted := r.allot(now, from, part, limits.MaxInFlight)
 	s.held = max(s.held, allotted)
@@ -246,6 +247,17 @@
 	return float64(s.inFlight+s.waiting) / float64(sum)
 }
 
+// servers counts the dispatchers at which the customer waits.
+func (r *record) servers() int {
+	count := 0
+	for _, s := range r.sources {
+		if s.waiting > 0 {
+			count++
+		}
+	}
+	return max(count, 1)
+}
+
 // allot divides the bound by demand. A part is raised only out of what no
 // other dispatcher may still be using, so the sum never exceeds the bound.
 func (r *record) allot(now time.Duration, from string, part float64, bound int) int {
