--- a/internal/qlclaim/proposer.go
+++ b/internal/qlclaim/proposer.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"github.com/quetzallane/quetzallane/internal/qlring"
 	"github.com/quetzallane/quetzallane/internal/qlwire"
 )
 
@@ -32,7 +33,7 @@
 	// Epoch tells this process's attempts from those of an earlier start.
 	Epoch uint64
 	// Acceptors returns the routers that remember the key.
-	Acceptors func(key string) []string
+	Acceptors func(key string) []qlring.Node
 	// Send sends a claim or release to an acceptor, this router included.
 	Send func(to string, message *qlwire.Message)
 	// Decided receives the end of an attempt for a request.
@@ -46,6 +47,7 @@
 	bodyHash  []byte
 	name      string
 	acceptors []string
+	hash      uint64
 	verdicts  map[string]Verdict
 	holder    string
 	startedAt time.Duration
@@ -75,16 +77,20 @@
 // holds the key.
 func (p *Proposer) Claim(now time.Duration, request uint64, key string, bodyHash []byte, name string) {
 	p.number++
+	nodes := p.config.Acceptors(key)
 	a := &attempt{
 		number:    p.config.Epoch<<20 + p.number,
 		request:   request,
 		key:       key,
 		bodyHash:  bodyHash,
 		name:      name,
-		acceptors: p.config.Acceptors(key),
+		hash:      AcceptorsHash(nodes),
 		verdicts:  make(map[string]Verdict, Acceptors),
 		startedAt: now,
 	}
+	for _, node := range nodes {
+		a.acceptors = append(a.acceptors, node.ID())
+	}
 	p.attempts[a.number] = a
 	p.byID[request] = a
 	for _, to := range a.acceptors {
@@ -96,21 +102,28 @@
 	p.config.Send(to, &qlwire.Message{
 		Body: &qlwire.Message_ClaimRequest{
 			ClaimRequest: &qlwire.ClaimRequest{
-				Attempt:  a.number,
-				Key:      []byte(a.key),
-				BodyHash: a.bodyHash,
-				Request:  a.name,
+				Attempt:   a.number,
+				Key:       []byte(a.key),
+				BodyHash:  a.bodyHash,
+				Request:   a.name,
+				Acceptors: a.hash,
 			},
 		},
 	})
 }
 
 // Reply takes an acceptor's answer.
-func (p *Proposer) Reply(from string, reply *qlwire.ClaimReply) {
+func (p *Proposer) Reply(now time.Duration, from string, reply *qlwire.ClaimReply) {
 	a := p.attempts[reply.GetAttempt()]
 	if a == nil || a.decided || !a.asked(from) {
 		return
 	}
+	if now-a.startedAt >= _claimTimeout {
+		// Not in time, perhaps since this process was paused: what was
+		// granted may no longer count against others.
+		p.decide(a, a.failure())
+		return
+	}
 	a.verdicts[from] = Verdict(reply.GetVerdict())
 	if reply.GetHolder() != "" {
 		a.holder = reply.GetHolder()
--- a/internal/qlclaim/qlclaim.go
+++ b/internal/qlclaim/qlclaim.go
@@ -13,6 +13,8 @@
 //     of all other acceptors of the key from routers that vouch themselves;
 //   - some VM list that it held inside the window did not make it an acceptor
 //     of the key;
+//   - the entry that asks counts on other acceptors than it would itself, so
+//     one of the two has another VM list;
 //   - it has not heard from a majority of the listed routers of late, so it
 //     may be on the small side of a partition with an old list.
 //
@@ -21,15 +23,17 @@
 // # Usage
 //
 //	a := qlclaim.NewAcceptor(qlclaim.AcceptorConfig{Self: "r1", Window: window, Connected: connected})
-//	a.SetRing(now, ring)
+//	a.SetRing(now, revision, ring)
 //	verdict, holder := a.Request(now, "r2", request)
 package qlclaim
 
 import (
 	"crypto/sha256"
 	"sort"
+	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/quetzallane/quetzallane/internal/qlring"
 	"github.com/quetzallane/quetzallane/internal/qlwire"
 )
@@ -55,6 +59,8 @@
 	// _copyBatch bounds the claims in one message.
 	_copyBatch = 200
 	_keySize   = 16
+	// _attemptMargin exceeds the time for which an attempt may go on.
+	_attemptMargin = 2 * time.Second
 	// _rememberRelease covers claims that come after their release.
 	_rememberRelease = 10 * time.Second
 )
@@ -84,52 +90,63 @@
 	attempt  uint64
 	bodyHash string
 	request  string
-	expires  time.Duration
+	// granted is set when this acceptor granted the claim itself. A copied one
+	// only keeps others from the key.
+	granted bool
+	expires time.Duration
 }
 
 // view is a VM list in use since a time.
 type view struct {
-	since time.Duration
-	ring  *qlring.Ring
+	since    time.Duration
+	revision uint64
+	ring     *qlring.Ring
 }
 
 // Acceptor remembers granted keys. It is not safe for several goroutines.
 // The clock that its methods are given starts at 0 with the process.
 type Acceptor struct {
 	config AcceptorConfig
-	claims map[string]*claim
+	// keep is how long claims are kept: the window, and the time for which an
+	// attempt that began inside it may go on.
+	keep time.Duration
+	// claims holds the claims on each key. There is more than one when copies
+	// brought those of several acceptors: one of an attempt that succeeded,
+	// and one of an attempt that failed and will give it back.
+	claims map[string][]*claim
 	// released holds attempts that are over, until the time given.
 	released map[attemptID]time.Duration
 	views    []view
-	// copied holds the routers whose claims were copied in full, and which
-	// vouched, since the start.
-	copied   map[string]bool
-	sequence uint64
-	sweepAt  time.Duration
+	// copied holds the routers whose claims were copied in full since the
+	// start, while they vouched, with the VM list that they had then.
+	copied  map[string]uint64
+	sweepAt time.Duration
 }
 
 // NewAcceptor returns an acceptor that has just started empty.
 func NewAcceptor(config AcceptorConfig) *Acceptor {
 	return &Acceptor{
 		config:   config,
-		claims:   make(map[string]*claim),
+		keep:     config.Window + _attemptMargin,
+		claims:   make(map[string][]*claim),
 		released: make(map[attemptID]time.Duration),
-		copied:   make(map[string]bool),
+		copied:   make(map[string]uint64),
 	}
 }
 
 // SetRing takes the listed routers in force from now on.
-func (a *Acceptor) SetRing(now time.Duration, ring *qlring.Ring) {
+func (a *Acceptor) SetRing(now time.Duration, revision uint64, ring *qlring.Ring) {
 	a.views = append(a.views, view{
-		since: now,
-		ring:  ring,
+		since:    now,
+		revision: revision,
+		ring:     ring,
 	})
 	a.dropOldViews(now)
 }
 
 // dropOldViews keeps the view in force at the window's start and all later.
 func (a *Acceptor) dropOldViews(now time.Duration) {
-	start := now - a.config.Window
+	start := now - a.keep
 	for len(a.views) > 1 && a.views[1].since <= start {
 		a.views = a.views[1:]
 	}
@@ -141,30 +158,48 @@
 	if a.over(from, request.GetAttempt()) {
 		return CannotVouch, ""
 	}
-	if held := a.live(now, key); held != nil {
-		return a.judge(held, from, request)
+	held := a.live(now, key)
+	if refusal, holder := judge(held, from, request); refusal != 0 {
+		return refusal, holder
+	}
+	if len(held) > 0 && held[0].granted {
+		return Granted, ""
 	}
-	if !a.vouches(now, key) || len(a.claims) >= _maxClaims {
+	if len(held) == 0 && len(a.claims) >= _maxClaims {
 		return CannotVouch, ""
 	}
-	a.claims[key] = &claim{
-		owner:    from,
-		attempt:  request.GetAttempt(),
-		bodyHash: string(request.GetBodyHash()),
-		request:  request.GetRequest(),
-		expires:  now + a.config.Window,
+	vouched := a.agrees(key, request.GetAcceptors()) && a.vouches(now, key)
+	a.claims[key] = []*claim{
+		{
+			owner:    from,
+			attempt:  request.GetAttempt(),
+			bodyHash: string(request.GetBodyHash()),
+			request:  request.GetRequest(),
+			granted:  vouched,
+			expires:  now + a.keep,
+		},
+	}
+	if !vouched {
+		// Remembered all the same: the others may grant it, and this router
+		// may vouch for the key before the window has passed.
+		return CannotVouch, ""
 	}
 	return Granted, ""
 }
 
-func (a *Acceptor) judge(held *claim, from string, request *qlwire.ClaimRequest) (Verdict, string) {
-	if held.owner == from && held.attempt == request.GetAttempt() {
-		return Granted, ""
-	}
-	if held.bodyHash != string(request.GetBodyHash()) {
-		return Mismatch, held.request
+// judge compares an attempt with the claims that hold its key. It returns no
+// verdict when nobody but the attempt itself holds it.
+func judge(held []*claim, from string, request *qlwire.ClaimRequest) (Verdict, string) {
+	for _, c := range held {
+		if c.owner == from && c.attempt == request.GetAttempt() {
+			continue
+		}
+		if c.bodyHash != string(request.GetBodyHash()) {
+			return Mismatch, c.request
+		}
+		return Held, c.request
 	}
-	return Held, held.request
+	return 0, ""
 }
 
 // over reports whether the attempt was released before its claim came. A
@@ -174,26 +209,59 @@
 	return released
 }
 
-// live returns the claim that still holds the key.
-func (a *Acceptor) live(now time.Duration, key string) *claim {
+// live returns the claims that still hold the key.
+func (a *Acceptor) live(now time.Duration, key string) []*claim {
 	held := a.claims[key]
-	if held == nil || now >= held.expires {
-		return nil
+	kept := held[:0]
+	for _, c := range held {
+		if now < c.expires {
+			kept = append(kept, c)
+		}
 	}
-	return held
+	a.store(key, kept)
+	return kept
+}
+
+func (a *Acceptor) store(key string, held []*claim) {
+	if len(held) == 0 {
+		delete(a.claims, key)
+		return
+	}
+	a.claims[key] = held
 }
 
 // Release gives a key back whose attempt was certainly not sent.
 func (a *Acceptor) Release(now time.Duration, from string, release *qlwire.ClaimRelease) {
 	key := string(release.GetKey())
 	a.released[attemptID{owner: from, number: release.GetAttempt()}] = now + _rememberRelease
-	held := a.live(now, key)
-	if held == nil {
-		return
+	var kept []*claim
+	for _, held := range a.live(now, key) {
+		if held.owner != from || held.attempt != release.GetAttempt() {
+			kept = append(kept, held)
+		}
 	}
-	if held.owner == from && held.attempt == release.GetAttempt() {
-		delete(a.claims, key)
+	a.store(key, kept)
+}
+
+// agrees reports whether the entry counts on the acceptors that this one
+// would. From the moment an acceptor has a new VM list, it grants nothing
+// under an older one; a copy that it gives after that is complete.
+func (a *Acceptor) agrees(key string, acceptors uint64) bool {
+	return len(a.views) > 0 && AcceptorsHash(a.current().Spread(key, Acceptors)) == acceptors
+}
+
+func (a *Acceptor) current() *qlring.Ring {
+	return a.views[len(a.views)-1].ring
+}
+
+// AcceptorsHash returns a hash of the acceptors in their order.
+func AcceptorsHash(nodes []qlring.Node) uint64 {
+	var ids strings.Builder
+	for _, node := range nodes {
+		ids.WriteString(node.ID())
+		ids.WriteByte(0)
 	}
+	return xxhash.Sum64String(ids.String())
 }
 
 // vouches reports whether this acceptor would know of an earlier claim.
@@ -207,14 +275,19 @@
 			return false
 		}
 	}
-	return now >= a.config.Window || a.copiedOthers(key)
+	return now >= a.keep || a.copiedOthers(key)
 }
 
+// copiedOthers reports whether the claims of all other acceptors of the key
+// were copied, under each VM list held since the start. The copies must have
+// been given under that list or a later one: before, their giver might still
+// have granted the key to an entry that did not know of this router.
 func (a *Acceptor) copiedOthers(key string) bool {
-	last := a.views[len(a.views)-1].ring
-	for _, node := range last.Spread(key, Acceptors) {
-		if node.ID() != a.config.Self && !a.copied[node.ID()] {
-			return false
+	for i := range a.views {
+		for _, node := range a.views[i].ring.Spread(key, Acceptors) {
+			if node.ID() != a.config.Self && a.copied[node.ID()] < a.views[i].revision {
+				return false
+			}
 		}
 	}
 	return true
@@ -232,12 +305,13 @@
 // MissingCopies returns the routers to ask for copies; none once the window
 // has passed since the start.
 func (a *Acceptor) MissingCopies(now time.Duration) []string {
-	if len(a.views) == 0 || now >= a.config.Window {
+	if len(a.views) == 0 || now >= a.keep {
 		return nil
 	}
 	var missing []string
-	for _, node := range a.views[len(a.views)-1].ring.Nodes() {
-		if node.ID() != a.config.Self && !a.copied[node.ID()] {
+	last := a.views[len(a.views)-1]
+	for _, node := range last.ring.Nodes() {
+		if node.ID() != a.config.Self && a.copied[node.ID()] < last.revision {
 			missing = append(missing, node.ID())
 		}
 	}
@@ -252,15 +326,20 @@
 	if len(a.views) > 0 {
 		records = a.recordsFor(now, to)
 	}
+	revision := uint64(0)
+	if len(a.views) > 0 {
+		revision = a.views[len(a.views)-1].revision
+	}
 	var copies []*qlwire.ClaimCopy
 	for {
 		batch := records[:min(len(records), _copyBatch)]
 		records = records[len(batch):]
 		copies = append(copies, &qlwire.ClaimCopy{
-			Sequence: sequence,
-			Vouched:  vouched,
-			More:     len(records) > 0,
-			Claims:   batch,
+			Sequence:     sequence,
+			Vouched:      vouched,
+			More:         len(records) > 0,
+			Claims:       batch,
+			ListRevision: revision,
 		})
 		if len(records) == 0 {
 			return copies
@@ -272,65 +351,85 @@
 	if len(a.views) == 0 || !a.config.Connected(now) {
 		return false
 	}
-	return now >= a.config.Window || len(a.MissingCopies(now)) == 0
+	return now >= a.keep || len(a.MissingCopies(now)) == 0
 }
 
 func (a *Acceptor) recordsFor(now time.Duration, to qlring.Node) []*qlwire.ClaimRecord {
-	nodes := a.views[len(a.views)-1].ring.Nodes()
+	nodes := a.current().Nodes()
 	if !contains(nodes, to.ID()) {
 		nodes = append(append([]qlring.Node(nil), nodes...), to)
 	}
 	ring := qlring.New(nodes)
 	var records []*qlwire.ClaimRecord
-	for key, held := range a.claims {
-		if now >= held.expires || !contains(ring.Spread(key, Acceptors), to.ID()) {
+	for key, claims := range a.claims {
+		if !contains(ring.Spread(key, Acceptors), to.ID()) {
 			continue
 		}
-		records = append(records, &qlwire.ClaimRecord{
-			Key:      []byte(key),
-			BodyHash: []byte(held.bodyHash),
-			Request:  held.request,
-			Owner:    held.owner,
-			Attempt:  held.attempt,
-			Left:     int64(held.expires - now),
-		})
+		for _, held := range claims {
+			if now < held.expires {
+				records = append(records, held.record(now, key))
+			}
+		}
 	}
 	sort.Slice(records, func(i, j int) bool {
-		return string(records[i].GetKey()) < string(records[j].GetKey())
+		if a, b := string(records[i].GetKey()), string(records[j].GetKey()); a != b {
+			return a < b
+		}
+		return records[i].GetAttempt() < records[j].GetAttempt()
 	})
 	return records
 }
 
-// ApplyCopy takes claims copied from another router.
+func (c *claim) record(now time.Duration, key string) *qlwire.ClaimRecord {
+	return &qlwire.ClaimRecord{
+		Key:      []byte(key),
+		BodyHash: []byte(c.bodyHash),
+		Request:  c.request,
+		Owner:    c.owner,
+		Attempt:  c.attempt,
+		Left:     int64(c.expires - now),
+	}
+}
+
+// ApplyCopy takes claims copied from another router. All claims on a key are
+// kept: were only the first kept, and it is given back, the key would be free
+// although another attempt holds it.
 func (a *Acceptor) ApplyCopy(now time.Duration, from string, copied *qlwire.ClaimCopy) {
 	for _, record := range copied.GetClaims() {
-		key := string(record.GetKey())
-		if a.live(now, key) != nil {
-			continue
-		}
-		a.claims[key] = &claim{
-			owner:    record.GetOwner(),
-			attempt:  record.GetAttempt(),
-			bodyHash: string(record.GetBodyHash()),
-			request:  record.GetRequest(),
-			expires:  now + time.Duration(record.GetLeft()),
+		if !a.over(record.GetOwner(), record.GetAttempt()) {
+			a.addCopy(now, record)
 		}
 	}
 	if copied.GetVouched() && !copied.GetMore() {
-		a.copied[from] = true
+		a.copied[from] = max(a.copied[from], copied.GetListRevision())
 	}
 }
 
+func (a *Acceptor) addCopy(now time.Duration, record *qlwire.ClaimRecord) {
+	key := string(record.GetKey())
+	held := a.live(now, key)
+	for _, c := range held {
+		if c.owner == record.GetOwner() && c.attempt == record.GetAttempt() {
+			return
+		}
+	}
+	a.claims[key] = append(held, &claim{
+		owner:    record.GetOwner(),
+		attempt:  record.GetAttempt(),
+		bodyHash: string(record.GetBodyHash()),
+		request:  record.GetRequest(),
+		expires:  now + time.Duration(record.GetLeft()),
+	})
+}
+
 // Tick drops expired claims.
 func (a *Acceptor) Tick(now time.Duration) {
 	if now < a.sweepAt {
 		return
 	}
 	a.sweepAt = now + time.Second
-	for key, held := range a.claims {
-		if now >= held.expires {
-			delete(a.claims, key)
-		}
+	for key := range a.claims {
+		a.live(now, key)
 	}
 	for id, until := range a.released {
 		if now >= until {
--- a/internal/qlcore/baseline_test.go
+++ b/internal/qlcore/baseline_test.go
@@ -136,6 +136,7 @@
 // TestGapAgainstBaselines asks for a gap ten times smaller than without
 // exchange in the uneven case, and prints what docs/FAIRNESS.md shows.
 func TestGapAgainstBaselines(t *testing.T) {
+	t.Parallel()
 	for _, even := range []bool{true, false} {
 		f := newFleet(t, userSize(1, 5*time.Millisecond))
 		f.spread(even)
--- a/internal/qlcore/fairness_test.go
+++ b/internal/qlcore/fairness_test.go
@@ -116,9 +116,11 @@
 }
 
 func TestFairServiceWithoutFaults(t *testing.T) {
+	t.Parallel()
 	for _, even := range []bool{true, false} {
 		for _, delay := range []time.Duration{4 * time.Millisecond, 5 * time.Millisecond} {
 			t.Run(fmt.Sprintf("even=%v/delay=%v", even, delay), func(t *testing.T) {
+				t.Parallel()
 				f := newFleet(t, userSize(1, delay))
 				f.spread(even)
 				got := f.measure(10*time.Second, 60*time.Second)
--- a/internal/qlcore/faults_test.go
+++ b/internal/qlcore/faults_test.go
@@ -51,6 +51,7 @@
 }
 
 func TestRouterLossKeepsSlotsBusy(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct {
 		name string
 		kill func(f *fleet) []*node
@@ -72,6 +73,7 @@
 		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			f := newFleet(t, userSize(2, 5*time.Millisecond))
 			f.spread(true)
 			f.run(20 * time.Second)
@@ -111,6 +113,7 @@
 // Load reports show each the other's requests: overload is bounded in time,
 // and nobody starves when the sides meet again.
 func TestPartition(t *testing.T) {
+	t.Parallel()
 	config := userSize(3, 5*time.Millisecond)
 	f := newFleet(t, config)
 	f.spread(true)
@@ -167,6 +170,7 @@
 // TestFloodStarvesNobody lets one customer keep thousands of requests
 // waiting while another sends one at a time.
 func TestFloodStarvesNobody(t *testing.T) {
+	t.Parallel()
 	config := userSize(4, 5*time.Millisecond)
 	config.customers = []float64{1, 1}
 	f := newFleet(t, config)
@@ -189,6 +193,7 @@
 // sent is a violation) and, independently, that slots are not overcommitted
 // for long.
 func TestFrozenRouterSendsNothingStale(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(1); seed <= 5; seed++ {
 		f := newFleet(t, userSize(seed, 5*time.Millisecond))
 		f.spread(true)
@@ -244,6 +249,7 @@
 // TestLeavingUpstreamGetsNothingNew marks an upstream leaving in the
 // configuration on one router only; the others hear of it from peers.
 func TestLeavingUpstreamGetsNothingNew(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(1); seed <= 5; seed++ {
 		f := newFleet(t, userSize(seed, 5*time.Millisecond))
 		f.spread(true)
@@ -265,6 +271,7 @@
 }
 
 func TestLaggingLoadReports(t *testing.T) {
+	t.Parallel()
 	for _, lag := range []time.Duration{0, 2 * time.Second, 4 * time.Second} {
 		config := userSize(5, 5*time.Millisecond)
 		config.loadLag = lag
@@ -286,6 +293,7 @@
 // TestLimitOverFleet bounds one customer's requests in flight over the fleet
 // and raises the bound.
 func TestLimitOverFleet(t *testing.T) {
+	t.Parallel()
 	config := userSize(6, 5*time.Millisecond)
 	bound := 12
 	config.limits = func(customer int) qlconfig.Limits {
@@ -350,8 +358,10 @@
 // pauses, partitions and loss, two at a time, under a flood, with every
 // invariant asserted inside the program.
 func TestRandomFaults(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(1); seed <= uint64(*_seeds); seed++ {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
 			config := userSize(seed, 5*time.Millisecond)
 			config.loss = float64(seed%3) * 0.01
 			f := newFleet(t, config)
@@ -415,6 +425,7 @@
 }
 
 func TestDeadlineRefusesTruly(t *testing.T) {
+	t.Parallel()
 	config := userSize(7, 5*time.Millisecond)
 	config.think = 300 * time.Millisecond
 	wait, queue := qljson.Duration(2*time.Second), 10
--- a/internal/qlcore/fleet_test.go
+++ b/internal/qlcore/fleet_test.go
@@ -99,7 +99,9 @@
 	// submitted is when the caller sent it, granted when it first started.
 	submitted time.Duration
 	granted   time.Duration
-	then      func(*request)
+	// taken is when the router's core took it, after any pause.
+	taken time.Duration
+	then  func(*request)
 }
 
 type fleetConfig struct {
@@ -137,14 +139,15 @@
 	configuration *qlconfig.Configuration
 	list          qlcore.List
 	service       map[string]float64
-	executions    map[string]int
-	messages      int
-	bytes         int
-	lastSent      map[[2]string]time.Duration
-	idleSeconds   float64
-	slotSeconds   float64
-	violations    []string
-	maxWait       map[string]time.Duration
+	// executions holds, for each key that ran, when its core took it.
+	executions  map[string][]time.Duration
+	messages    int
+	bytes       int
+	lastSent    map[[2]string]time.Duration
+	idleSeconds float64
+	slotSeconds float64
+	violations  []string
+	maxWait     map[string]time.Duration
 	// lastStart and maxPause tell how long a flooding customer went without
 	// any of its requests being sent.
 	lastStart map[string]time.Duration
@@ -163,7 +166,7 @@
 		requests:   make(map[uint64]*request),
 		cut:        func(string, string) bool { return false },
 		service:    make(map[string]float64),
-		executions: make(map[string]int),
+		executions: make(map[string][]time.Duration),
 		lastSent:   make(map[[2]string]time.Duration),
 		maxWait:    make(map[string]time.Duration),
 		lastStart:  make(map[string]time.Duration),
@@ -446,6 +449,7 @@
 		return
 	}
 	f.on(n, n.epoch, func() {
+		r.taken = f.now
 		n.core.Submit(n.clock(f.now), qlcore.Request{
 			ID:         r.id,
 			Customer:   r.customer,
@@ -519,7 +523,9 @@
 		r.onUp = true
 		r.startUp = f.now
 		r.duration = time.Duration(r.cost * u.slowdown * float64(f.config.costToTime))
-		f.executions[r.customer+"/"+r.key]++
+		if r.key != "" {
+			f.executions[r.key] = append(f.executions[r.key], r.taken)
+		}
 		f.after(r.duration, func() {
 			u.running--
 			r.onUp = false
--- a/internal/qlcore/qlcore.go
+++ b/internal/qlcore/qlcore.go
@@ -211,7 +211,7 @@
 	case *qlwire.Message_ClaimRequest:
 		c.answerClaim(from, body.ClaimRequest)
 	case *qlwire.Message_ClaimReply:
-		c.proposer.Reply(from, body.ClaimReply)
+		c.proposer.Reply(c.now, from, body.ClaimReply)
 	case *qlwire.Message_ClaimRelease:
 		c.acceptor.Release(c.now, from, body.ClaimRelease)
 	case *qlwire.Message_ClaimSync:
--- a/internal/qlcore/view.go
+++ b/internal/qlcore/view.go
@@ -45,7 +45,7 @@
 		c.leavingVMs[id] = true
 	}
 	c.members.SetList(c.now, list.Revision, list.Routers)
-	c.acceptor.SetRing(c.now, qlring.New(c.members.Listed()))
+	c.acceptor.SetRing(c.now, list.Revision, qlring.New(c.members.Listed()))
 	c.viewChanged = true
 	c.settle()
 	return true
@@ -98,13 +98,8 @@
 	return c.members.HeardWithin(now, c.config.ClaimWindow/4) > len(c.members.IDs())/2
 }
 
-func (c *Core) acceptorsOf(key string) []string {
-	nodes := qlring.New(c.members.Listed()).Spread(key, qlclaim.Acceptors)
-	ids := make([]string, 0, len(nodes))
-	for _, node := range nodes {
-		ids = append(ids, node.ID())
-	}
-	return ids
+func (c *Core) acceptorsOf(key string) []qlring.Node {
+	return qlring.New(c.members.Listed()).Spread(key, qlclaim.Acceptors)
 }
 
 // applyView works out anew who owns what, after a change of the members,
