--- a/internal/qlplatform/qlplatform.go
+++ b/internal/qlplatform/qlplatform.go
@@ -182,7 +182,7 @@
 		return nil, errors.Annotatef(err, "read %s", key)
 	}
 	if len(data) > qlconfig.PartMaxSize {
-		return nil, errors.NotValidf("%s: over %d bytes; split it, so it", key, qlconfig.PartMaxSize)
+		return nil, errors.Errorf("%s: over %d bytes; split it", key, qlconfig.PartMaxSize)
 	}
 	return data, nil
 }
--- a/internal/qlsetting/qlsetting.go
+++ b/internal/qlsetting/qlsetting.go
@@ -12,6 +12,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/url"
 	"os"
@@ -75,7 +76,7 @@
 	}
 	if name, reason := settings.fault(); name != "" {
 		position := qljson.Position(source, data, qljson.FindName(data, name))
-		return nil, errors.NotValidf("%s: %q: %s; it", position, name, reason)
+		return nil, errors.NewNotValid(nil, fmt.Sprintf("%s: %q: %s", position, name, reason))
 	}
 	return settings, nil
 }
@@ -93,7 +94,8 @@
 	for i := range kind.NumField() {
 		name, _, _ := strings.Cut(kind.Field(i).Tag.Get("json"), ",")
 		if _, ok := given[name]; !ok {
-			return errors.NotValidf("%s: field %q is missing; add it, so the file", qljson.Position(source, data, len(data)), name)
+			position := qljson.Position(source, data, len(data))
+			return errors.NewNotValid(nil, fmt.Sprintf("%s: field %q is missing; add it", position, name))
 		}
 	}
 	return nil
--- /dev/null
+++ b/internal/qlsetting/qlsetting_test.go
@@ -0,0 +1,80 @@
+package qlsetting_test
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/quetzallane/quetzallane/internal/qlsetting"
+)
+
+var _update = flag.Bool("update", false, "write the golden files anew")
+
+// TestExampleIsGood checks the example that operators copy.
+func TestExampleIsGood(t *testing.T) {
+	if _, err := qlsetting.LoadRouter("../../docs/examples/router.json"); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestRefusals compares what each changed example is refused with.
+func TestRefusals(t *testing.T) {
+	example, err := os.ReadFile("../../docs/examples/router.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, test := range []struct {
+		name string
+		old  string
+		new  string
+	}{
+		{name: "unknown", old: `"id"`, new: `"ident"`},
+		{name: "missing", old: `"zone": "zone-1",`, new: ``},
+		{name: "empty", old: `"zone": "zone-1"`, new: `"zone": ""`},
+		{name: "no-unit", old: `"10m"`, new: `"10"`},
+		{name: "address", old: `"0.0.0.0:8080"`, new: `"8080"`},
+		{name: "platform", old: `"http://10.0.0.2:9000"`, new: `"10.0.0.2"`},
+		{name: "level", old: `"info"`, new: `"loud"`},
+		{name: "zero", old: `"max-body": 1048576`, new: `"max-body": 0`},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			text := strings.Replace(string(example), test.old, test.new, 1)
+			if text == string(example) {
+				t.Fatalf("the example has no %s", test.old)
+			}
+			_, err := qlsetting.ParseRouter("router.json", []byte(text))
+			if err == nil {
+				t.Fatal("the settings were taken, want a refusal")
+			}
+			path := filepath.Join("testdata", test.name+".golden")
+			if *_update {
+				if err := os.WriteFile(path, []byte(err.Error()+"\n"), 0o644); err != nil {
+					t.Fatal(err)
+				}
+			}
+			want, readErr := os.ReadFile(path)
+			if readErr != nil {
+				t.Fatal(readErr)
+			}
+			if got := err.Error() + "\n"; got != string(want) {
+				t.Errorf("got %q, want %q", got, want)
+			}
+		})
+	}
+}
+
+func FuzzParseRouter(f *testing.F) {
+	example, err := os.ReadFile("../../docs/examples/router.json")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(example)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		settings, err := qlsetting.ParseRouter("fuzz", data)
+		if (settings == nil) == (err == nil) {
+			t.Errorf("got settings %v and error %v, want exactly one", settings != nil, err)
+		}
+	})
+}
--- a/pkg/qlconfig/build.go
+++ b/pkg/qlconfig/build.go
@@ -183,10 +183,10 @@
 		return errors.NotFoundf("part %s of revision %d", hash, next.index.Revision)
 	}
 	if len(data) > PartMaxSize {
-		return errors.NotValidf("%s: %d bytes; split it below %d, so it", b.source(hash), len(data), PartMaxSize)
+		return errors.Errorf("%s: %d bytes; split it below %d", b.source(hash), len(data), PartMaxSize)
 	}
 	if HashPart(data) != hash {
-		return errors.NotValidf("%s: content does not match its hash; publish it again, so it", b.source(hash))
+		return errors.Errorf("%s: content does not match its hash; publish it again", b.source(hash))
 	}
 	part := &Part{}
 	if err := qljson.Decode(b.source(hash), data, part); err != nil {
--- a/pkg/qljson/qljson.go
+++ b/pkg/qljson/qljson.go
@@ -31,7 +31,7 @@
 func (d *Duration) UnmarshalText(text []byte) error {
 	parsed, err := time.ParseDuration(string(text))
 	if err != nil {
-		return errors.NotValidf("duration %q (write it with its unit, such as \"2s\")", text)
+		return errors.Errorf("duration %q; write it with its unit, such as \"2s\"", text)
 	}
 	*d = Duration(parsed)
 	return nil
