--- a/internal/qlcore/fleet_test.go
+++ b/internal/qlcore/fleet_test.go
@@ -26,6 +26,7 @@
 
 const (
 	_stepTick   = 10 * time.Millisecond
+	_flushDelay = 2 * time.Millisecond
 	_loadPeriod = 500 * time.Millisecond
 	_pool       = "m"
 	_largest    = 1000.0
@@ -65,7 +66,9 @@
 	// paused nodes handle what reaches them when they wake.
 	paused  bool
 	backlog []func()
-	sent    int
+	// flushing is set while a flush is due.
+	flushing bool
+	sent     int
 }
 
 type upstream struct {
@@ -277,6 +280,7 @@
 	n.alive = true
 	n.paused = false
 	n.backlog = nil
+	n.flushing = false
 	n.started = f.now
 	epoch := n.epoch
 	n.core = qlcore.New(qlcore.Config{
@@ -329,11 +333,20 @@
 		return
 	}
 	run()
-	if n.core.Pending() {
-		n.core.Flush(n.clock(f.now))
+	if n.core.Pending() && !n.flushing {
+		n.flushing = true
+		f.after(_flushDelay, func() { f.flush(n, epoch) })
 	}
 }
 
+func (f *fleet) flush(n *node, epoch uint64) {
+	if n.epoch != epoch {
+		return
+	}
+	n.flushing = false
+	f.on(n, epoch, func() { n.core.Flush(n.clock(f.now)) })
+}
+
 func (f *fleet) tick(n *node, epoch uint64) {
 	if !n.alive || n.epoch != epoch {
 		return
--- a/internal/qlcore/level.go
+++ b/internal/qlcore/level.go
@@ -1,6 +1,10 @@
 package qlcore
 
-import "sort"
+import (
+	"sort"
+
+	"github.com/quetzallane/quetzallane/internal/qlwire"
+)
 
 // The fleet's virtual time in a pool is the median of the levels of its
 // dispatchers: the virtual times of the customers that they serve next.
@@ -37,7 +41,7 @@
 }
 
 func (c *Core) noteOwnLevel(pool string) {
-	level := c.dispatcher.Level(c.now, pool).GetLevel()
+	level := qlwire.ToVirtual(c.dispatcher.Level(c.now, pool).GetLevel())
 	if c.config.Isolated {
 		c.setVirtualTime(pool, level)
 		return
--- a/internal/qlcore/qlcore.go
+++ b/internal/qlcore/qlcore.go
@@ -106,6 +106,7 @@
 	c.home = qlusage.New(qlusage.Config{
 		Limits:      c.usageLimits,
 		LargestCost: c.largestCost,
+		Part:        c.part,
 		Monitor:     c.config.Monitor,
 	})
 	c.entry = qlentry.New(qlentry.Config{
@@ -201,7 +202,7 @@
 	case *qlwire.Message_Grant:
 		c.entry.Grant(c.now, from, epoch, decodeGrant(c.config.Self, body.Grant))
 	case *qlwire.Message_Done:
-		c.dispatcher.Done(c.now, from, body.Done.GetGrant(), body.Done.GetCost(), qldispatch.Outcome(body.Done.GetOutcome()))
+		c.dispatcher.Done(c.now, from, body.Done.GetGrant(), float64(body.Done.GetCost()), qldispatch.Outcome(body.Done.GetOutcome()))
 	case *qlwire.Message_Offer:
 		c.applyLevels(from, body.Offer.GetLevels())
 	case *qlwire.Message_UsageReport:
@@ -417,7 +418,7 @@
 		return
 	}
 	notSent := outcome == qldispatch.Declined || outcome == qldispatch.Unreached
-	c.config.Monitor.Check(notSent || state.request.Repeatable, qlinvariant.UnrepeatableSentTwice, state.request.Name)
+	c.config.Monitor.Check(notSent || state.request.Repeatable, qlinvariant.UnrepeatableSentTwice, state.request.Name, state.request.Pool)
 	c.entry.Finish(c.now, id, 0, outcome)
 	c.enqueue(state, true)
 	c.settle()
--- a/internal/qlcore/tick.go
+++ b/internal/qlcore/tick.go
@@ -100,7 +100,7 @@
 				Body: &qlwire.Message_UsageReport{
 					UsageReport: &qlwire.UsageReport{
 						Sequence:    c.reportSequence,
-						VirtualTime: c.dispatcher.VirtualTime(pool),
+						VirtualTime: qlwire.FromVirtual(c.dispatcher.VirtualTime(pool)),
 						Items:       items[home],
 						Pool:        pool,
 					},
--- a/internal/qlcore/types.go
+++ b/internal/qlcore/types.go
@@ -32,9 +32,9 @@
 	// DefaultClaimWindow is how long an idempotency key stays claimed.
 	DefaultClaimWindow = 10 * time.Minute
 	// DefaultReportPeriod is the time between usage reports.
-	DefaultReportPeriod = 250 * time.Millisecond
+	DefaultReportPeriod = 500 * time.Millisecond
 	// _offerPeriod is how often slots are made known to a few entries.
-	_offerPeriod = 250 * time.Millisecond
+	_offerPeriod = 500 * time.Millisecond
 	// _offerSoon bounds how often slots that just came free are made known.
 	_offerSoon  = 20 * time.Millisecond
 	_offerPeers = 4
--- a/internal/qlcore/view.go
+++ b/internal/qlcore/view.go
@@ -23,7 +23,7 @@
 		return false
 	}
 	c.configuration = next
-	c.config.Monitor.Check(c.Revision() > before, qlinvariant.ConfigurationReverts, c.config.Self)
+	c.config.Monitor.Check(c.Revision() > before, qlinvariant.ConfigurationReverts, c.config.Self, "adopted")
 	c.viewChanged = true
 	c.settle()
 	c.dispatcher.RefreshLimits(c.now)
@@ -226,6 +226,15 @@
 	return ring.RankOf(customer, c.config.Self), len(ring.Nodes())
 }
 
+// part is a dispatcher's own part of a customer's bound.
+func (c *Core) part(pool, customer, dispatcher string, bound int) int {
+	ring := c.poolRings[pool]
+	if ring == nil {
+		return bound
+	}
+	return qldispatch.Fraction(bound, ring.RankOf(customer, dispatcher), len(ring.Nodes()))
+}
+
 func (c *Core) digest() *qlwire.Digest {
 	return &qlwire.Digest{
 		ConfigurationRevision: c.Revision(),
@@ -254,7 +263,7 @@
 
 func (c *Core) applyLevels(from string, levels []*qlwire.PoolLevel) {
 	for _, level := range levels {
-		c.noteLevel(level.GetPool(), from, level.GetLevel())
+		c.noteLevel(level.GetPool(), from, qlwire.ToVirtual(level.GetLevel()))
 		c.entry.SetLevel(c.now, from, level)
 	}
 }
--- a/internal/qldispatch/qldispatch.go
+++ b/internal/qldispatch/qldispatch.go
@@ -1,6 +1,7 @@
 package qldispatch
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -139,7 +140,7 @@
 		d.applyAdopted(now, e, demand.GetAdopted())
 	}
 	for _, item := range demand.GetItems() {
-		d.setWant(now, e, item.GetCustomer(), item.GetPool(), int(item.GetWaiting()), item.GetEstimate(), demand.GetGrantsSeen())
+		d.setWant(now, e, item.GetCustomer(), item.GetPool(), int(item.GetWaiting()), float64(item.GetEstimate()), demand.GetGrantsSeen())
 	}
 	d.pumpAll(now)
 }
@@ -172,7 +173,7 @@
 			continue
 		}
 		record.mark = demand.GetSequence()
-		d.progress(record, use.GetCost())
+		d.progress(record, float64(use.GetCost()))
 	}
 	for _, record := range sortedRecords(e.grants) {
 		if record.number > demand.GetGrantsSeen() {
@@ -379,12 +380,18 @@
 	if now < a.allottedUntil {
 		return a.allotted
 	}
+	return d.fallbackPart(a)
+}
+
+// fallbackPart is what this router may use of the customer's bound without
+// asking: the parts of all dispatchers add up to the bound.
+func (d *Dispatcher) fallbackPart(a *account) int {
 	rank, total := d.config.Fallback(a.pool.name, a.service.ID())
-	return fraction(a.limits.MaxInFlight, rank, total)
+	return Fraction(a.limits.MaxInFlight, rank, total)
 }
 
-// fraction divides whole over total parts, the first ranks taking the rest.
-func fraction(whole, rank, total int) int {
+// Fraction divides whole over total parts, the first ranks taking the rest.
+func Fraction(whole, rank, total int) int {
 	if total <= 0 {
 		return whole
 	}
@@ -460,7 +467,7 @@
 
 func (d *Dispatcher) grant(now time.Duration, p *pool, a *account, w *want, r *replica) {
 	start := a.service.VirtualTime()
-	cost := min(max(w.estimate, _minCost), p.largestCost)
+	cost := math.Round(min(max(w.estimate, _minCost), p.largestCost))
 	e := w.entry
 	d.numbered++
 	record := d.newRecord()
@@ -486,8 +493,8 @@
 	} else {
 		p.queue.Remove(a.flow)
 	}
-	d.config.Monitor.Check(r.inUse <= r.slots, qlinvariant.SlotsOvercommitted, r.id)
-	d.config.Monitor.Check(!r.leaving && r.owned, qlinvariant.LeavingUpstreamGranted, r.id)
+	d.config.Monitor.Check(r.inUse <= r.slots, qlinvariant.SlotsOvercommitted, r.id, p.name)
+	d.config.Monitor.Check(!r.leaving && r.owned, qlinvariant.LeavingUpstreamGranted, r.id, p.name)
 	d.config.Grant(Grant{
 		entry:    e.id,
 		number:   record.number,
@@ -522,6 +529,8 @@
 	if outcome == Declined || outcome == Unreached {
 		cost = 0
 	}
+	// Counters hold whole units, so that they are the same on the wire.
+	cost = float64(qlwire.WholeCost(cost))
 	a := record.account
 	a.service.Charge(cost - record.charged)
 	a.service.AddUnderWay(cost - record.charged)
@@ -539,6 +548,7 @@
 }
 
 func (d *Dispatcher) progress(record *grantRecord, cost float64) {
+	cost = float64(qlwire.WholeCost(cost))
 	if cost <= record.charged {
 		return
 	}
--- a/internal/qldispatch/replica.go
+++ b/internal/qldispatch/replica.go
@@ -148,8 +148,8 @@
 	}
 	return &qlwire.PoolLevel{
 		Pool:        name,
-		VirtualTime: p.virtualTime,
-		Level:       p.currentLevel(),
+		VirtualTime: qlwire.FromVirtual(p.virtualTime),
+		Level:       qlwire.FromVirtual(p.currentLevel()),
 		Free:        uint32(free),
 		Waiting:     uint32(p.waiting),
 	}
--- a/internal/qldispatch/types.go
+++ b/internal/qldispatch/types.go
@@ -49,10 +49,11 @@
 
 const (
 	// _grantTimeout frees a grant that its entry never said to have seen. It
-	// exceeds qlentry's bound on the age of a grant that may still be sent.
-	_grantTimeout = 3 * time.Second
+	// exceeds qlentry's bound on the age of a grant that may still be sent,
+	// and the time within which an entry says what it has seen.
+	_grantTimeout = 6 * time.Second
 	// _entryTimeout frees all grants of an entry that has fallen silent.
-	_entryTimeout = 10 * time.Second
+	_entryTimeout = 15 * time.Second
 	// _holdOff is how long a new owner waits for a load report before it
 	// grants slots that an earlier owner's grants may still fill.
 	_holdOff = time.Second
@@ -251,6 +252,9 @@
 	dirty         bool
 	reportedAt    time.Duration
 	activeAt      time.Duration
+	// waitedAt is when the customer was last seen waiting.
+	waitedAt  time.Duration
+	hasWaited bool
 }
 
 // want is one entry's demand for one customer.
--- a/internal/qldispatch/usage.go
+++ b/internal/qldispatch/usage.go
@@ -14,8 +14,13 @@
 // _leaseRefresh renews the allotment of customers that are waiting.
 const _leaseRefresh = 2 * time.Second
 
+// _contendedFor is how long a customer counts as contended after it waited.
+const _contendedFor = 10 * time.Second
+
 // Report returns, sorted by customer, the usage of the pool's customers that
-// changed since the last report or are due again.
+// changed since the last report or are due again. Customers that have not
+// waited of late are left out: they get what they ask for, so nothing is to
+// be divided, and most customers are like that most of the time.
 func (d *Dispatcher) Report(now time.Duration, name string) []*qlwire.UsageItem {
 	p := d.pools[name]
 	if p == nil {
@@ -23,21 +28,21 @@
 	}
 	var items []*qlwire.UsageItem
 	for customer, a := range p.accounts {
-		if !a.reportDue(now) {
+		if !d.reportDue(now, a) {
 			continue
 		}
 		a.dirty = false
 		a.reportedAt = now
 		item := &qlwire.UsageItem{
-			Customer: customer,
-			Used:     a.service.Used(),
-			Included: a.service.Included(),
-			InFlight: uint32(a.inFlight),
-			Waiting:  uint32(a.waiting),
-			Allotted: uint32(d.allotment(now, a)),
+			Customer:   customer,
+			Used:       int64(a.service.Used()),
+			Unreported: int64(a.service.Used() - a.service.Included()),
+			InFlight:   uint32(a.inFlight),
+			Waiting:    uint32(a.waiting),
+			Allotted:   uint32(d.allotment(now, a)),
 		}
 		if a.confirmed {
-			item.KnownVirtualTime = a.service.Total()
+			item.KnownVirtualTime = qlwire.FromVirtual(a.service.Total())
 		}
 		items = append(items, item)
 	}
@@ -47,12 +52,17 @@
 	return items
 }
 
-func (a *account) reportDue(now time.Duration) bool {
+func (d *Dispatcher) reportDue(now time.Duration, a *account) bool {
+	age := now - a.reportedAt
+	if !a.contended(now) {
+		a.dirty = false
+		// More than its own part of a limit is in use here, by a lease.
+		return a.inFlight > d.fallbackPart(a) && age >= _leaseRefresh
+	}
 	if a.dirty {
 		return true
 	}
-	age := now - a.reportedAt
-	if a.waiting > 0 {
+	if a.waiting > 0 || a.inFlight > d.fallbackPart(a) {
 		return age >= _leaseRefresh
 	}
 	return a.inFlight > 0 && age >= _reportRefresh
@@ -65,7 +75,7 @@
 		return
 	}
 	if p.virtualTime == 0 {
-		p.virtualTime = reply.GetVirtualTime()
+		p.virtualTime = qlwire.ToVirtual(reply.GetVirtualTime())
 	}
 	for _, total := range reply.GetTotals() {
 		a := p.accounts[total.GetCustomer()]
@@ -73,7 +83,7 @@
 			continue
 		}
 		a.confirmed = true
-		a.service.SetTotal(total.GetVirtualTime(), total.GetIncluded(), int(total.GetServers()))
+		a.service.SetTotal(qlwire.ToVirtual(total.GetVirtualTime()), float64(total.GetIncluded()), int(total.GetServers()))
 		a.allotted = int(total.GetMaxInFlight())
 		a.allottedRate = total.GetCostRate()
 		a.allottedUntil = now + _allotmentLease
@@ -83,6 +93,22 @@
 	d.pump(now, p)
 }
 
+// contended reports whether the customer waits or waited of late. One that
+// begins to wait starts at the fleet's virtual time: what it was served while
+// nobody went short for it is not held against it.
+func (a *account) contended(now time.Duration) bool {
+	if a.waiting == 0 && !a.parked {
+		return a.hasWaited && now-a.waitedAt <= _contendedFor
+	}
+	if !a.hasWaited || now-a.waitedAt > _contendedFor {
+		a.service.Restart(a.pool.virtualTime)
+		a.confirmed = false
+	}
+	a.hasWaited = true
+	a.waitedAt = now
+	return true
+}
+
 // CustomerState is one customer's state for dumps.
 type CustomerState struct {
 	Customer    string  `json:"customer"`
--- a/internal/qlentry/place.go
+++ b/internal/qlentry/place.go
@@ -15,9 +15,7 @@
 	if p.own {
 		elsewhere = e.config.Want(q.key.customer, q.key.pool, len(q.waiting), q.estimate, e.ownSeen)
 	}
-	for q.remote > elsewhere {
-		e.withdraw(q)
-	}
+	q.excess = q.remote - elsewhere
 	for q.remote < elsewhere {
 		d := p.best(now, e.config.Zone, q)
 		if d == nil {
@@ -27,6 +25,17 @@
 	}
 }
 
+// trim withdraws what is asked for at other dispatchers beyond what waits. It
+// is done now and then only: mostly the customer's next request comes first
+// and takes the place, and what is granted too much is declined at once.
+func (e *Entry) trim() {
+	for _, q := range e.sortedQueues() {
+		for ; q.excess > 0 && q.remote > 0; q.excess-- {
+			e.withdraw(q)
+		}
+	}
+}
+
 // best returns the dispatcher for the queue's next request: one with a free
 // slot, in this zone first; else the one at which the queue has the fewest
 // requests, of these the one that serves at the highest virtual time.
@@ -101,12 +110,11 @@
 	if p == nil {
 		return
 	}
-	p.virtualTime = max(p.virtualTime, level.GetVirtualTime())
 	for _, d := range p.dispatchers {
 		if d.id != from {
 			continue
 		}
-		d.level = level.GetLevel()
+		d.level = qlwire.ToVirtual(level.GetLevel())
 		d.free = int(level.GetFree())
 		d.heard = now
 		d.recent = true
@@ -170,7 +178,7 @@
 			high = d
 		}
 	}
-	if low == nil || high == nil || high.level <= low.level {
+	if low == nil || high == nil || high.level-low.level <= _climbCosts*q.estimate {
 		return
 	}
 	e.takeBack(q, low.id)
@@ -231,10 +239,11 @@
 	}
 	for _, id := range e.linkIDs() {
 		l := e.links[id]
-		if now < l.refreshAt {
+		if now < l.refreshAt && (len(adopted[id]) == 0 || now < l.adoptedAt) {
 			continue
 		}
 		l.refreshAt = now + _refresh
+		l.adoptedAt = now + _refreshAdopted
 		if l.running == 0 && !e.placedAt(id) && len(adopted[id]) == 0 {
 			continue
 		}
@@ -327,7 +336,7 @@
 		Customer: q.key.customer,
 		Pool:     q.key.pool,
 		Waiting:  uint32(q.placed[id]),
-		Estimate: q.estimate,
+		Estimate: qlwire.WholeCost(q.estimate),
 	}
 }
 
@@ -337,7 +346,7 @@
 		if r.dispatcher == id && r.epoch == l.epoch {
 			uses = append(uses, &qlwire.GrantUse{
 				Grant: r.number,
-				Cost:  r.cost,
+				Cost:  qlwire.WholeCost(r.cost),
 			})
 		}
 	}
@@ -393,7 +402,7 @@
 		Body: &qlwire.Message_Done{
 			Done: &qlwire.Done{
 				Grant:   number,
-				Cost:    cost,
+				Cost:    qlwire.WholeCost(cost),
 				Outcome: uint32(outcome),
 			},
 		},
--- a/internal/qlentry/qlentry.go
+++ b/internal/qlentry/qlentry.go
@@ -260,8 +260,8 @@
 	w := q.waiting[0]
 	q.waiting = q.waiting[1:]
 	delete(e.byRequest, w.id)
-	e.config.Monitor.Check(e.running[w.id] == nil, qlinvariant.DecisionTwice, grant.Customer())
-	e.config.Monitor.Check(now <= sendBy, qlinvariant.StaleGrantSent, grant.Customer())
+	e.config.Monitor.Check(e.running[w.id] == nil, qlinvariant.DecisionTwice, grant.Customer(), grant.Pool())
+	e.config.Monitor.Check(now <= sendBy, qlinvariant.StaleGrantSent, grant.Customer(), grant.Pool())
 	e.running[w.id] = &running{
 		key:        q.key,
 		dispatcher: from,
@@ -343,6 +343,7 @@
 		e.rebalanceAt = now + _rebalance
 		e.rebalance(now)
 	}
+	e.trim()
 	e.refresh(now)
 }
 
--- a/internal/qlentry/types.go
+++ b/internal/qlentry/types.go
@@ -44,12 +44,18 @@
 const (
 	// SendWithin bounds the age of a grant that may still be used.
 	SendWithin = time.Second
-	// _refresh is how often a dispatcher hears everything again.
-	_refresh = time.Second
+	// _refresh is how often a dispatcher hears everything again; it bounds
+	// how long a lost message leaves a slot idle. While requests run by the
+	// grants of an earlier owner, the new one hears of them more often.
+	_refresh        = 4 * time.Second
+	_refreshAdopted = time.Second
 	// _levelStale is the age at which news of a dispatcher's slots is void.
 	_levelStale = 2 * time.Second
 	// _rebalance is how often waiting requests look for a better dispatcher.
 	_rebalance = 250 * time.Millisecond
+	// _climbCosts is how many typical costs apart the levels of two
+	// dispatchers must be for a request to move.
+	_climbCosts = 4
 	// _learn is the weight of the newest cost in a customer's estimate.
 	_learn = 0.01
 	// _retryDeposit and _retryMax make each customer's retry budget: a tenth
@@ -139,7 +145,6 @@
 	own         bool
 	owners      map[string]string
 	cursor      int
-	virtualTime float64
 }
 
 type queueKey struct {
@@ -151,8 +156,10 @@
 	key     queueKey
 	waiting []waiting
 	// placed counts the requests asked for at other dispatchers.
-	placed    map[string]int
-	remote    int
+	placed map[string]int
+	remote int
+	// excess counts those of them that no request waits for any more.
+	excess    int
 	estimate  float64
 	samples   int
 	retries   float64
@@ -182,5 +189,6 @@
 	seen      uint64
 	changed   map[queueKey]bool
 	refreshAt time.Duration
+	adoptedAt time.Duration
 	running   int
 }
--- a/internal/qlfair/qlfair.go
+++ b/internal/qlfair/qlfair.go
@@ -104,6 +104,13 @@
 	return a.total + (a.used-a.included)/a.share
 }
 
+// Restart puts the customer at a virtual time; what was served here before
+// counts as included in it.
+func (a *Account) Restart(virtualTime float64) {
+	a.total = virtualTime
+	a.included = a.used
+}
+
 // AddUnderWay notes cost charged for a request that starts; a negative cost
 // notes that it ended.
 func (a *Account) AddUnderWay(cost float64) {
--- a/internal/qlinvariant/qlinvariant.go
+++ b/internal/qlinvariant/qlinvariant.go
@@ -7,7 +7,7 @@
 // # Usage
 //
 //	monitor := &qlinvariant.Monitor{Report: func(v qlinvariant.Violation) { t.Error(v) }}
-//	monitor.Check(revision >= before, qlinvariant.ConfigurationReverts, "r1")
+//	monitor.Check(revision >= before, qlinvariant.ConfigurationReverts, "r1", "peer r2")
 package qlinvariant
 
 import "fmt"
@@ -74,9 +74,10 @@
 	counts map[Kind]uint64
 }
 
-// Check reports a violation of the kind unless ok holds. The arguments are
-// formatted only then, so a check that passes costs next to nothing.
-func (m *Monitor) Check(ok bool, kind Kind, subjects ...string) {
+// Check reports a violation of the kind unless ok holds. A check that passes
+// costs next to nothing: the subject is only put together with its context
+// when it does not.
+func (m *Monitor) Check(ok bool, kind Kind, subject, context string) {
 	if ok {
 		return
 	}
@@ -87,7 +88,7 @@
 	if m.Report != nil {
 		m.Report(Violation{
 			kind:   kind,
-			detail: fmt.Sprint(subjects),
+			detail: fmt.Sprintf("%s (%s)", subject, context),
 		})
 	}
 }
--- a/internal/qlrouter/qlrouter.go
+++ b/internal/qlrouter/qlrouter.go
@@ -331,6 +331,6 @@
 	select {
 	case waiter <- d:
 	default:
-		r.monitor.Check(false, qlinvariant.DecisionTwice, "router")
+		r.monitor.Check(false, qlinvariant.DecisionTwice, r.settings.ID, "two decisions wait")
 	}
 }
--- a/internal/qlusage/qlusage.go
+++ b/internal/qlusage/qlusage.go
@@ -64,6 +64,9 @@
 	Limits func(customer string) (limits Limits, ok bool)
 	// LargestCost returns the bound on one request's cost in a pool.
 	LargestCost func(pool string) float64
+	// Part returns what a dispatcher may use of a customer's bound without
+	// asking. The parts of all dispatchers add up to the bound.
+	Part func(pool, customer, dispatcher string, bound int) int
 	// Monitor receives the invariants' checks.
 	Monitor *qlinvariant.Monitor
 }
@@ -143,12 +146,12 @@
 func (h *Home) Report(now time.Duration, from string, epoch uint64, report *qlwire.UsageReport) *qlwire.UsageReply {
 	p := h.pool(report.GetPool())
 	if p.virtualTime == 0 {
-		p.advance(now, report.GetVirtualTime())
+		p.advance(now, qlwire.ToVirtual(report.GetVirtualTime()))
 	}
 	reply := &qlwire.UsageReply{
 		Sequence:    report.GetSequence(),
 		Pool:        report.GetPool(),
-		VirtualTime: p.virtualTime,
+		VirtualTime: qlwire.FromVirtual(p.virtualTime),
 		Totals:      make([]*qlwire.UsageTotal, 0, len(report.GetItems())),
 	}
 	for _, item := range report.GetItems() {
@@ -158,7 +161,7 @@
 			continue
 		}
 		h.add(now, p, report, from, epoch, item, limits)
-		reply.Totals = append(reply.Totals, h.total(now, p, from, item, limits))
+		reply.Totals = append(reply.Totals, h.total(now, p, report.GetPool(), from, item, limits))
 	}
 	return reply
 }
@@ -180,14 +183,16 @@
 		r = newRecord(p, item)
 		p.customers[item.GetCustomer()] = r
 	}
+	known := qlwire.ToVirtual(item.GetKnownVirtualTime())
 	if now-r.reportedAt > _settle {
 		// Another router was home meanwhile; what stands here is old.
-		r.virtualTime = max(r.virtualTime, item.GetKnownVirtualTime())
+		r.virtualTime = max(r.virtualTime, known)
 		r.restart(now)
 	}
 	r.reportedAt = now
 	s := r.sources[from]
-	before := item.GetIncluded()
+	used := float64(item.GetUsed())
+	before := used - float64(item.GetUnreported())
 	if s != nil && s.epoch == epoch {
 		if report.GetSequence() <= s.sequence {
 			return
@@ -201,15 +206,15 @@
 		s = &source{}
 		r.sources[from] = s
 		// What another home had added up for this dispatcher counts here too.
-		if known := item.GetKnownVirtualTime(); known > r.virtualTime {
+		if known > r.virtualTime {
 			r.virtualTime = known
 			r.restart(now)
 		}
 	}
-	r.virtualTime += (item.GetUsed() - before) / limits.Share
+	r.virtualTime += (used - before) / limits.Share
 	s.epoch = epoch
 	s.sequence = report.GetSequence()
-	s.used = item.GetUsed()
+	s.used = used
 	s.inFlight = int(item.GetInFlight())
 	s.waiting = int(item.GetWaiting())
 	s.held = int(item.GetAllotted())
@@ -230,7 +235,7 @@
 		sources:        make(map[string]*source),
 		backloggedFrom: -1,
 	}
-	r.virtualTime = item.GetKnownVirtualTime()
+	r.virtualTime = qlwire.ToVirtual(item.GetKnownVirtualTime())
 	if r.virtualTime == 0 {
 		r.virtualTime = p.virtualTime
 	}
@@ -269,7 +274,7 @@
 		// What is under way may cost up to the largest cost each, whatever
 		// was charged for it, and so put a customer at the cap further ahead.
 		underWay := float64(inFlight) * h.config.LargestCost(poolName) / limits.Share
-		h.config.Monitor.Check(lag <= bound && -lag <= bound+underWay, qlinvariant.FairnessGap, poolName, customer)
+		h.config.Monitor.Check(lag <= bound && -lag <= bound+underWay, qlinvariant.FairnessGap, customer, poolName)
 	}
 	// A home that started empty knows no virtual time to hold anyone to.
 	if active && p.virtualTime > 0 {
@@ -284,18 +289,19 @@
 	return CapRequests * largestCost * max(1, 1/share)
 }
 
-func (h *Home) total(now time.Duration, p *pool, from string, item *qlwire.UsageItem, limits Limits) *qlwire.UsageTotal {
+func (h *Home) total(now time.Duration, p *pool, reportPool, from string, item *qlwire.UsageItem, limits Limits) *qlwire.UsageTotal {
 	r := p.customers[item.GetCustomer()]
 	s := r.sources[from]
 	part := r.part(from)
 	total := &qlwire.UsageTotal{
 		Customer:    item.GetCustomer(),
-		VirtualTime: r.virtualTime,
-		Included:    s.used,
+		VirtualTime: qlwire.FromVirtual(r.virtualTime),
+		Included:    int64(s.used),
 		CostRate:    limits.CostRate * part,
 		Servers:     uint32(r.servers()),
 	}
-	allotted := r.allot(now, from, part, limits.MaxInFlight)
+	bound := h.pooled(now, p, item.GetCustomer(), reportPool, limits.MaxInFlight)
+	allotted := r.allot(now, from, part, bound)
 	s.held = max(s.held, allotted)
 	total.MaxInFlight = uint32(allotted)
 	return total
@@ -314,6 +320,18 @@
 	return float64(s.inFlight+s.waiting) / float64(sum)
 }
 
+// pooled adds up the parts of the dispatchers that report. Only they share
+// one bound by demand; the others may use their own parts at any time.
+func (h *Home) pooled(now time.Duration, p *pool, customer, poolName string, bound int) int {
+	sum := 0
+	for id, s := range p.customers[customer].sources {
+		if now-s.at < _allotmentLease {
+			sum += h.config.Part(poolName, customer, id, bound)
+		}
+	}
+	return sum
+}
+
 // servers counts the dispatchers at which the customer waits.
 func (r *record) servers() int {
 	count := 0
--- a/pkg/qlconfig/build.go
+++ b/pkg/qlconfig/build.go
@@ -25,7 +25,7 @@
 	_defaultQueueLength = 64
 	_defaultMaxWait     = 30 * time.Second
 	_maxSlots           = 4096
-	_maxShare           = 1e6
+	_maxShare           = 1e3
 	_minShare           = 1e-3
 )
 
