--- a/internal/qlcore/qlcore.go
+++ b/internal/qlcore/qlcore.go
@@ -34,9 +34,11 @@
 	live          *qlring.Ring
 	poolRings     map[string]*qlring.Ring
 	poolLevels    map[string]map[string]heardLevel
-	viewChanged   bool
-	leaving       bool
-	closed        bool
+	// followers holds, for each pool, the routers that ask this one.
+	followers   map[string][]string
+	viewChanged bool
+	leaving     bool
+	closed      bool
 
 	requests map[uint64]*requestState
 	epochs   map[string]uint64
@@ -74,6 +76,7 @@
 		leavingVMs:  make(map[string]bool),
 		poolRings:   make(map[string]*qlring.Ring),
 		poolLevels:  make(map[string]map[string]heardLevel),
+		followers:   make(map[string][]string),
 		requests:    make(map[uint64]*requestState),
 		epochs:      make(map[string]uint64),
 		revisions:   make(map[string]uint64),
--- a/internal/qlcore/tick.go
+++ b/internal/qlcore/tick.go
@@ -180,17 +180,26 @@
 	}
 }
 
+// sendOffer tells a few of the routers that ask this one, each only about
+// the pools for which it does.
 func (c *Core) sendOffer(levels []*qlwire.PoolLevel) {
-	if len(levels) == 0 {
-		return
+	offers := make(map[string]*qlwire.Offer)
+	var order []string
+	for _, level := range levels {
+		followers := c.followers[level.GetPool()]
+		for _, i := range c.random.Perm(len(followers))[:min(_offerPeers, len(followers))] {
+			to := followers[i]
+			if offers[to] == nil {
+				offers[to] = &qlwire.Offer{}
+				order = append(order, to)
+			}
+			offers[to].Levels = append(offers[to].Levels, level)
+		}
 	}
-	others := withoutNode(c.live.Nodes(), c.config.Self)
-	for _, i := range c.random.Perm(len(others))[:min(_offerPeers, len(others))] {
-		c.config.Send(others[i].ID(), &qlwire.Message{
+	for _, to := range order {
+		c.config.Send(to, &qlwire.Message{
 			Body: &qlwire.Message_Offer{
-				Offer: &qlwire.Offer{
-					Levels: levels,
-				},
+				Offer: offers[to],
 			},
 		})
 	}
--- a/internal/qlcore/types.go
+++ b/internal/qlcore/types.go
@@ -38,6 +38,10 @@
 	// _offerSoon bounds how often slots that just came free are made known.
 	_offerSoon  = 20 * time.Millisecond
 	_offerPeers = 4
+	// _fanOut is how many other dispatchers of a pool an entry asks, so that
+	// what it sends does not grow with the fleet. Neighbours overlap, and so
+	// a shortage anywhere spreads over all of them.
+	_fanOut = 8
 	// _copyPeriod is how often a fresh router asks for copies of claims, and
 	// greets routers whose revision it has not heard.
 	_copyPeriod = time.Second
--- a/internal/qlcore/view.go
+++ b/internal/qlcore/view.go
@@ -1,7 +1,6 @@
 package qlcore
 
 import (
-	"sort"
 	"time"
 
 	"github.com/quetzallane/quetzallane/internal/qlclaim"
@@ -162,22 +161,42 @@
 }
 
 func (c *Core) setDispatchers(pool string, owners, zones map[string]string) {
-	ids := make([]string, 0, len(zones))
-	for id := range zones {
-		ids = append(ids, id)
+	nodes := make([]qlring.Node, 0, len(zones))
+	for id, zone := range zones {
+		nodes = append(nodes, qlring.NewNode(id, zone))
 	}
-	sort.Strings(ids)
-	nodes := make([]qlring.Node, 0, len(ids))
-	dispatchers := make([]qlentry.DispatcherConfig, 0, len(ids))
-	for _, id := range ids {
-		nodes = append(nodes, qlring.NewNode(id, zones[id]))
-		dispatchers = append(dispatchers, qlentry.DispatcherConfig{
-			ID:   id,
-			Zone: zones[id],
-		})
+	ring := qlring.New(nodes)
+	c.poolRings[pool] = ring
+	var dispatchers []qlentry.DispatcherConfig
+	for _, node := range ring.Nodes() {
+		if node.ID() == c.config.Self || asks(ring, c.config.Self, node.ID()) {
+			dispatchers = append(dispatchers, qlentry.DispatcherConfig{
+				ID:   node.ID(),
+				Zone: node.Zone(),
+			})
+		}
 	}
-	c.poolRings[pool] = qlring.New(nodes)
 	c.entry.SetPool(c.now, pool, owners, dispatchers)
+	c.setFollowers(pool, ring)
+}
+
+// asks reports whether an entry asks a dispatcher for slots: it is one of the
+// first few in the entry's own order, or they are few anyway.
+func asks(ring *qlring.Ring, entry, dispatcher string) bool {
+	if len(ring.Nodes()) <= _fanOut+1 {
+		return true
+	}
+	return ring.RankOf("asks/"+entry, dispatcher) < _fanOut
+}
+
+// setFollowers works out who asks this router, to offer them its slots.
+func (c *Core) setFollowers(pool string, ring *qlring.Ring) {
+	c.followers[pool] = c.followers[pool][:0:0]
+	for _, node := range c.live.Nodes() {
+		if node.ID() != c.config.Self && asks(ring, node.ID(), c.config.Self) {
+			c.followers[pool] = append(c.followers[pool], node.ID())
+		}
+	}
 }
 
 func (c *Core) dispatchLimits(id string) (qldispatch.Limits, bool) {
--- a/internal/qldispatch/qldispatch.go
+++ b/internal/qldispatch/qldispatch.go
@@ -22,6 +22,7 @@
 	// numbered is the last grant's number. It counts over all entries, so
 	// that one that was dropped and comes back is never sent a number again.
 	numbered uint64
+	sweepAt  time.Duration
 }
 
 // New returns a dispatcher that owns nothing yet.
--- a/internal/qldispatch/replica.go
+++ b/internal/qldispatch/replica.go
@@ -96,7 +96,12 @@
 			d.unpark(p.parked[len(p.parked)-1])
 		}
 		d.pump(now, p)
-		d.forgetIdle(now, p)
+	}
+	if now >= d.sweepAt {
+		d.sweepAt = now + _sweepPeriod
+		for _, name := range d.names {
+			d.forgetIdle(now, d.pools[name])
+		}
 	}
 }
 
--- a/internal/qldispatch/types.go
+++ b/internal/qldispatch/types.go
@@ -77,6 +77,8 @@
 	// at once.
 	_rateBurst = 2 * time.Second
 	_minCost   = 1.0
+	// _sweepPeriod is how often idle customers are looked for.
+	_sweepPeriod = 10 * time.Second
 )
 
 // Limits are a customer's share and bounds over the fleet.
--- a/internal/qlentry/place.go
+++ b/internal/qlentry/place.go
@@ -252,7 +252,7 @@
 }
 
 func (e *Entry) placedAt(id string) bool {
-	for _, q := range e.queues {
+	for _, q := range e.active {
 		if q.placed[id] > 0 {
 			return true
 		}
--- a/internal/qlentry/qlentry.go
+++ b/internal/qlentry/qlentry.go
@@ -12,9 +12,13 @@
 // Entry holds waiting and running requests. It is not safe for several
 // goroutines.
 type Entry struct {
-	config      Config
-	pools       map[string]*poolView
-	queues      map[queueKey]*queue
+	config Config
+	pools  map[string]*poolView
+	queues map[queueKey]*queue
+	// active holds the queues in which something waits or that are asked for
+	// elsewhere; the others only keep what was learned.
+	active      map[queueKey]*queue
+	sweepAt     time.Duration
 	byRequest   map[uint64]*queue
 	running     map[uint64]*running
 	links       map[string]*link
@@ -29,6 +33,7 @@
 		config:    config,
 		pools:     make(map[string]*poolView),
 		queues:    make(map[queueKey]*queue),
+		active:    make(map[queueKey]*queue),
 		byRequest: make(map[uint64]*queue),
 		running:   make(map[uint64]*running),
 		links:     make(map[string]*link),
@@ -93,9 +98,15 @@
 	}
 }
 
+// sortedQueues returns the active queues in an order that does not depend on
+// that of the map.
 func (e *Entry) sortedQueues() []*queue {
-	queues := make([]*queue, 0, len(e.queues))
-	for _, q := range e.queues {
+	queues := make([]*queue, 0, len(e.active))
+	for key, q := range e.active {
+		if len(q.waiting) == 0 && q.remote == 0 {
+			delete(e.active, key)
+			continue
+		}
 		queues = append(queues, q)
 	}
 	sort.Slice(queues, func(i, j int) bool {
@@ -174,6 +185,7 @@
 		q.waiting = append(q.waiting, w)
 	}
 	e.byRequest[request.ID] = q
+	e.active[q.key] = q
 }
 
 // Cancel takes a waiting request out; one that was started is left alone.
@@ -339,6 +351,7 @@
 // dispatchers.
 func (e *Entry) Tick(now time.Duration) {
 	e.expire(now)
+	e.sweep(now)
 	if now >= e.rebalanceAt {
 		e.rebalanceAt = now + _rebalance
 		e.rebalance(now)
@@ -355,8 +368,18 @@
 				e.config.Refuse(w.id, qlcode.WaitTimeout, q.retryAfter(now))
 			}
 		}
-		if len(q.waiting) == 0 && now-q.lastUseAt > _forgetQueue {
-			delete(e.queues, q.key)
+	}
+}
+
+// sweep forgets what was learned about customers that are long idle.
+func (e *Entry) sweep(now time.Duration) {
+	if now < e.sweepAt {
+		return
+	}
+	e.sweepAt = now + _sweepPeriod
+	for key, q := range e.queues {
+		if len(q.waiting) == 0 && q.remote == 0 && now-q.lastUseAt > _forgetQueue {
+			delete(e.queues, key)
 		}
 	}
 }
@@ -364,6 +387,9 @@
 // _forgetQueue drops what was learned about a customer that is long idle.
 const _forgetQueue = 10 * time.Minute
 
+// _sweepPeriod is how often idle customers are looked for.
+const _sweepPeriod = 10 * time.Second
+
 // QueueState is one queue's state for dumps.
 type QueueState struct {
 	Pool     string         `json:"pool"`
--- a/internal/qlmember/qlmember.go
+++ b/internal/qlmember/qlmember.go
@@ -130,14 +130,17 @@
 	listRevision uint64
 	members      map[string]*member
 	order        []string
-	next         int
-	sequence     uint64
-	probe        *pendingProbe
-	nextProbeAt  time.Duration
-	incarnation  uint64
-	rumours      map[string]*rumour
-	relays       map[uint64]relay
-	falseAlarms  uint64
+	// sorted holds the members' ids, or nil after a change.
+	sorted      []string
+	next        int
+	sequence    uint64
+	probe       *pendingProbe
+	nextProbeAt time.Duration
+	incarnation uint64
+	rumours     map[string]*rumour
+	relays      map[uint64]relay
+	falseAlarms uint64
+	suspects    int
 }
 
 // New returns a view with no other member.
@@ -180,6 +183,7 @@
 				heardAt: now,
 			}
 			m.members[l.ID] = known
+			m.sorted = nil
 			m.insert(l.ID)
 		}
 		known.listed = l
@@ -205,6 +209,7 @@
 
 func (m *Members) remove(id string) {
 	delete(m.members, id)
+	m.sorted = nil
 	delete(m.rumours, id)
 	for i, other := range m.order {
 		if other == id {
@@ -215,14 +220,16 @@
 	m.config.Died(id)
 }
 
-// IDs returns the other listed routers, sorted.
+// IDs returns the other listed routers, sorted. The caller must not change
+// the slice.
 func (m *Members) IDs() []string {
-	ids := make([]string, 0, len(m.members))
-	for id := range m.members {
-		ids = append(ids, id)
+	if m.sorted == nil {
+		for id := range m.members {
+			m.sorted = append(m.sorted, id)
+		}
+		sort.Strings(m.sorted)
 	}
-	sort.Strings(ids)
-	return ids
+	return m.sorted
 }
 
 // ListRevision returns the revision of the VM list in use.
@@ -392,6 +399,9 @@
 }
 
 func (m *Members) expireSuspects(now time.Duration) {
+	if m.suspects == 0 {
+		return
+	}
 	for _, id := range m.IDs() {
 		known := m.members[id]
 		if known.state == Suspect && now-known.suspectedAt >= m.config.Suspicion {
@@ -404,6 +414,7 @@
 	before := known.state
 	known.incarnation = incarnation
 	known.state = state
+	m.countSuspects()
 	if state == Suspect {
 		known.suspectedAt = now
 	}
@@ -419,6 +430,15 @@
 	}
 }
 
+func (m *Members) countSuspects() {
+	m.suspects = 0
+	for _, known := range m.members {
+		if known.state == Suspect {
+			m.suspects++
+		}
+	}
+}
+
 // spread starts a rumour; it rides on a number of probes that grows with the
 // logarithm of the fleet.
 func (m *Members) spread(id string, incarnation uint64, state State) {
--- a/internal/qlpeer/qlpeer.go
+++ b/internal/qlpeer/qlpeer.go
@@ -31,7 +31,7 @@
 )
 
 const (
-	_queueLength = 4096
+	_queueLength = 512
 	_dialTimeout = 2 * time.Second
 	_sendTimeout = 5 * time.Second
 	// _redialWait keeps a peer that refuses from being dialled in a loop.
--- a/internal/qlusage/qlusage.go
+++ b/internal/qlusage/qlusage.go
@@ -49,6 +49,7 @@
 	// _allotmentLease mirrors the lease at dispatchers, with a margin for
 	// the way there.
 	_allotmentLease = 6 * time.Second
+	_sweepPeriod    = 10 * time.Second
 )
 
 // Limits are a customer's share and bounds over the fleet.
@@ -77,6 +78,7 @@
 	pools  map[string]*pool
 	// viewChangedAt is when the set of live routers last changed.
 	viewChangedAt time.Duration
+	sweepAt       time.Duration
 }
 
 type pool struct {
@@ -360,6 +362,10 @@
 
 // Tick forgets customers without any recent report.
 func (h *Home) Tick(now time.Duration) {
+	if now < h.sweepAt {
+		return
+	}
+	h.sweepAt = now + _sweepPeriod
 	for _, p := range h.pools {
 		for customer, r := range p.customers {
 			for id, s := range r.sources {
