A lost grant stalled a customer for ever

A router just started, its peer's dial to it was refused, and the queue for it was dropped with a grant in it. The dispatcher counted that grant as on its way to the entry, and so as the answer to every later demand of it. The randomised tests lose messages too, but later grants made up for it.

Change: a grant is known to be lost when the entry's clock, echoed by its demands, has passed the bound on the grant's age; it is taken back and the request waits again. Peers keep what is queued for 1 s while they dial.

The order test of peers sends 2000 messages in four batches, since a queue holds 512 now; none may be missing, as before.

--- a/internal/qlcore/capacity_test.go
+++ b/internal/qlcore/capacity_test.go
@@ -71,6 +71,7 @@
 
 type bench struct {
 	size      size
+	self      int
 	core      *qlcore.Core
 	random    *rand.Rand
 	now       time.Duration
@@ -175,16 +176,35 @@
 	return built
 }
 
+// newBench makes a core that owns upstreams of all three pools, as most do.
 func newBench(s size) *bench {
+	configuration := buildParts(nil, 1, targetParts(s, s.limit))
+	for i := range s.nodes {
+		b := newBenchOf(s, i, configuration)
+		pools := 0
+		for _, pool := range b.core.State().Dispatcher {
+			if len(pool.Upstreams) > 0 {
+				pools++
+			}
+		}
+		if pools == 3 {
+			return b
+		}
+	}
+	panic("no router owns upstreams of all pools")
+}
+
+func newBenchOf(s size, self int, configuration *qlconfig.Configuration) *bench {
 	b := &bench{
 		size:      s,
+		self:      self,
 		random:    rand.New(rand.NewPCG(1, 2)),
 		sentBytes: make(map[string]int),
 		sent:      make(map[string]int),
 	}
 	b.core = qlcore.New(qlcore.Config{
-		Self:   router(0),
-		Zone:   "zone-0",
+		Self:   router(self),
+		Zone:   fmt.Sprintf("zone-%d", self%6),
 		Epoch:  1,
 		Random: rand.New(rand.NewPCG(3, 4)),
 		Send:   b.send,
@@ -202,7 +222,7 @@
 		})
 	}
 	b.core.AdoptList(0, list)
-	b.core.AdoptConfiguration(0, buildParts(nil, 1, targetParts(s, s.limit)))
+	b.core.AdoptConfiguration(0, configuration)
 	return b
 }
 
@@ -314,7 +334,9 @@
 	})
 }
 
-func (b *bench) peer() string { return router(1 + b.random.IntN(b.size.nodes-1)) }
+func (b *bench) peer() string {
+	return router((b.self + 1 + b.random.IntN(b.size.nodes-1)) % b.size.nodes)
+}
 
 // times draws how often something of a rate happens within a step.
 func (b *bench) times(perSecond float64, step time.Duration) int {
--- a/internal/qlcore/faults_test.go
+++ b/internal/qlcore/faults_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/quetzallane/quetzallane/internal/qlentry"
 	"github.com/quetzallane/quetzallane/internal/qlusage"
+	"github.com/quetzallane/quetzallane/internal/qlwire"
 	"github.com/quetzallane/quetzallane/pkg/qlcode"
 	"github.com/quetzallane/quetzallane/pkg/qlconfig"
 	"github.com/quetzallane/quetzallane/pkg/qljson"
@@ -451,3 +452,45 @@
 	}
 	f.check()
 }
+
+// TestLostMessagesStallNobody loses the first messages of one kind in a fleet
+// that is otherwise idle, where no later one makes up for them.
+func TestLostMessagesStallNobody(t *testing.T) {
+	t.Parallel()
+	for name, kind := range map[string]func(*qlwire.Message) bool{
+		"grant":  func(m *qlwire.Message) bool { return m.GetGrant() != nil },
+		"demand": func(m *qlwire.Message) bool { return m.GetDemand() != nil },
+		"done":   func(m *qlwire.Message) bool { return m.GetDone() != nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			config := userSize(1, 5*time.Millisecond)
+			config.upstreams = 1
+			config.slots = 1
+			f := newFleet(t, config)
+			lost := 0
+			f.lose = func(m *qlwire.Message) bool {
+				if lost == 3 || !kind(m) {
+					return false
+				}
+				lost++
+				return true
+			}
+			f.run(5 * time.Second)
+			for _, n := range f.nodes {
+				f.submit(n, &request{
+					customer: customerName(0),
+					cost:     100,
+				})
+			}
+			f.run(f.now + 60*time.Second)
+			if got, want := f.answered, len(f.nodes); got != want {
+				t.Errorf("answered: got %d, want %d", got, want)
+			}
+			if got, want := f.maxWait[customerName(0)], 30*time.Second; got > want {
+				t.Errorf("longest wait: got %v, want at most %v", got, want)
+			}
+			f.check()
+		})
+	}
+}
--- a/internal/qlcore/fleet_test.go
+++ b/internal/qlcore/fleet_test.go
@@ -138,7 +138,9 @@
 	requests  map[uint64]*request
 	nextID    uint64
 	// cut reports whether messages between two routers are lost.
-	cut           func(a, b string) bool
+	cut func(a, b string) bool
+	// lose reports whether a message is lost; nil loses none.
+	lose          func(*qlwire.Message) bool
 	configuration *qlconfig.Configuration
 	list          qlcore.List
 	service       map[string]float64
@@ -388,6 +390,9 @@
 	f.messages++
 	f.bytes += size
 	from.sent += size
+	if f.lose != nil && f.lose(message) {
+		return
+	}
 	if target == nil || f.cut(from.id, to) || f.random.Float64() < f.config.loss {
 		return
 	}
--- a/internal/qlcore/view.go
+++ b/internal/qlcore/view.go
@@ -131,12 +131,14 @@
 			})
 		}
 	}
+	ring := ringOf(zones)
+	c.poolRings[pool.Name()] = ring
 	c.dispatcher.SetPool(c.now, qldispatch.PoolConfig{
 		Name:        pool.Name(),
 		LargestCost: pool.LargestCost(),
 		Replicas:    owned,
 	})
-	c.setDispatchers(pool.Name(), owners, zones)
+	c.setDispatchers(pool.Name(), owners, ring)
 }
 
 // ownerOf returns an upstream's dispatcher: one in its own zone, if any. A
@@ -160,13 +162,17 @@
 	return kept
 }
 
-func (c *Core) setDispatchers(pool string, owners, zones map[string]string) {
+// ringOf returns the ring of the routers with the zones given.
+func ringOf(zones map[string]string) *qlring.Ring {
 	nodes := make([]qlring.Node, 0, len(zones))
 	for id, zone := range zones {
 		nodes = append(nodes, qlring.NewNode(id, zone))
 	}
-	ring := qlring.New(nodes)
-	c.poolRings[pool] = ring
+	return qlring.New(nodes)
+}
+
+// setDispatchers tells the entry whom to ask for slots of a pool.
+func (c *Core) setDispatchers(pool string, owners map[string]string, ring *qlring.Ring) {
 	var dispatchers []qlentry.DispatcherConfig
 	for _, node := range ring.Nodes() {
 		if node.ID() == c.config.Self || asks(ring, c.config.Self, node.ID()) {
--- a/internal/qldispatch/qldispatch.go
+++ b/internal/qldispatch/qldispatch.go
@@ -23,6 +23,9 @@
 	// that one that was dropped and comes back is never sent a number again.
 	numbered uint64
 	sweepAt  time.Duration
+	// version counts changes of the view and the configuration, after which
+	// parts of limits are worked out anew.
+	version uint64
 }
 
 // New returns a dispatcher that owns nothing yet.
@@ -32,12 +35,14 @@
 		pools:    make(map[string]*pool),
 		replicas: make(map[string]*replica),
 		entries:  make(map[string]*entryState),
+		version:  1,
 	}
 }
 
 // SetPool states the upstreams that the dispatcher owns in a pool. Upstreams
 // that it no longer owns get no new grant; their requests run to their end.
 func (d *Dispatcher) SetPool(now time.Duration, config PoolConfig) {
+	d.version++
 	p := d.pool(config.Name)
 	p.largestCost = config.LargestCost
 	kept := p.replicas[:0:0]
@@ -178,6 +183,9 @@
 	}
 	for _, record := range sortedRecords(e.grants) {
 		if record.number > demand.GetGrantsSeen() {
+			if record.void > 0 && time.Duration(demand.GetClock()) > record.void {
+				d.lose(now, e, record)
+			}
 			continue
 		}
 		record.seen = true
@@ -188,6 +196,28 @@
 	}
 }
 
+// lose ends a grant that never reached its entry. The entry's request waits
+// still, so it counts as waiting here again; were the grant kept as on its
+// way, it would answer the entry's demand for ever.
+func (d *Dispatcher) lose(now time.Duration, e *entryState, record *grantRecord) {
+	a := record.account
+	w := a.want(e)
+	for i, number := range w.unseen {
+		if number == record.number {
+			w.unseen = append(w.unseen[:i], w.unseen[i+1:]...)
+			w.waiting++
+			d.adjustWaiting(a, 1)
+			break
+		}
+	}
+	a.service.Charge(-record.charged)
+	a.service.AddUnderWay(-record.charged)
+	a.bucket += record.charged
+	record.charged = 0
+	d.enqueue(a)
+	d.release(now, e, record)
+}
+
 func (d *Dispatcher) applyAdopted(now time.Duration, e *entryState, uses []*qlwire.UpstreamUse) {
 	for _, r := range d.replicas {
 		delete(r.adopted, e.id)
@@ -295,6 +325,7 @@
 // configuration. A raised limit is in force at once for this router's part;
 // customers that are gone are dropped when their requests have ended.
 func (d *Dispatcher) RefreshLimits(now time.Duration) {
+	d.version++
 	for _, name := range d.names {
 		p := d.pools[name]
 		for customer, a := range p.accounts {
@@ -387,8 +418,12 @@
 // fallbackPart is what this router may use of the customer's bound without
 // asking: the parts of all dispatchers add up to the bound.
 func (d *Dispatcher) fallbackPart(a *account) int {
-	rank, total := d.config.Fallback(a.pool.name, a.service.ID())
-	return Fraction(a.limits.MaxInFlight, rank, total)
+	if a.partVersion != d.version {
+		rank, total := d.config.Fallback(a.pool.name, a.service.ID())
+		a.part = Fraction(a.limits.MaxInFlight, rank, total)
+		a.partVersion = d.version
+	}
+	return a.part
 }
 
 // Fraction divides whole over total parts, the first ranks taking the rest.
@@ -477,6 +512,7 @@
 	record.replica = r
 	record.charged = cost
 	record.issuedAt = now
+	record.void = e.clock + now - e.clockAt + _sendWithin
 	e.grants[record.number] = record
 	w.waiting--
 	w.unseen = append(w.unseen, record.number)
--- a/internal/qldispatch/replica.go
+++ b/internal/qldispatch/replica.go
@@ -124,7 +124,7 @@
 	}
 	for _, record := range sortedRecords(e.grants) {
 		if !record.seen && now-record.issuedAt > _grantTimeout {
-			d.release(now, e, record)
+			d.lose(now, e, record)
 		}
 	}
 }
--- a/internal/qldispatch/types.go
+++ b/internal/qldispatch/types.go
@@ -48,9 +48,13 @@
 )
 
 const (
+	// _sendWithin is qlentry's bound on the age of a grant that may be used.
+	_sendWithin = time.Second
 	// _grantTimeout frees a grant that its entry never said to have seen. It
 	// exceeds qlentry's bound on the age of a grant that may still be sent,
 	// and the time within which an entry says what it has seen.
+	// It is for entries that say nothing more; else a grant is known to be
+	// lost as soon as the entry's clock has passed its bound.
 	_grantTimeout = 6 * time.Second
 	// _entryTimeout frees all grants of an entry that has fallen silent.
 	_entryTimeout = 15 * time.Second
@@ -245,7 +249,10 @@
 	inFlight int
 	parked   bool
 	// confirmed is set once a home has answered.
-	confirmed     bool
+	confirmed bool
+	// part is this router's own part of the limit, as of a version.
+	part          int
+	partVersion   uint64
 	allotted      int
 	allottedRate  float64
 	allottedUntil time.Duration
@@ -287,6 +294,9 @@
 	charged  float64
 	issuedAt time.Duration
 	seen     bool
+	// void is the time by the entry's clock after which the entry uses the
+	// grant no more; 0 when the entry's clock is not known.
+	void time.Duration
 	// mark is the sequence of the last full demand that listed the grant.
 	mark uint64
 }
--- a/internal/qlentry/qlentry.go
+++ b/internal/qlentry/qlentry.go
@@ -17,13 +17,14 @@
 	queues map[queueKey]*queue
 	// active holds the queues in which something waits or that are asked for
 	// elsewhere; the others only keep what was learned.
-	active    map[queueKey]*queue
-	sweepAt   time.Duration
-	byRequest map[uint64]*queue
-	running   map[uint64]*running
-	links     map[string]*link
-	spillAt   time.Duration
-	trimAt    time.Duration
+	active      map[queueKey]*queue
+	sweepAt     time.Duration
+	byRequest   map[uint64]*queue
+	running     map[uint64]*running
+	links       map[string]*link
+	spillAt     time.Duration
+	rebalanceAt time.Duration
+	trimAt      time.Duration
 	// ownSeen is the last grant handled of this process's own dispatcher.
 	ownSeen uint64
 }
@@ -355,9 +356,12 @@
 	e.sweep(now)
 	if now >= e.spillAt {
 		e.spillAt = now + _spill
-		e.rebalance(now)
 		e.spill(now)
 	}
+	if now >= e.rebalanceAt {
+		e.rebalanceAt = now + _rebalance
+		e.rebalance(now)
+	}
 	if now >= e.trimAt {
 		e.trimAt = now + _trim
 		e.trim()
--- a/internal/qlentry/types.go
+++ b/internal/qlentry/types.go
@@ -56,6 +56,8 @@
 	// is withdrawn.
 	_spill = 100 * time.Millisecond
 	_trim  = time.Second
+	// _rebalance is how often waiting requests look for a better dispatcher.
+	_rebalance = 500 * time.Millisecond
 	// _climbCosts is how many typical costs apart the levels of two
 	// dispatchers must be for a request to move.
 	_climbCosts = 4
--- a/internal/qlpeer/qlpeer.go
+++ b/internal/qlpeer/qlpeer.go
@@ -34,8 +34,11 @@
 	_queueLength = 512
 	_dialTimeout = 2 * time.Second
 	_sendTimeout = 5 * time.Second
-	// _redialWait keeps a peer that refuses from being dialled in a loop.
-	_redialWait = 200 * time.Millisecond
+	// _redialWait keeps a peer that refuses from being dialled in a loop. What
+	// is queued is kept for _keepQueued meanwhile, since a peer that just
+	// starts refuses too.
+	_redialWait = 100 * time.Millisecond
+	_keepQueued = time.Second
 	// _idleClose closes a connection on which nothing is sent.
 	_idleClose = 60 * time.Second
 	// _maxBatch bounds the messages in a frame.
@@ -227,7 +230,7 @@
 func (o *outlet) session(first *qlwire.Message) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	conn, err := o.peers.dial(ctx, o.to)
+	conn, err := o.connect(ctx)
 	if err != nil {
 		o.lose()
 		return
@@ -241,6 +244,24 @@
 	o.pump(stream, first)
 }
 
+// connect dials for a while before it gives up.
+func (o *outlet) connect(ctx context.Context) (*drpcconn.Conn, error) {
+	deadline := time.Now().Add(_keepQueued)
+	for {
+		conn, err := o.peers.dial(ctx, o.to)
+		if err == nil || time.Now().After(deadline) {
+			return conn, err
+		}
+		wait := time.NewTimer(_redialWait)
+		select {
+		case <-wait.C:
+		case <-o.peers.closed:
+			wait.Stop()
+			return nil, err
+		}
+	}
+}
+
 func (o *outlet) pump(stream qlwire.DRPCPeer_DeliverClient, first *qlwire.Message) {
 	frame := &qlwire.Frame{
 		From:        o.peers.config.Self,
@@ -287,15 +308,11 @@
 // lose drops what is queued for a peer that cannot be reached: by the time
 // it can, the messages would be stale.
 func (o *outlet) lose() {
-	wait := time.NewTimer(_redialWait)
-	defer wait.Stop()
 	for {
 		select {
 		case <-o.queue:
 			o.peers.counters.Dropped.Add(1)
-		case <-wait.C:
-			return
-		case <-o.peers.closed:
+		default:
 			return
 		}
 	}
--- a/internal/qlpeer/qlpeer_test.go
+++ b/internal/qlpeer/qlpeer_test.go
@@ -97,10 +97,14 @@
 func TestMessagesArriveInOrder(t *testing.T) {
 	s := newSink(t)
 	peers := newPeers(t, s)
-	for i := range uint32(2000) {
+	// Not more at once than a queue holds, since a full one may drop.
+	const batch = 500
+	for i := range uint32(4 * batch) {
 		peers.Send("r2", offer(i))
+		if (i+1)%batch == 0 {
+			s.wait(t, int64(i+1))
+		}
 	}
-	s.wait(t, 2000)
 	if !s.inOrder.Load() {
 		t.Error("messages arrived out of order")
 	}
