Claims: a refused attempt is remembered too; idle levels do not count

Two of three acceptors had granted it and were replaced one after the other; the third had answered "held" because of another attempt, had not noted the claim, and was the only old one left when that attempt gave the key back. Ruled out: copies (given in full, from routers with the list). Change: every attempt is noted, granted or not, until it is released. Notes alone refuse others as "cannot vouch", not as duplicates.

Change: only dispatchers at which someone waits count; where nobody waits, the highest level stands.

The fake network seeded all routers above r9 alike; with 120 routers some deaths were noticed late for that reason only. Each has its own seed now, so results of seeds before this commit are other ones.

--- a/internal/qlclaim/qlclaim.go
+++ b/internal/qlclaim/qlclaim.go
@@ -56,6 +56,8 @@
 	Quorum = 2
 	// _maxClaims bounds the memory for claims; a full acceptor cannot vouch.
 	_maxClaims = 100_000
+	// _maxPerKey bounds the attempts remembered for one key.
+	_maxPerKey = 32
 	// _copyBatch bounds the claims in one message.
 	_copyBatch = 200
 	_keySize   = 16
@@ -90,9 +92,10 @@
 	attempt  uint64
 	bodyHash string
 	request  string
-	// granted is set when this acceptor granted the claim itself. A copied one
-	// only keeps others from the key.
+	// granted is set when this acceptor granted the claim itself, copied when
+	// another did or knew of it. Others only keep further attempts out.
 	granted bool
+	copied  bool
 	expires time.Duration
 }
 
@@ -159,47 +162,69 @@
 		return CannotVouch, ""
 	}
 	held := a.live(now, key)
-	if refusal, holder := judge(held, from, request); refusal != 0 {
-		return refusal, holder
-	}
-	if len(held) > 0 && held[0].granted {
+	if own := find(held, from, request.GetAttempt()); own != nil && own.granted {
 		return Granted, ""
 	}
-	if len(held) == 0 && len(a.claims) >= _maxClaims {
-		return CannotVouch, ""
+	verdict, holder := judge(held, from, request)
+	if verdict == 0 {
+		verdict = CannotVouch
+		if a.agrees(key, request.GetAcceptors()) && a.vouches(now, key) && len(a.claims) < _maxClaims {
+			verdict = Granted
+		}
 	}
-	vouched := a.agrees(key, request.GetAcceptors()) && a.vouches(now, key)
-	a.claims[key] = []*claim{
-		{
+	a.remember(now, key, held, from, request, verdict == Granted)
+	return verdict, holder
+}
+
+// remember notes a claim whether it is granted or not. The others may grant
+// it, and this router may come to be the last that knows of it: when the two
+// that granted are lost, and what held the key here is given back.
+func (a *Acceptor) remember(now time.Duration, key string, held []*claim, from string, request *qlwire.ClaimRequest, granted bool) {
+	own := find(held, from, request.GetAttempt())
+	if own == nil {
+		if len(held) >= _maxPerKey || len(a.claims) >= _maxClaims {
+			return
+		}
+		own = &claim{
 			owner:    from,
 			attempt:  request.GetAttempt(),
 			bodyHash: string(request.GetBodyHash()),
 			request:  request.GetRequest(),
-			granted:  vouched,
-			expires:  now + a.keep,
-		},
+		}
+		a.claims[key] = append(held, own)
 	}
-	if !vouched {
-		// Remembered all the same: the others may grant it, and this router
-		// may vouch for the key before the window has passed.
-		return CannotVouch, ""
+	own.granted = granted
+	own.expires = now + a.keep
+}
+
+func find(held []*claim, owner string, number uint64) *claim {
+	for _, c := range held {
+		if c.owner == owner && c.attempt == number {
+			return c
+		}
 	}
-	return Granted, ""
+	return nil
 }
 
-// judge compares an attempt with the claims that hold its key. It returns no
-// verdict when nobody but the attempt itself holds it.
+// judge compares an attempt with the claims on its key. It returns no verdict
+// when nobody else has one. A claim that was not granted here may come to
+// nothing, so it refuses others without calling them duplicates.
 func judge(held []*claim, from string, request *qlwire.ClaimRequest) (Verdict, string) {
+	verdict, holder := Verdict(0), ""
 	for _, c := range held {
 		if c.owner == from && c.attempt == request.GetAttempt() {
 			continue
 		}
+		if !c.granted && !c.copied {
+			verdict = max(verdict, CannotVouch)
+			continue
+		}
 		if c.bodyHash != string(request.GetBodyHash()) {
 			return Mismatch, c.request
 		}
 		return Held, c.request
 	}
-	return 0, ""
+	return verdict, holder
 }
 
 // over reports whether the attempt was released before its claim came. A
@@ -408,16 +433,15 @@
 func (a *Acceptor) addCopy(now time.Duration, record *qlwire.ClaimRecord) {
 	key := string(record.GetKey())
 	held := a.live(now, key)
-	for _, c := range held {
-		if c.owner == record.GetOwner() && c.attempt == record.GetAttempt() {
-			return
-		}
+	if find(held, record.GetOwner(), record.GetAttempt()) != nil {
+		return
 	}
 	a.claims[key] = append(held, &claim{
 		owner:    record.GetOwner(),
 		attempt:  record.GetAttempt(),
 		bodyHash: string(record.GetBodyHash()),
 		request:  record.GetRequest(),
+		copied:   true,
 		expires:  now + time.Duration(record.GetLeft()),
 	})
 }
--- a/internal/qlcore/claims_test.go
+++ b/internal/qlcore/claims_test.go
@@ -110,7 +110,9 @@
 // one, with the list lagging differently at each router.
 func TestBookingsWhileRoutersAreReplaced(t *testing.T) {
 	t.Parallel()
-	for seed := uint64(1); seed <= uint64(*_seeds); seed++ {
+	// Seed 57 had both routers that granted a key replaced, and the third did
+	// not know of it.
+	for _, seed := range append(seedRange(), 57) {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			t.Parallel()
 			f := bookingFleet(t, seed)
--- a/internal/qlcore/fleet_test.go
+++ b/internal/qlcore/fleet_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/quetzallane/quetzallane/internal/qlcore"
 	"github.com/quetzallane/quetzallane/internal/qldispatch"
 	"github.com/quetzallane/quetzallane/internal/qlentry"
@@ -289,7 +290,7 @@
 		Self:        n.id,
 		Zone:        n.zone,
 		Epoch:       n.epoch,
-		Random:      rand.New(rand.NewPCG(f.config.seed, uint64(len(n.id))<<32+uint64(n.id[1])<<8+n.epoch)),
+		Random:      rand.New(rand.NewPCG(f.config.seed, xxhash.Sum64String(n.id)+n.epoch)),
 		ClaimWindow: f.config.window,
 		Send:        func(to string, message *qlwire.Message) { f.send(n, epoch, to, message) },
 		Start:       func(id uint64, a qlentry.Assignment) { f.startRequest(n, epoch, id, a) },
@@ -610,3 +611,12 @@
 
 // _seeds is how many seeds the randomised tests run: few in CI, more by hand.
 var _seeds = flag.Int("seeds", 6, "seeds of each randomised test")
+
+// seedRange returns the seeds from 1 up.
+func seedRange() []uint64 {
+	seeds := make([]uint64, 0, *_seeds)
+	for i := range *_seeds {
+		seeds = append(seeds, uint64(i+1))
+	}
+	return seeds
+}
--- a/internal/qlcore/level.go
+++ b/internal/qlcore/level.go
@@ -12,20 +12,23 @@
 // Not the highest: a dispatcher that happens to hear of one customer only
 // serves it far ahead of the others, and a maximum would carry that to the
 // whole fleet and wipe out what the others are owed. The median moves only
-// when most dispatchers do.
+// when most dispatchers do. Dispatchers at which nobody waits do not count:
+// their level is that of a grant that may be long ago. Where nobody waits
+// anywhere, nothing is to be divided, and the latest grant's level stands.
 
-func (c *Core) noteLevel(pool, from string, level float64) {
+func (c *Core) noteLevel(from string, level *qlwire.PoolLevel) {
 	if c.config.Isolated {
 		return
 	}
-	levels := c.poolLevels[pool]
+	levels := c.poolLevels[level.GetPool()]
 	if levels == nil {
 		levels = make(map[string]heardLevel)
-		c.poolLevels[pool] = levels
+		c.poolLevels[level.GetPool()] = levels
 	}
 	levels[from] = heardLevel{
-		level: level,
-		at:    c.now,
+		level:   qlwire.ToVirtual(level.GetLevel()),
+		waiting: level.GetWaiting() > 0,
+		at:      c.now,
 	}
 }
 
@@ -34,19 +37,19 @@
 		c.noteOwnLevel(pool)
 	}
 	for pool, levels := range c.poolLevels {
-		if median, ok := c.medianLevel(levels); ok {
-			c.setVirtualTime(pool, median)
+		if len(levels) > 0 {
+			c.setVirtualTime(pool, c.fleetLevel(levels))
 		}
 	}
 }
 
 func (c *Core) noteOwnLevel(pool string) {
-	level := qlwire.ToVirtual(c.dispatcher.Level(c.now, pool).GetLevel())
+	level := c.dispatcher.Level(c.now, pool)
 	if c.config.Isolated {
-		c.setVirtualTime(pool, level)
+		c.setVirtualTime(pool, qlwire.ToVirtual(level.GetLevel()))
 		return
 	}
-	c.noteLevel(pool, c.config.Self, level)
+	c.noteLevel(c.config.Self, level)
 }
 
 func (c *Core) setVirtualTime(pool string, virtualTime float64) {
@@ -54,18 +57,24 @@
 	c.home.SetVirtualTime(c.now, pool, virtualTime)
 }
 
-func (c *Core) medianLevel(levels map[string]heardLevel) (median float64, ok bool) {
-	values := make([]float64, 0, len(levels))
+// fleetLevel drops levels that are too old and returns the median of those of
+// dispatchers at which someone waits, or the highest of all when nobody does.
+func (c *Core) fleetLevel(levels map[string]heardLevel) float64 {
+	highest := 0.0
+	contended := make([]float64, 0, len(levels))
 	for from, heard := range levels {
+		highest = max(highest, heard.level)
 		if c.now-heard.at > _levelAge {
 			delete(levels, from)
 			continue
 		}
-		values = append(values, heard.level)
+		if heard.waiting {
+			contended = append(contended, heard.level)
+		}
 	}
-	if len(values) == 0 {
-		return 0, false
+	if len(contended) == 0 {
+		return highest
 	}
-	sort.Float64s(values)
-	return values[(len(values)-1)/2], true
+	sort.Float64s(contended)
+	return contended[(len(contended)-1)/2]
 }
--- a/internal/qlcore/types.go
+++ b/internal/qlcore/types.go
@@ -126,10 +126,12 @@
 	LeavingUpstreams []string
 }
 
-// heardLevel is the virtual time of the last grant at a dispatcher.
+// heardLevel is the level of a dispatcher as last heard, and whether anyone
+// waits there.
 type heardLevel struct {
-	level float64
-	at    time.Duration
+	level   float64
+	waiting bool
+	at      time.Duration
 }
 
 type requestState struct {
--- a/internal/qlcore/view.go
+++ b/internal/qlcore/view.go
@@ -288,7 +288,7 @@
 
 func (c *Core) applyLevels(from string, levels []*qlwire.PoolLevel) {
 	for _, level := range levels {
-		c.noteLevel(level.GetPool(), from, qlwire.ToVirtual(level.GetLevel()))
+		c.noteLevel(from, level)
 		c.entry.SetLevel(c.now, from, level)
 	}
 }
