--- a/internal/qlcore/qlcore.go
+++ b/internal/qlcore/qlcore.go
@@ -38,6 +38,7 @@
 	followers   map[string][]string
 	viewChanged bool
 	leaving     bool
+	watches     bool
 	closed      bool
 
 	requests map[uint64]*requestState
@@ -56,6 +57,7 @@
 	offerSoonAt    time.Duration
 	idleOffered    map[string]bool
 	copyAt         time.Duration
+	copyPause      time.Duration
 	slowAt         time.Duration
 }
 
--- a/internal/qlcore/tick.go
+++ b/internal/qlcore/tick.go
@@ -31,7 +31,8 @@
 		c.offer()
 	}
 	if c.now >= c.copyAt {
-		c.copyAt = c.now + _copyPeriod
+		c.copyPause = min(max(2*c.copyPause, _copyPeriod), _longestCopyPause)
+		c.copyAt = c.now + c.copyPause
 		c.catchUp()
 	}
 	c.settle()
@@ -67,6 +68,7 @@
 // router, and the claims that it should remember.
 func (c *Core) catchUp() {
 	if !c.Ready() && !c.leaving {
+		c.copyPause = 0
 		c.members.Announce()
 	}
 	for _, id := range c.acceptor.MissingCopies(c.now) {
--- a/internal/qlcore/types.go
+++ b/internal/qlcore/types.go
@@ -42,9 +42,11 @@
 	// what it sends does not grow with the fleet. Neighbours overlap, and so
 	// a shortage anywhere spreads over all of them.
 	_fanOut = 8
-	// _copyPeriod is how often a fresh router asks for copies of claims, and
-	// greets routers whose revision it has not heard.
-	_copyPeriod = time.Second
+	// _copyPeriod is how often a fresh router greets routers whose revision it
+	// has not heard, and asks for copies of claims; it asks less and less
+	// often, since in a cold fleet there are none to be had for a window.
+	_copyPeriod       = time.Second
+	_longestCopyPause = 32 * time.Second
 	// _slowPeriod is the period of work that nothing waits for.
 	_slowPeriod = 100 * time.Millisecond
 	// _pause is the time without a tick that counts as a pause.
--- a/internal/qlcore/view.go
+++ b/internal/qlcore/view.go
@@ -105,6 +105,7 @@
 // the VM list or the configuration.
 func (c *Core) applyView() {
 	c.live = qlring.New(c.members.Live())
+	c.watches = c.isWatcher()
 	c.home.NoteViewChange(c.now)
 	if c.configuration == nil {
 		return
@@ -302,6 +303,10 @@
 // Watches reports whether this router is one of the few in its zone that
 // watch the configuration service.
 func (c *Core) Watches() bool {
+	return c.watches
+}
+
+func (c *Core) isWatcher() bool {
 	var zone []qlring.Node
 	for _, node := range c.live.Nodes() {
 		if node.Zone() == c.config.Zone {
--- a/internal/qlpeer/qlpeer.go
+++ b/internal/qlpeer/qlpeer.go
@@ -31,7 +31,7 @@
 )
 
 const (
-	_queueLength = 512
+	_queueLength = 256
 	_dialTimeout = 2 * time.Second
 	_sendTimeout = 5 * time.Second
 	// _redialWait keeps a peer that refuses from being dialled in a loop. What
@@ -41,6 +41,9 @@
 	_keepQueued = time.Second
 	// _idleClose closes a connection on which nothing is sent.
 	_idleClose = 60 * time.Second
+	// _writeBuffer is small since frames are: a router of a large fleet has
+	// hundreds of connections.
+	_writeBuffer = 512
 	// _maxBatch bounds the messages in a frame.
 	_maxBatch = 256
 	// _maxMessage bounds a received message; snapshots are the largest.
@@ -157,6 +160,7 @@
 
 func managerOptions() drpcmanager.Options {
 	return drpcmanager.Options{
+		WriterBufferSize: _writeBuffer,
 		Reader: drpcwire.ReaderOptions{
 			MaximumBufferSize: _maxMessage,
 		},
--- a/internal/qlrouter/qlrouter.go
+++ b/internal/qlrouter/qlrouter.go
@@ -41,8 +41,11 @@
 
 const (
 	_eventQueue = 8192
-	// _tick is the resolution of time in the core.
-	_tick = 10 * time.Millisecond
+	// _tick is the resolution of time in the core. Each costs a wake-up of the
+	// process, idle or not.
+	_tick = 20 * time.Millisecond
+	// _publishPeriod is how often what other goroutines read is made current.
+	_publishPeriod = 100 * time.Millisecond
 	// _flushDelay lets changes of a burst share a message.
 	_flushDelay = 2 * time.Millisecond
 	// _shutdownGrace is for connections that are already idle.
@@ -243,13 +246,17 @@
 	ticker := time.NewTicker(_tick)
 	defer ticker.Stop()
 	var flush <-chan time.Time
+	publishAt := time.Duration(0)
 	for {
 		select {
 		case event := <-r.events:
 			event(r.clock())
 		case <-ticker.C:
 			r.core.Tick(r.clock())
-			r.publish()
+			if now := r.clock(); now >= publishAt {
+				publishAt = now + _publishPeriod
+				r.publish()
+			}
 		case <-flush:
 			flush = nil
 			r.core.Flush(r.clock())
