--- a/cmd/quetzallaned/process_test.go
+++ b/cmd/quetzallaned/process_test.go
@@ -108,6 +108,17 @@
 }
 
 func newProcessFleet(t *testing.T, routers int) *processFleet {
+	t.Helper()
+	return newProcessFleetOn(t, routers, func(f *processFleet, _ *process) string {
+		platform := httptest.NewServer(f.platform.Handler())
+		t.Cleanup(platform.Close)
+		return platform.URL
+	})
+}
+
+// newProcessFleetOn starts routers, each with the platform's URL that the
+// function returns for it.
+func newProcessFleetOn(t *testing.T, routers int, platform func(*processFleet, *process) string) *processFleet {
 	t.Helper()
 	f := &processFleet{
 		t:        t,
@@ -120,8 +131,6 @@
 			Timeout: 20 * time.Second,
 		},
 	}
-	platform := httptest.NewServer(f.platform.Handler())
-	t.Cleanup(platform.Close)
 	f.upstream = httptest.NewServer(f.service.Handler())
 	t.Cleanup(f.upstream.Close)
 	for i := range 2 {
@@ -137,7 +146,10 @@
 	f.platform.Publish([][]byte{f.part(8)})
 	addresses := freeAddresses(t, 3*routers)
 	for i := range routers {
-		f.addRouter(i, platform.URL, addresses[3*i:])
+		f.addRouter(i, addresses[3*i:])
+	}
+	for _, p := range f.processes {
+		f.writeSettings(p, platform(f, p))
 	}
 	f.publishVMs()
 	for _, p := range f.processes {
@@ -150,15 +162,18 @@
 	return f
 }
 
-func (f *processFleet) addRouter(i int, platform string, addresses []string) {
-	f.t.Helper()
-	p := &process{
+func (f *processFleet) addRouter(i int, addresses []string) {
+	f.processes = append(f.processes, &process{
 		id:         fmt.Sprintf("r%d", i),
 		zone:       fmt.Sprintf("z%d", i%3),
 		caller:     addresses[0],
 		peer:       addresses[1],
 		operations: addresses[2],
-	}
+	})
+}
+
+func (f *processFleet) writeSettings(p *process, platform string) {
+	f.t.Helper()
 	p.settings = filepath.Join(f.t.TempDir(), p.id+".json")
 	text := fmt.Sprintf(`{
 		"id": %q, "zone": %q, "caller-address": %q, "peer-address": %q, "operations-address": %q,
@@ -168,7 +183,6 @@
 	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
-	f.processes = append(f.processes, p)
 }
 
 func (f *processFleet) publishVMs() {
