--- /dev/null
+++ b/cmd/quetzallaned/harness_test.go
@@ -0,0 +1,399 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/quetzallane/quetzallane/internal/qlplatform"
+	"github.com/quetzallane/quetzallane/internal/qlstandin"
+	"github.com/quetzallane/quetzallane/pkg/qlcode"
+	"github.com/quetzallane/quetzallane/pkg/qlconfig"
+	"github.com/quetzallane/quetzallane/pkg/qljson"
+)
+
+// These tests run the built daemon as processes on loopback; the stand-ins
+// live in the test's own process, so that their logs can be read directly.
+
+var _binary string
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "quetzallaned")
+	if err != nil {
+		panic(err)
+	}
+	_binary = filepath.Join(folder, "quetzallaned")
+	if out, err := exec.Command("go", "build", "-o", _binary, ".").CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+type process struct {
+	id         string
+	zone       string
+	caller     string
+	peer       string
+	operations string
+	settings   string
+	command    *exec.Cmd
+	log        *lockedBuffer
+	// exited is closed when the process has ended, exit then holds how.
+	exited chan struct{}
+	exit   error
+}
+
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
+
+type processFleet struct {
+	t         *testing.T
+	platform  *qlstandin.Platform
+	engines   []*httptest.Server
+	service   *qlstandin.Service
+	upstream  *httptest.Server
+	processes []*process
+	client    *http.Client
+}
+
+// freeAddresses returns addresses that were free all at the same time, so
+// that none comes twice.
+func freeAddresses(t *testing.T, count int) []string {
+	t.Helper()
+	addresses := make([]string, 0, count)
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = listener.Close() }()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses
+}
+
+func newProcessFleet(t *testing.T, routers int) *processFleet {
+	t.Helper()
+	return newProcessFleetOn(t, routers, func(f *processFleet, _ *process) string {
+		platform := httptest.NewServer(f.platform.Handler())
+		t.Cleanup(platform.Close)
+		return platform.URL
+	})
+}
+
+// newProcessFleetOn starts routers, each with the platform's URL that the
+// function returns for it.
+func newProcessFleetOn(t *testing.T, routers int, platform func(*processFleet, *process) string) *processFleet {
+	t.Helper()
+	f := &processFleet{
+		t:        t,
+		platform: qlstandin.NewPlatform(),
+		service: qlstandin.NewService(qlstandin.ServiceConfig{
+			ID:       "b1",
+			CallTime: 20 * time.Millisecond,
+		}),
+		client: &http.Client{
+			Timeout: 20 * time.Second,
+		},
+	}
+	f.upstream = httptest.NewServer(f.service.Handler())
+	t.Cleanup(f.upstream.Close)
+	for i := range 2 {
+		engine := httptest.NewServer(qlstandin.NewEngine(qlstandin.EngineConfig{
+			ID:             fmt.Sprintf("e%d", i),
+			Slots:          8,
+			TokenTime:      3 * time.Millisecond,
+			CachedPrefixes: 8,
+		}).Handler())
+		t.Cleanup(engine.Close)
+		f.engines = append(f.engines, engine)
+	}
+	f.platform.Publish([][]byte{f.part(8)})
+	addresses := freeAddresses(t, 3*routers)
+	for i := range routers {
+		f.addRouter(i, addresses[3*i:])
+	}
+	for _, p := range f.processes {
+		f.writeSettings(p, platform(f, p))
+	}
+	f.publishVMs()
+	for _, p := range f.processes {
+		f.start(p)
+	}
+	t.Cleanup(f.killAll)
+	for _, p := range f.processes {
+		f.waitReady(p)
+	}
+	return f
+}
+
+func (f *processFleet) addRouter(i int, addresses []string) {
+	f.processes = append(f.processes, &process{
+		id:         fmt.Sprintf("r%d", i),
+		zone:       fmt.Sprintf("z%d", i%3),
+		caller:     addresses[0],
+		peer:       addresses[1],
+		operations: addresses[2],
+	})
+}
+
+func (f *processFleet) writeSettings(p *process, platform string) {
+	f.t.Helper()
+	p.settings = filepath.Join(f.t.TempDir(), p.id+".json")
+	text := fmt.Sprintf(`{
+		"id": %q, "zone": %q, "caller-address": %q, "peer-address": %q, "operations-address": %q,
+		"platform": %q, "max-body": 10000, "max-answer": 1000000, "claim-window": %q, "load-period": "100ms",
+		"balancer-notice": "300ms", "stop-deadline": "10s", "log-level": "info"}`,
+		p.id, p.zone, p.caller, p.peer, p.operations, platform, _claimWindow.String())
+	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *processFleet) publishVMs() {
+	var vms []qlplatform.VM
+	for _, p := range f.processes {
+		vms = append(vms, qlplatform.VM{
+			ID:      p.id,
+			Kind:    qlplatform.KindRouter,
+			Zone:    p.zone,
+			Address: p.peer,
+			State:   qlplatform.StateLive,
+		})
+	}
+	f.platform.SetVMs(vms)
+}
+
+// part is the configuration with a limit for the one customer.
+func (f *processFleet) part(limit int) []byte {
+	host := func(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+	engines := make([]qlconfig.UpstreamText, 0, len(f.engines))
+	for i, engine := range f.engines {
+		engines = append(engines, qlconfig.UpstreamText{
+			ID:      fmt.Sprintf("e%d", i),
+			Address: host(engine),
+			Zone:    fmt.Sprintf("z%d", i),
+			Slots:   8,
+		})
+	}
+	part := qlconfig.Part{
+		Templates: map[string]qlconfig.TemplateText{
+			"t": {
+				Limits: qlconfig.Limits{
+					Pools: []string{"m", "booking", "empty"},
+				},
+				Parameters: []string{"max-in-flight"},
+			},
+		},
+		Pools: map[string]qlconfig.PoolText{
+			"m": {
+				Kind:        qlconfig.KindEngine,
+				LargestCost: 1000,
+				Timeout:     qljson.Duration(10 * time.Second),
+				Upstreams:   engines,
+				Repeatable: []qlconfig.CallText{
+					{
+						Method: http.MethodPost,
+						Path:   "/v1/completions",
+					},
+				},
+			},
+			"booking": {
+				Kind:        qlconfig.KindService,
+				LargestCost: 1,
+				Timeout:     qljson.Duration(2 * time.Second),
+				Upstreams: []qlconfig.UpstreamText{
+					{
+						ID:      "b1",
+						Address: host(f.upstream),
+						Zone:    "z0",
+						Slots:   8,
+					},
+				},
+				Repeatable: []qlconfig.CallText{
+					{
+						Method: http.MethodGet,
+						Path:   "/",
+					},
+				},
+			},
+			"empty": {
+				Kind:        qlconfig.KindService,
+				LargestCost: 1,
+				Timeout:     qljson.Duration(time.Second),
+			},
+		},
+		Customers: map[string]qlconfig.CustomerText{
+			"c": {
+				Template:  "t",
+				KeyHashes: []string{qlconfig.HashKey(_testKey)},
+				Parameters: qlconfig.Limits{
+					MaxInFlight: &limit,
+				},
+			},
+		},
+	}
+	text, err := json.Marshal(part)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return text
+}
+
+func (f *processFleet) start(p *process) {
+	f.t.Helper()
+	p.log = &lockedBuffer{}
+	p.command = exec.Command(_binary, "--settings", p.settings)
+	p.command.Stderr = p.log
+	if err := p.command.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	p.exited = make(chan struct{})
+	command, exited := p.command, p.exited
+	go func() {
+		err := command.Wait()
+		p.exit = err
+		close(exited)
+	}()
+}
+
+func (f *processFleet) killAll() {
+	for _, p := range f.processes {
+		_ = p.command.Process.Signal(syscall.SIGCONT)
+		_ = p.command.Process.Kill()
+		<-p.exited
+		if f.t.Failed() {
+			f.t.Logf("log of %s:\n%s", p.id, p.log)
+		}
+		if strings.Contains(p.log.String(), "event=invariant-violated") {
+			f.t.Errorf("%s violated an invariant:\n%s", p.id, p.log)
+		}
+	}
+}
+
+func (p *process) ready(client *http.Client) bool {
+	response, err := client.Get("http://" + p.caller + "/readyz")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	return response.StatusCode == http.StatusOK
+}
+
+func (f *processFleet) waitReady(p *process) {
+	f.t.Helper()
+	f.until(p.id+" ready", func() bool { return p.ready(f.client) })
+}
+
+func (f *processFleet) until(what string, holds func() bool) {
+	f.t.Helper()
+	deadline := time.Now().Add(_readyWithin)
+	for !holds() {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("not within %v: %s", _readyWithin, what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (f *processFleet) waitVouching() {
+	f.t.Helper()
+	for _, p := range f.processes {
+		f.until(p.id+" vouches", func() bool { return f.state(p).Vouches })
+	}
+}
+
+type state struct {
+	Vouches  bool   `json:"vouches"`
+	Revision uint64 `json:"configuration-revision"`
+}
+
+func (f *processFleet) state(p *process) state {
+	var s state
+	response, err := f.client.Get("http://" + p.operations + "/debug/state")
+	if err != nil {
+		return s
+	}
+	defer func() { _ = response.Body.Close() }()
+	_ = json.NewDecoder(response.Body).Decode(&s)
+	return s
+}
+
+type answer struct {
+	code int
+	body string
+	err  error
+}
+
+// call sends a request; a connection that breaks gives an error and no code.
+func (f *processFleet) call(p *process, method, path, body, key, bearer string) answer {
+	request, err := http.NewRequest(method, "http://"+p.caller+path, strings.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	request.Header.Set("Authorization", "Bearer "+bearer)
+	if key != "" {
+		request.Header.Set("Idempotency-Key", key)
+	}
+	response, err := f.client.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	text := response.Header.Get(qlcode.HeaderName)
+	if trailer := response.Trailer.Get(qlcode.HeaderName); trailer != "" {
+		text = trailer
+	}
+	a := answer{
+		body: string(data),
+		err:  err,
+	}
+	_, _ = fmt.Sscan(text, &a.code)
+	return a
+}
+
+func (f *processFleet) bookings(key string) int {
+	f.t.Helper()
+	recorder := httptest.NewRecorder()
+	f.service.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/log", nil))
+	var log []qlstandin.Execution
+	if err := json.Unmarshal(recorder.Body.Bytes(), &log); err != nil {
+		f.t.Fatal(err)
+	}
+	count := 0
+	for _, line := range log {
+		if line.Key == key {
+			count++
+		}
+	}
+	return count
+}
--- a/cmd/quetzallaned/partition_test.go
+++ b/cmd/quetzallaned/partition_test.go
@@ -109,6 +109,17 @@
 	})
 }
 
+// isolate cuts a router from all others, or joins it again.
+func isolate(relays map[string]map[string]*relay, id string, cut bool) {
+	for from, targets := range relays {
+		for to, relay := range targets {
+			if from == id || to == id {
+				relay.set(cut)
+			}
+		}
+	}
+}
+
 // TestPartitionBetweenProcesses cuts one of three routers from the others.
 func TestPartitionBetweenProcesses(t *testing.T) {
 	relays := make(map[string]map[string]*relay)
@@ -123,17 +134,8 @@
 		t.Cleanup(server.Close)
 		return server.URL
 	})
-	isolate := func(id string, cut bool) {
-		for from, targets := range relays {
-			for to, relay := range targets {
-				if from == id || to == id {
-					relay.set(cut)
-				}
-			}
-		}
-	}
 	f.waitVouching()
-	isolate("r0", true)
+	isolate(relays, "r0", true)
 	// Long enough for the small side to notice that it hears no majority.
 	time.Sleep(_claimWindow / 2)
 	book := func(p *process, key string) answer {
@@ -152,7 +154,7 @@
 		}
 	}
 	f.platform.Publish([][]byte{f.part(30)})
-	isolate("r0", false)
+	isolate(relays, "r0", false)
 	f.until("r0 is vouching with the new revision", func() bool {
 		s := f.state(f.processes[0])
 		return s.Vouches && s.Revision == 2
