A refused revision is read once; one Limits, state and fields less

Found while reading the readers as a newcomer.

Change: the last refused revision is not read again; an older answer counts as a failed read and waits. Log lines carry a cause without the stack. Cleaning: one type for limits instead of two, the dump in a file of its own, no switch that only tests had, no field that nobody read (a level's virtual time, a sequence of copies).

--- a/cmd/quetzallaned/process_test.go
+++ b/cmd/quetzallaned/process_test.go
@@ -215,6 +215,35 @@
 	return f.call(p, http.MethodPost, "/v1/completions", body, "", _testKey)
 }
 
+// TestBadConfigurationIsRefusedWhole publishes a part that names no template,
+// and then a good one: the revision in force stays until then.
+func TestBadConfigurationIsRefusedWhole(t *testing.T) {
+	f := newProcessFleet(t, 3)
+	bad := strings.Replace(string(f.part(50)), `"template":"t"`, `"template":"none"`, 1)
+	f.platform.Publish([][]byte{[]byte(bad)})
+	f.until("r0 refuses revision 2", func() bool {
+		return strings.Contains(f.processes[0].log.String(), "revision 2 refused, revision 1 stays in force")
+	})
+	time.Sleep(3 * time.Second)
+	for _, p := range f.processes {
+		if got, want := f.state(p).Revision, uint64(1); got != want {
+			t.Errorf("%s: got revision %d, want %d", p.id, got, want)
+		}
+		if got := strings.Count(p.log.String(), "revision 2 refused"); got > 1 {
+			t.Errorf("%s refused revision 2 %d times, want once", p.id, got)
+		}
+	}
+	f.platform.Publish([][]byte{f.part(60)})
+	f.until("revision 3 everywhere", func() bool {
+		for _, p := range f.processes {
+			if f.state(p).Revision != 3 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // TestLimitStaysRaisedOverProcesses raises the limit while the service is
 // stale for the routers that restart.
 func TestLimitStaysRaisedOverProcesses(t *testing.T) {
--- a/internal/qlclaim/qlclaim.go
+++ b/internal/qlclaim/qlclaim.go
@@ -345,7 +345,7 @@
 
 // Copy returns the claims that a router which started empty should hold, and
 // whether this one may vouch for them.
-func (a *Acceptor) Copy(now time.Duration, to qlring.Node, sequence uint64) []*qlwire.ClaimCopy {
+func (a *Acceptor) Copy(now time.Duration, to qlring.Node) []*qlwire.ClaimCopy {
 	vouched := a.vouchesAtAll(now)
 	var records []*qlwire.ClaimRecord
 	if len(a.views) > 0 {
@@ -360,7 +360,6 @@
 		batch := records[:min(len(records), _copyBatch)]
 		records = records[len(batch):]
 		copies = append(copies, &qlwire.ClaimCopy{
-			Sequence:     sequence,
 			Vouched:      vouched,
 			More:         len(records) > 0,
 			Claims:       batch,
--- a/internal/qlcore/bench_test.go
+++ b/internal/qlcore/bench_test.go
@@ -262,10 +262,9 @@
 	var levels []*qlwire.PoolLevel
 	for m := range 3 {
 		levels = append(levels, &qlwire.PoolLevel{
-			Pool:        fmt.Sprintf("m%d", m),
-			VirtualTime: 1e9,
-			Level:       1e9,
-			Waiting:     5,
+			Pool:    fmt.Sprintf("m%d", m),
+			Level:   1e9,
+			Waiting: 5,
 		})
 	}
 	return levels
--- a/internal/qlcore/fleet_test.go
+++ b/internal/qlcore/fleet_test.go
@@ -83,7 +83,6 @@
 	zoneDelay  time.Duration
 	loss       float64
 	loadLag    time.Duration
-	isolated   bool
 	window     time.Duration
 	costToTime time.Duration
 	// think is the time between an answer and the caller's next request.
@@ -259,7 +258,6 @@
 		Start:       func(id uint64, a qlentry.Assignment) { f.startRequest(n, epoch, id, a) },
 		Refuse:      func(id uint64, r qlcore.Refusal) { f.refuse(id, r) },
 		Behind:      func(peer string) { f.behind(n, epoch, peer) },
-		Isolated:    f.config.isolated,
 		Monitor: &qlinvariant.Monitor{
 			Report: func(v qlinvariant.Violation) {
 				if !f.allowed[v.Kind()] {
--- a/internal/qlcore/level.go
+++ b/internal/qlcore/level.go
@@ -17,9 +17,6 @@
 // anywhere, nothing is to be divided, and the latest grant's level stands.
 
 func (c *Core) noteLevel(from string, level *qlwire.PoolLevel) {
-	if c.config.Isolated {
-		return
-	}
 	levels := c.poolLevels[level.GetPool()]
 	if levels == nil {
 		levels = make(map[string]heardLevel)
@@ -45,10 +42,6 @@
 
 func (c *Core) noteOwnLevel(pool string) {
 	level := c.dispatcher.Level(c.now, pool)
-	if c.config.Isolated {
-		c.setVirtualTime(pool, qlwire.ToVirtual(level.GetLevel()))
-		return
-	}
 	c.noteLevel(c.config.Self, level)
 }
 
--- a/internal/qlcore/qlcore.go
+++ b/internal/qlcore/qlcore.go
@@ -103,13 +103,13 @@
 	})
 	c.dispatcher = qldispatch.New(qldispatch.Config{
 		Self:     c.config.Self,
-		Limits:   c.dispatchLimits,
+		Limits:   c.limits,
 		Fallback: c.fallback,
 		Grant:    c.granted,
 		Monitor:  c.config.Monitor,
 	})
 	c.home = qlusage.New(qlusage.Config{
-		Limits:      c.usageLimits,
+		Limits:      c.limits,
 		LargestCost: c.largestCost,
 		Part:        c.part,
 		Monitor:     c.config.Monitor,
@@ -221,7 +221,7 @@
 	case *qlwire.Message_ClaimRelease:
 		c.acceptor.Release(c.now, from, body.ClaimRelease)
 	case *qlwire.Message_ClaimSync:
-		c.answerSync(from, body.ClaimSync)
+		c.answerSync(from)
 	case *qlwire.Message_ClaimCopy:
 		c.acceptor.ApplyCopy(c.now, from, body.ClaimCopy)
 	}
--- /dev/null
+++ b/internal/qlcore/state.go
@@ -0,0 +1,59 @@
+package qlcore
+
+import (
+	"time"
+
+	"github.com/quetzallane/quetzallane/internal/qldispatch"
+	"github.com/quetzallane/quetzallane/internal/qlentry"
+	"github.com/quetzallane/quetzallane/internal/qlmember"
+	"github.com/quetzallane/quetzallane/internal/qlusage"
+)
+
+// State is a router's state for dumps.
+type State struct {
+	Router       string                  `json:"router"`
+	Zone         string                  `json:"zone"`
+	Epoch        uint64                  `json:"epoch"`
+	Uptime       string                  `json:"uptime"`
+	Ready        bool                    `json:"ready"`
+	Leaving      bool                    `json:"leaving"`
+	Watches      bool                    `json:"watches"`
+	Revision     uint64                  `json:"configuration-revision"`
+	ListRevision uint64                  `json:"list-revision"`
+	Members      []qlmember.MemberState  `json:"members"`
+	Dispatcher   []qldispatch.PoolState  `json:"dispatcher"`
+	Home         []qlusage.CustomerState `json:"usage-home"`
+	Queues       []qlentry.QueueState    `json:"queues"`
+	Running      int                     `json:"running"`
+	Claims       int                     `json:"claims"`
+	Vouches      bool                    `json:"vouches"`
+	Violations   map[string]uint64       `json:"invariant-violations"`
+	FalseAlarms  uint64                  `json:"false-suspicions"`
+	Unfinished   int                     `json:"unfinished-requests"`
+}
+
+// State returns the state of every role.
+func (c *Core) State() State {
+	queues, running := c.entry.State()
+	return State{
+		Router:       c.config.Self,
+		Zone:         c.config.Zone,
+		Epoch:        c.config.Epoch,
+		Uptime:       c.now.Round(time.Millisecond).String(),
+		Ready:        c.Ready(),
+		Leaving:      c.leaving,
+		Watches:      c.Watches(),
+		Revision:     c.Revision(),
+		ListRevision: c.list.Revision,
+		Members:      c.members.State(),
+		Dispatcher:   c.dispatcher.State(c.now),
+		Home:         c.home.State(),
+		Queues:       queues,
+		Running:      running,
+		Claims:       c.acceptor.Len(),
+		Vouches:      c.acceptor.Vouches(c.now),
+		Violations:   c.config.Monitor.Counts(),
+		FalseAlarms:  c.members.FalseAlarms(),
+		Unfinished:   c.Unfinished(),
+	}
+}
--- a/internal/qlcore/tick.go
+++ b/internal/qlcore/tick.go
@@ -3,12 +3,7 @@
 import (
 	"time"
 
-	"github.com/quetzallane/quetzallane/internal/qlclaim"
-	"github.com/quetzallane/quetzallane/internal/qldispatch"
-	"github.com/quetzallane/quetzallane/internal/qlentry"
-	"github.com/quetzallane/quetzallane/internal/qlmember"
 	"github.com/quetzallane/quetzallane/internal/qlring"
-	"github.com/quetzallane/quetzallane/internal/qlusage"
 	"github.com/quetzallane/quetzallane/internal/qlwire"
 )
 
@@ -83,9 +78,6 @@
 // report sends each customer's usage to its home, one message for each home
 // and pool.
 func (c *Core) report() {
-	if c.config.Isolated {
-		return
-	}
 	for _, pool := range c.dispatcher.Pools() {
 		items := make(map[string][]*qlwire.UsageItem)
 		var homes []string
@@ -142,8 +134,8 @@
 	})
 }
 
-func (c *Core) answerSync(from string, sync *qlwire.ClaimSync) {
-	for _, copied := range c.acceptor.Copy(c.now, qlring.NewNode(from, c.members.Zone(from)), sync.GetSequence()) {
+func (c *Core) answerSync(from string) {
+	for _, copied := range c.acceptor.Copy(c.now, qlring.NewNode(from, c.members.Zone(from))) {
 		c.send(from, &qlwire.Message{
 			Body: &qlwire.Message_ClaimCopy{
 				ClaimCopy: copied,
@@ -206,54 +198,3 @@
 		})
 	}
 }
-
-// State is a router's state for dumps.
-type State struct {
-	Router            string                  `json:"router"`
-	Zone              string                  `json:"zone"`
-	Epoch             uint64                  `json:"epoch"`
-	Uptime            string                  `json:"uptime"`
-	Ready             bool                    `json:"ready"`
-	Leaving           bool                    `json:"leaving"`
-	Watches           bool                    `json:"watches"`
-	Revision          uint64                  `json:"configuration-revision"`
-	ListRevision      uint64                  `json:"list-revision"`
-	Members           []qlmember.MemberState  `json:"members"`
-	Dispatcher        []qldispatch.PoolState  `json:"dispatcher"`
-	Home              []qlusage.CustomerState `json:"usage-home"`
-	Queues            []qlentry.QueueState    `json:"queues"`
-	Running           int                     `json:"running"`
-	Claims            int                     `json:"claims"`
-	Vouches           bool                    `json:"vouches"`
-	ViolationsByName  map[string]uint64       `json:"invariant-violations"`
-	FalseAlarms       uint64                  `json:"false-suspicions"`
-	AcceptorsForAKey  int                     `json:"acceptors-per-key"`
-	UnfinishedRequest int                     `json:"unfinished-requests"`
-}
-
-// State returns the state of every role.
-func (c *Core) State() State {
-	queues, running := c.entry.State()
-	return State{
-		Router:            c.config.Self,
-		Zone:              c.config.Zone,
-		Epoch:             c.config.Epoch,
-		Uptime:            c.now.Round(time.Millisecond).String(),
-		Ready:             c.Ready(),
-		Leaving:           c.leaving,
-		Watches:           c.Watches(),
-		Revision:          c.Revision(),
-		ListRevision:      c.list.Revision,
-		Members:           c.members.State(),
-		Dispatcher:        c.dispatcher.State(c.now),
-		Home:              c.home.State(),
-		Queues:            queues,
-		Running:           running,
-		Claims:            c.acceptor.Len(),
-		Vouches:           c.acceptor.Vouches(c.now),
-		ViolationsByName:  c.config.Monitor.Counts(),
-		FalseAlarms:       c.members.FalseAlarms(),
-		AcceptorsForAKey:  qlclaim.Acceptors,
-		UnfinishedRequest: c.Unfinished(),
-	}
-}
--- a/internal/qlcore/types.go
+++ b/internal/qlcore/types.go
@@ -116,8 +116,6 @@
 	Behind func(peer string)
 	// Monitor receives the invariants' checks; nil counts them only.
 	Monitor *qlinvariant.Monitor
-	// Isolated switches the exchange between usage homes off, for baselines.
-	Isolated bool
 }
 
 // List is the platform's VM list.
--- a/internal/qlcore/view.go
+++ b/internal/qlcore/view.go
@@ -6,9 +6,9 @@
 	"github.com/quetzallane/quetzallane/internal/qlclaim"
 	"github.com/quetzallane/quetzallane/internal/qldispatch"
 	"github.com/quetzallane/quetzallane/internal/qlentry"
+	"github.com/quetzallane/quetzallane/internal/qlfair"
 	"github.com/quetzallane/quetzallane/internal/qlinvariant"
 	"github.com/quetzallane/quetzallane/internal/qlring"
-	"github.com/quetzallane/quetzallane/internal/qlusage"
 	"github.com/quetzallane/quetzallane/internal/qlwire"
 	"github.com/quetzallane/quetzallane/pkg/qlconfig"
 )
@@ -206,24 +206,12 @@
 	}
 }
 
-func (c *Core) dispatchLimits(id string) (qldispatch.Limits, bool) {
+func (c *Core) limits(id string) (qlfair.Limits, bool) {
 	customer := c.customer(id)
 	if customer == nil {
-		return qldispatch.Limits{}, false
+		return qlfair.Limits{}, false
 	}
-	return qldispatch.Limits{
-		Share:       customer.Share(),
-		MaxInFlight: customer.MaxInFlight(),
-		CostRate:    customer.CostRate(),
-	}, true
-}
-
-func (c *Core) usageLimits(id string) (qlusage.Limits, bool) {
-	customer := c.customer(id)
-	if customer == nil {
-		return qlusage.Limits{}, false
-	}
-	return qlusage.Limits{
+	return qlfair.Limits{
 		Share:       customer.Share(),
 		MaxInFlight: customer.MaxInFlight(),
 		CostRate:    customer.CostRate(),
--- a/internal/qldispatch/bench_test.go
+++ b/internal/qldispatch/bench_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/quetzallane/quetzallane/internal/qldispatch"
+	"github.com/quetzallane/quetzallane/internal/qlfair"
 	"github.com/quetzallane/quetzallane/internal/qlinvariant"
 )
 
@@ -22,8 +23,8 @@
 	d := &decisions{}
 	d.dispatcher = qldispatch.New(qldispatch.Config{
 		Self: "r1",
-		Limits: func(string) (qldispatch.Limits, bool) {
-			return qldispatch.Limits{
+		Limits: func(string) (qlfair.Limits, bool) {
+			return qlfair.Limits{
 				Share:       1,
 				MaxInFlight: 1000,
 			}, true
--- a/internal/qldispatch/qldispatch_test.go
+++ b/internal/qldispatch/qldispatch_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/quetzallane/quetzallane/internal/qldispatch"
+	"github.com/quetzallane/quetzallane/internal/qlfair"
 	"github.com/quetzallane/quetzallane/internal/qlinvariant"
 )
 
@@ -13,14 +14,14 @@
 type pool struct {
 	dispatcher *qldispatch.Dispatcher
 	grants     []qldispatch.Grant
-	limits     qldispatch.Limits
+	limits     qlfair.Limits
 	seen       uint64
 	now        time.Duration
 }
 
 func newPool() *pool {
 	p := &pool{
-		limits: qldispatch.Limits{
+		limits: qlfair.Limits{
 			Share:       1,
 			MaxInFlight: 1000,
 		},
@@ -28,7 +29,7 @@
 	}
 	p.dispatcher = qldispatch.New(qldispatch.Config{
 		Self:     "r1",
-		Limits:   func(string) (qldispatch.Limits, bool) { return p.limits, true },
+		Limits:   func(string) (qlfair.Limits, bool) { return p.limits, true },
 		Fallback: func(string, string) (int, int) { return 0, 1 },
 		Grant:    func(g qldispatch.Grant) { p.grants = append(p.grants, g) },
 		Monitor:  &qlinvariant.Monitor{},
--- a/internal/qldispatch/replica.go
+++ b/internal/qldispatch/replica.go
@@ -152,11 +152,10 @@
 		free += max(0, r.free(now))
 	}
 	return &qlwire.PoolLevel{
-		Pool:        name,
-		VirtualTime: qlwire.FromVirtual(p.virtualTime),
-		Level:       qlwire.FromVirtual(p.currentLevel()),
-		Free:        uint32(free),
-		Waiting:     uint32(p.waiting),
+		Pool:    name,
+		Level:   qlwire.FromVirtual(p.currentLevel()),
+		Free:    uint32(free),
+		Waiting: uint32(p.waiting),
 	}
 }
 
--- a/internal/qldispatch/types.go
+++ b/internal/qldispatch/types.go
@@ -85,20 +85,12 @@
 	_sweepPeriod = 10 * time.Second
 )
 
-// Limits are a customer's share and bounds over the fleet.
-type Limits struct {
-	Share       float64
-	MaxInFlight int
-	// CostRate is in cost units a second; 0 is no bound.
-	CostRate float64
-}
-
 // Config configures a Dispatcher.
 type Config struct {
 	Self string
 	// Limits returns what the configuration in force says of a customer;
 	// ok is false for one that it does not name.
-	Limits func(customer string) (limits Limits, ok bool)
+	Limits func(customer string) (limits qlfair.Limits, ok bool)
 	// Fallback returns this router's rank among the fleet's dispatchers for
 	// the customer, and their number, for when no home answers.
 	Fallback func(pool, customer string) (rank, total int)
@@ -242,7 +234,7 @@
 	service  *qlfair.Account
 	flow     *qlfair.Flow[*account]
 	pool     *pool
-	limits   Limits
+	limits   qlfair.Limits
 	wants    []want
 	next     int
 	waiting  int
--- a/internal/qlfair/qlfair.go
+++ b/internal/qlfair/qlfair.go
@@ -26,6 +26,14 @@
 // _damping is the weight of cost under way in the order of customers.
 const _damping = 1.0
 
+// Limits are a customer's share and bounds over the fleet.
+type Limits struct {
+	Share       float64
+	MaxInFlight int
+	// CostRate is in cost units a second; 0 is no bound.
+	CostRate float64
+}
+
 // AccountConfig configures an Account.
 type AccountConfig struct {
 	ID    string
--- a/internal/qlrouter/adopt.go
+++ b/internal/qlrouter/adopt.go
@@ -25,6 +25,10 @@
 	_historyLength = 64
 )
 
+// errOlder is returned by a read of a stale service: it answered at once with
+// what is older than the value in use.
+const errOlder = errors.ConstError("the service serves an older revision")
+
 // indexHistory remembers the last indexes, so that a peer that is behind is
 // sent only what changed.
 type indexHistory struct {
@@ -70,8 +74,8 @@
 			wait = _watchWait
 		}
 		err := read(ctx, wait)
-		if err != nil && !errors.Is(err, qlplatform.ErrUnchanged) {
-			r.log.Warn("platform-read-failed", zap.String("value", name), zap.Error(err))
+		if err != nil && !errors.Is(err, qlplatform.ErrUnchanged) && !errors.Is(err, errOlder) {
+			r.log.Warn("platform-read-failed", zap.String("value", name), zap.String("cause", err.Error()))
 		}
 		sleep(ctx, r.readPause(err, wait))
 	}
@@ -113,6 +117,9 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	if list.Revision <= after {
+		return errOlder
+	}
 	r.adoptList(list, text)
 	return nil
 }
@@ -140,16 +147,16 @@
 
 func (r *Router) readConfiguration(ctx context.Context, wait time.Duration) error {
 	current := r.snapshot.Load()
-	after := uint64(0)
+	after := r.refused.Load()
 	if current != nil {
-		after = current.Revision()
+		after = max(after, current.Revision())
 	}
 	index, err := r.platform.Index(ctx, after, wait)
 	if err != nil {
 		return errors.Trace(err)
 	}
 	if index.Revision <= after {
-		return nil
+		return errOlder
 	}
 	builder := qlconfig.Builder{
 		Previous: current,
@@ -171,6 +178,7 @@
 	next, err := builder.Build(index, parts)
 	if err != nil {
 		r.rejected.Add(1)
+		r.refused.Store(index.Revision)
 		return errors.Annotatef(err, "revision %d refused, %s stays in force", index.Revision, revisionOf(builder.Previous))
 	}
 	r.post(func(now time.Duration) {
@@ -203,7 +211,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), _fetchTimeout)
 		defer cancel()
 		if err := r.fetch(ctx, peer); err != nil {
-			r.log.Warn("peer-fetch-failed", zap.String("peer", peer), zap.Error(err))
+			r.log.Warn("peer-fetch-failed", zap.String("peer", peer), zap.String("cause", err.Error()))
 		}
 	}()
 }
--- a/internal/qlrouter/qlrouter.go
+++ b/internal/qlrouter/qlrouter.go
@@ -88,7 +88,9 @@
 	unknown   atomic.Int64
 	adoptions atomic.Int64
 	rejected  atomic.Int64
-	source    atomic.Value
+	// refused is the last revision that was refused: it is not read again.
+	refused atomic.Uint64
+	source  atomic.Value
 
 	mu        sync.Mutex
 	waiters   map[uint64]chan decision
--- a/internal/qlusage/qlusage.go
+++ b/internal/qlusage/qlusage.go
@@ -25,6 +25,7 @@
 	"sort"
 	"time"
 
+	"github.com/quetzallane/quetzallane/internal/qlfair"
 	"github.com/quetzallane/quetzallane/internal/qlinvariant"
 	"github.com/quetzallane/quetzallane/internal/qlwire"
 )
@@ -52,17 +53,10 @@
 	_sweepPeriod    = 10 * time.Second
 )
 
-// Limits are a customer's share and bounds over the fleet.
-type Limits struct {
-	Share       float64
-	MaxInFlight int
-	CostRate    float64
-}
-
 // Config configures a Home.
 type Config struct {
 	// Limits returns what the configuration in force says of a customer.
-	Limits func(customer string) (limits Limits, ok bool)
+	Limits func(customer string) (limits qlfair.Limits, ok bool)
 	// LargestCost returns the bound on one request's cost in a pool.
 	LargestCost func(pool string) float64
 	// Part returns what a dispatcher may use of a customer's bound without
@@ -179,7 +173,7 @@
 	return p
 }
 
-func (h *Home) add(now time.Duration, p *pool, report *qlwire.UsageReport, from string, epoch uint64, item *qlwire.UsageItem, limits Limits) {
+func (h *Home) add(now time.Duration, p *pool, report *qlwire.UsageReport, from string, epoch uint64, item *qlwire.UsageItem, limits qlfair.Limits) {
 	r := p.customers[item.GetCustomer()]
 	if r == nil {
 		r = newRecord(p, item)
@@ -248,7 +242,7 @@
 }
 
 // settle applies the rules on idleness and the cap.
-func (h *Home) settle(now time.Duration, p *pool, poolName, customer string, r *record, limits Limits) {
+func (h *Home) settle(now time.Duration, p *pool, poolName, customer string, r *record, limits qlfair.Limits) {
 	inFlight, waiting := 0, 0
 	for id, s := range r.sources {
 		if now-s.at > _forgetSource {
@@ -291,7 +285,7 @@
 	return CapRequests * largestCost * max(1, 1/share)
 }
 
-func (h *Home) total(now time.Duration, p *pool, reportPool, from string, item *qlwire.UsageItem, limits Limits) *qlwire.UsageTotal {
+func (h *Home) total(now time.Duration, p *pool, reportPool, from string, item *qlwire.UsageItem, limits qlfair.Limits) *qlwire.UsageTotal {
 	r := p.customers[item.GetCustomer()]
 	s := r.sources[from]
 	part := r.part(from)
--- a/internal/qlusage/qlusage_test.go
+++ b/internal/qlusage/qlusage_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/quetzallane/quetzallane/internal/qlfair"
 	"github.com/quetzallane/quetzallane/internal/qlinvariant"
 	"github.com/quetzallane/quetzallane/internal/qlusage"
 	"github.com/quetzallane/quetzallane/internal/qlwire"
@@ -16,8 +17,8 @@
 
 func newHome(t interface{ Errorf(string, ...any) }, bound int) *qlusage.Home {
 	return qlusage.New(qlusage.Config{
-		Limits: func(string) (qlusage.Limits, bool) {
-			return qlusage.Limits{
+		Limits: func(string) (qlfair.Limits, bool) {
+			return qlfair.Limits{
 				Share:       2,
 				MaxInFlight: bound,
 			}, true
