--- a/cmd/quetzallaned/process_test.go
+++ b/cmd/quetzallaned/process_test.go
@@ -13,6 +13,7 @@
 	"github.com/quetzallane/quetzallane/internal/qlstandin"
 	"github.com/quetzallane/quetzallane/internal/qlupstream"
 	"github.com/quetzallane/quetzallane/pkg/qlcode"
+	"github.com/quetzallane/quetzallane/pkg/qljson"
 )
 
 const (
@@ -244,6 +245,27 @@
 	})
 }
 
+// TestChangeWithASlowService raises a limit while each answer of the service
+// takes a second.
+func TestChangeWithASlowService(t *testing.T) {
+	f := newProcessFleet(t, 3)
+	f.platform.SetSwitches(qlstandin.PlatformSwitches{Slow: qljson.Duration(time.Second)})
+	began := time.Now()
+	f.platform.Publish([][]byte{f.part(50)})
+	f.until("revision 2 everywhere", func() bool {
+		for _, p := range f.processes {
+			if f.state(p).Revision != 2 {
+				return false
+			}
+		}
+		return true
+	})
+	t.Logf("in force on 3 routers after %v", time.Since(began).Round(time.Millisecond))
+	if got, want := time.Since(began), 10*time.Second; got > want {
+		t.Errorf("in force after %v, want at most %v", got, want)
+	}
+}
+
 // TestLimitStaysRaisedOverProcesses raises the limit while the service is
 // stale for the routers that restart.
 func TestLimitStaysRaisedOverProcesses(t *testing.T) {
--- a/internal/qlcore/faults_test.go
+++ b/internal/qlcore/faults_test.go
@@ -339,6 +339,36 @@
 	f.check()
 }
 
+// TestFirstRequestUnderATightLimit sends single requests of a customer whose
+// limit is below the number of dispatchers, so that most have no part of it
+// and must ask before they grant.
+func TestFirstRequestUnderATightLimit(t *testing.T) {
+	t.Parallel()
+	config := userSize(8, 5*time.Millisecond)
+	bound := 2
+	config.limits = func(int) qlconfig.Limits {
+		return qlconfig.Limits{
+			MaxInFlight: &bound,
+		}
+	}
+	f := newFleet(t, config)
+	f.run(5 * time.Second)
+	for i, n := range f.nodes {
+		f.submit(n, &request{
+			customer: customerName(i),
+			cost:     100,
+		})
+		f.run(f.now + time.Second)
+	}
+	for i := range f.nodes {
+		got, want := f.maxWait[customerName(i)], 100*time.Millisecond
+		if got > want {
+			t.Errorf("wait of %s: got %v, want at most %v", customerName(i), got, want)
+		}
+	}
+	f.check()
+}
+
 func (f *fleet) inFlight(customer string) int {
 	count := 0
 	for _, r := range f.requests {
--- a/internal/qlcore/qlcore.go
+++ b/internal/qlcore/qlcore.go
@@ -122,6 +122,7 @@
 		Send:    c.send,
 		Want:    c.want,
 		Done:    c.ownDone,
+		HasPart: c.hasPart,
 		Monitor: c.config.Monitor,
 	})
 	c.acceptor = qlclaim.NewAcceptor(qlclaim.AcceptorConfig{
--- a/internal/qlcore/tick.go
+++ b/internal/qlcore/tick.go
@@ -17,7 +17,7 @@
 		c.slowAt = c.now + _slowPeriod
 		c.slowTick()
 	}
-	if c.now >= c.reportAt {
+	if c.dispatcher.Asking() || c.now >= c.reportAt {
 		c.reportAt = c.now + c.config.ReportPeriod
 		c.report()
 	}
--- a/internal/qlcore/view.go
+++ b/internal/qlcore/view.go
@@ -240,6 +240,16 @@
 	return ring.RankOf(customer, c.config.Self), len(ring.Nodes())
 }
 
+// hasPart reports whether a dispatcher has a part of a customer's limit.
+func (c *Core) hasPart(pool, customer, dispatcher string) bool {
+	ring := c.poolRings[pool]
+	known := c.customer(customer)
+	if ring == nil || known == nil || known.MaxInFlight() >= len(ring.Nodes()) {
+		return true
+	}
+	return c.part(pool, customer, dispatcher, known.MaxInFlight()) > 0
+}
+
 // part is a dispatcher's own part of a customer's bound.
 func (c *Core) part(pool, customer, dispatcher string, bound int) int {
 	ring := c.poolRings[pool]
--- a/internal/qldispatch/grant.go
+++ b/internal/qldispatch/grant.go
@@ -23,7 +23,7 @@
 		}
 		a := flow.Value()
 		if !d.mayGrant(now, a) {
-			d.park(a)
+			d.park(now, a)
 			continue
 		}
 		w := a.nextWant()
--- a/internal/qldispatch/qldispatch.go
+++ b/internal/qldispatch/qldispatch.go
@@ -23,6 +23,8 @@
 	// version counts changes of the view and the configuration, after which
 	// parts of limits are worked out anew.
 	version uint64
+	// asking is set when a customer waits for its part of a limit.
+	asking bool
 }
 
 // New returns a dispatcher that owns nothing yet.
@@ -207,7 +209,12 @@
 	return a.bucket >= 0
 }
 
-func (d *Dispatcher) park(a *account) {
+// park takes a customer whose limit binds here out of the queue. Without a
+// lease its home has not been asked of late, and must be at once.
+func (d *Dispatcher) park(now time.Duration, a *account) {
+	if !a.parked && now >= a.allottedUntil {
+		d.asking = true
+	}
 	a.pool.queue.Remove(a.flow)
 	if !a.parked {
 		a.parked = true
--- a/internal/qldispatch/usage.go
+++ b/internal/qldispatch/usage.go
@@ -85,6 +85,14 @@
 	return a.inFlight > 0 && age >= _reportRefresh
 }
 
+// Asking reports whether a customer waits for its part of a limit, and its
+// home has not been asked since; the caller is to report now.
+func (d *Dispatcher) Asking() bool {
+	asking := d.asking
+	d.asking = false
+	return asking
+}
+
 // ApplyTotals takes a usage home's answer.
 func (d *Dispatcher) ApplyTotals(now time.Duration, reply *qlwire.UsageReply) {
 	p := d.pools[reply.GetPool()]
