--- a/cmd/quetzallaned/harness_test.go
+++ b/cmd/quetzallaned/harness_test.go
@@ -324,6 +324,14 @@
 	}
 }
 
+// waitRevision waits until all routers have a revision in force.
+func (f *processFleet) waitRevision(revision uint64) {
+	f.t.Helper()
+	for _, p := range f.processes {
+		f.until(fmt.Sprintf("revision %d at %s", revision, p.id), func() bool { return f.state(p).Revision == revision })
+	}
+}
+
 func (f *processFleet) waitVouching() {
 	f.t.Helper()
 	for _, p := range f.processes {
--- a/internal/qldispatch/grant.go
+++ b/internal/qldispatch/grant.go
@@ -86,7 +86,7 @@
 	record.replica = r
 	record.charged = cost
 	record.issuedAt = now
-	record.void = e.clock + now - e.clockAt + _sendWithin
+	record.void = e.clock + now - e.clockAt + SendWithin
 	e.grants[record.number] = record
 	w.waiting--
 	w.unseen = append(w.unseen, record.number)
--- a/internal/qldispatch/types.go
+++ b/internal/qldispatch/types.go
@@ -48,8 +48,8 @@
 )
 
 const (
-	// _sendWithin is qlentry's bound on the age of a grant that may be used.
-	_sendWithin = time.Second
+	// SendWithin bounds the age of a grant that an entry may still use.
+	SendWithin = time.Second
 	// _grantTimeout frees a grant that its entry never said to have seen. It
 	// exceeds qlentry's bound on the age of a grant that may still be sent,
 	// and the time within which an entry says what it has seen.
--- a/internal/qlentry/qlentry.go
+++ b/internal/qlentry/qlentry.go
@@ -233,9 +233,9 @@
 		l.seen = grant.Number()
 	}
 	q := e.queues[queueKey{pool: grant.Pool(), customer: grant.Customer()}]
-	sendBy := grant.Echo() + grant.Held() + SendWithin
+	sendBy := grant.Echo() + grant.Held() + qldispatch.SendWithin
 	if local {
-		sendBy = now + SendWithin
+		sendBy = now + qldispatch.SendWithin
 	}
 	if q != nil && !local {
 		e.granted(q, from)
--- a/internal/qlentry/types.go
+++ b/internal/qlentry/types.go
@@ -21,7 +21,7 @@
 // A grant echoes this router's own clock from its last demand and says how
 // long the dispatcher held it since. Their sum is no later than the moment
 // of the grant, by this router's clock, however long a message or this
-// process was held up. A grant older than SendWithin is declined, and the
+// process was held up. A grant older than qldispatch.SendWithin is declined, and the
 // same bound is checked again in the step before a request is sent.
 //
 // # Usage
@@ -42,8 +42,6 @@
 )
 
 const (
-	// SendWithin bounds the age of a grant that may still be used.
-	SendWithin = time.Second
 	// _refresh is how often a dispatcher hears everything again; it bounds
 	// how long a lost message leaves a slot idle. While requests run by the
 	// grants of an earlier owner, the new one hears of them more often.
