A limit below the number of dispatchers is lent whole, not by the parts of a few

Cause: a limit was divided into a part for each dispatcher, and a home lent only the parts of those that reported. An entry asks nine dispatchers, so a customer with requests at two entries got 18 parts of N. Ruled out: the choice of dispatchers (preferring those with a part was there and did this). Change: an eighth of a limit is free to be used without asking (half, where the limit is four times the dispatchers or more), the rest is lent by the home to whom it is needed. What runs is counted by the home for 20 s and repeated after 15, without a lease; a lease is renewed while something waits. Not mended: while a home moves, two homes may lend for up to a lease.

--- a/internal/qlcore/capacity_test.go
+++ b/internal/qlcore/capacity_test.go
@@ -132,6 +132,15 @@
 	}
 }
 
+// TestBoundOnControlBytesWithLowLimits does so with every customer's limit below
+// the number of nodes, so that most dispatchers must ask before they grant.
+func TestBoundOnControlBytesWithLowLimits(t *testing.T) {
+	c := measureCosts(_tightLimit)
+	if c.sentBytes > _targetBytes {
+		t.Errorf("got %.0f bytes/s sent, want at most %.0f", c.sentBytes, _targetBytes)
+	}
+}
+
 // TestBoundOnConfigurationChange measures a change of one customer at the
 // target's size: the time to check it and what it adds to the heap.
 func TestBoundOnConfigurationChange(t *testing.T) {
--- a/internal/qlcore/limits_test.go
+++ b/internal/qlcore/limits_test.go
@@ -101,3 +101,43 @@
 	}
 	return count
 }
+
+// TestTightLimitInALargeFleet floods a customer at two routers of a fleet in
+// which each entry asks a few of the dispatchers only. The customer is to get
+// its limit, which is below their number, and not what a part of them may use.
+func TestTightLimitInALargeFleet(t *testing.T) {
+	for _, seed := range seedRange()[:2] {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			config := userSize(seed, 5*time.Millisecond)
+			config.routers = 40
+			config.upstreams = 80
+			bound := 20
+			config.limits = func(int) qlconfig.Limits {
+				return qlconfig.Limits{
+					MaxInFlight: &bound,
+				}
+			}
+			f := newFleet(t, config)
+			f.flood(f.nodes[0], 0, 40, f.costs)
+			f.flood(f.nodes[20], 0, 40, f.costs)
+			f.run(10 * time.Second)
+			peak, sum, samples := 0, 0, 0
+			for end := f.now + 20*time.Second; f.now < end; samples++ {
+				f.run(f.now + 20*time.Millisecond)
+				inFlight := f.inFlight(customerName(0))
+				peak = max(peak, inFlight)
+				sum += inFlight
+			}
+			mean := float64(sum) / float64(samples)
+			t.Logf("in flight at most %d, mean %.1f, of %d", peak, mean, bound)
+			if peak > bound {
+				t.Errorf("got %d in flight, want at most %d", peak, bound)
+			}
+			if want := 0.9 * float64(bound); mean < want {
+				t.Errorf("got %.1f in flight on average, want at least %.0f", mean, want)
+			}
+			f.check()
+		})
+	}
+}
--- a/internal/qlcore/qlcore.go
+++ b/internal/qlcore/qlcore.go
@@ -118,7 +118,8 @@
 	c.home = qlusage.New(qlusage.Config{
 		Limits:      c.limits,
 		LargestCost: c.largestCost,
-		Part:        c.part,
+		FreeShare:   c.freeShare,
+		Lendable:    c.lendable,
 		Monitor:     c.config.Monitor,
 	})
 	c.entry = qlentry.New(qlentry.Config{
@@ -129,7 +130,6 @@
 		Send:    c.send,
 		Want:    c.want,
 		Done:    c.ownDone,
-		HasPart: c.hasPart,
 		Monitor: c.config.Monitor,
 	})
 	c.acceptor = qlclaim.NewAcceptor(qlclaim.AcceptorConfig{
--- a/internal/qlcore/view.go
+++ b/internal/qlcore/view.go
@@ -240,23 +240,22 @@
 	return ring.RankOf(customer, c.config.Self), len(ring.Nodes())
 }
 
-// hasPart reports whether a dispatcher has a part of a customer's limit.
-func (c *Core) hasPart(pool, customer, dispatcher string) bool {
+// freeShare is what a dispatcher may use of a customer's bound without asking.
+func (c *Core) freeShare(pool, customer, dispatcher string, bound int) int {
 	ring := c.poolRings[pool]
-	known := c.customer(customer)
-	if ring == nil || known == nil || known.MaxInFlight() >= len(ring.Nodes()) {
-		return true
+	if ring == nil {
+		return bound
 	}
-	return c.part(pool, customer, dispatcher, known.MaxInFlight()) > 0
+	return qlfair.FreeShare(bound, ring.RankOf(customer, dispatcher), len(ring.Nodes()))
 }
 
-// part is a dispatcher's own part of a customer's bound.
-func (c *Core) part(pool, customer, dispatcher string, bound int) int {
+// lendable is what a usage home may lend of a customer's bound.
+func (c *Core) lendable(pool string, bound int) int {
 	ring := c.poolRings[pool]
 	if ring == nil {
-		return bound
+		return 0
 	}
-	return qldispatch.Fraction(bound, ring.RankOf(customer, dispatcher), len(ring.Nodes()))
+	return qlfair.Lendable(bound, len(ring.Nodes()))
 }
 
 func (c *Core) digest() *qlwire.Digest {
--- a/internal/qldispatch/qldispatch.go
+++ b/internal/qldispatch/qldispatch.go
@@ -149,7 +149,7 @@
 				a.service.SetShare(limits.Share)
 				// What the home allotted was cut from the old limit.
 				if limits.MaxInFlight < bound {
-					a.allotted = min(a.allotted, d.fallbackPart(a))
+					a.allotted = min(a.allotted, d.freeShare(a))
 				}
 				a.dirty = true
 			}
@@ -176,7 +176,7 @@
 // flight: the home's word while its lease lasts, else a part that is safe
 // whatever the others do.
 func (d *Dispatcher) allotment(now time.Duration, a *account) int {
-	switch part := d.fallbackPart(a); {
+	switch part := d.freeShare(a); {
 	case now < a.allottedUntil:
 		return a.allotted
 	case now < a.partFrom:
@@ -186,29 +186,17 @@
 	}
 }
 
-// fallbackPart is what this router may use of the customer's bound without
-// asking: the parts of all dispatchers add up to the bound.
-func (d *Dispatcher) fallbackPart(a *account) int {
+// freeShare is what this router may use of the customer's bound without
+// asking.
+func (d *Dispatcher) freeShare(a *account) int {
 	if a.partVersion != d.version {
 		rank, total := d.config.Fallback(a.pool.name, a.service.ID())
-		a.part = Fraction(a.limits.MaxInFlight, rank, total)
+		a.part = qlfair.FreeShare(a.limits.MaxInFlight, rank, total)
 		a.partVersion = d.version
 	}
 	return a.part
 }
 
-// Fraction divides whole over total parts, the first ranks taking the rest.
-func Fraction(whole, rank, total int) int {
-	if total <= 0 {
-		return whole
-	}
-	part := whole / total
-	if rank < whole%total {
-		part++
-	}
-	return part
-}
-
 func (d *Dispatcher) rateAllows(now time.Duration, a *account) bool {
 	if a.limits.CostRate <= 0 {
 		return true
--- a/internal/qldispatch/usage.go
+++ b/internal/qldispatch/usage.go
@@ -12,8 +12,13 @@
 // well within the time after which a home forgets a silent dispatcher.
 const _reportRefresh = 40 * time.Second
 
-// _leaseRefresh renews the allotment of customers whose limit binds.
-const _leaseRefresh = 2 * time.Second
+// _leaseRefresh renews the allotment of customers that wait for more than the
+// free share here. _countRefresh repeats what runs beyond that share, so that
+// the home counts it; it is below the time for which the home does.
+const (
+	_leaseRefresh = 2 * time.Second
+	_countRefresh = 15 * time.Second
+)
 
 // _reportPart is the part of a largest request by which a customer's service
 // grows between reports, and _reportSettled is when smaller changes are
@@ -76,9 +81,9 @@
 	age := now - a.reportedAt
 	if !a.contended(now) {
 		a.dirty = false
-		return a.inFlight > 0 && age >= _leaseRefresh && d.leased(now, a)
+		return d.leaseDue(a, age)
 	}
-	if d.leased(now, a) && age >= _leaseRefresh {
+	if d.leaseDue(a, age) {
 		return true
 	}
 	if a.dirty && d.limitBinds(now, a) {
@@ -96,16 +101,21 @@
 	return a.inFlight > 0 && age >= _reportRefresh
 }
 
-// leased reports whether the customer needs, or is about to need, more than
-// this router's own part of its limit, so that its allotment is to be renewed.
-func (d *Dispatcher) leased(now time.Duration, a *account) bool {
-	return d.limitBinds(now, a) || a.inFlight >= d.fallbackPart(a)
+// leaseDue reports whether the home must hear again of a customer that needs or
+// uses more here than the free share of its limit.
+func (d *Dispatcher) leaseDue(a *account, age time.Duration) bool {
+	share := d.freeShare(a)
+	if a.waiting > 0 || a.parked {
+		return a.inFlight >= share && age >= _leaseRefresh
+	}
+	return a.inFlight > share && age >= _countRefresh
 }
 
 // limitBinds reports whether the customer's limit keeps it from a slot here, or
 // from one elsewhere that this router could give back.
 func (d *Dispatcher) limitBinds(now time.Duration, a *account) bool {
-	return a.parked || a.inFlight >= d.allotment(now, a) || (a.limited && now < a.allottedUntil)
+	short := a.waiting > 0 && a.inFlight >= d.allotment(now, a)
+	return a.parked || short || (a.limited && now < a.allottedUntil)
 }
 
 // Asking reports whether a customer waits for its part of a limit, and its
--- a/internal/qlentry/place.go
+++ b/internal/qlentry/place.go
@@ -11,54 +11,22 @@
 // place states the queue's demand anew: all of it to this router's own
 // dispatcher, and what still waits then to one other dispatcher each. Where
 // no slot is known to be free elsewhere, that waits for the next spill:
-// mostly a slot comes free here first. It does not wait when the own
-// dispatcher has no part of the customer's limit.
+// mostly a slot comes free here first.
 func (e *Entry) place(now time.Duration, p *poolView, q *queue) {
 	elsewhere := len(q.waiting)
-	if p.own && e.servesHere(p, q) {
+	if p.own {
 		elsewhere = e.config.Want(q.key.customer, q.key.pool, len(q.waiting), q.estimate, e.ownSeen)
-	} else if p.own {
-		e.config.Want(q.key.customer, q.key.pool, 0, q.estimate, e.ownSeen)
 	}
 	q.excess = q.remote - elsewhere
 	for q.remote < elsewhere {
 		d := e.best(now, p, q)
-		if d == nil || (p.own && d.freeNow(now) <= 0 && e.hasPart(q, e.config.Self)) {
+		if d == nil || (p.own && d.freeNow(now) <= 0) {
 			return
 		}
 		e.put(q, d)
 	}
 }
 
-// servesHere reports whether to ask the own dispatcher at all: not when it has
-// no part of the customer's limit and another has. It would have to ask too.
-func (e *Entry) servesHere(p *poolView, q *queue) bool {
-	if e.hasPart(q, e.config.Self) {
-		return true
-	}
-	for _, d := range p.dispatchers {
-		if e.hasPart(q, d.id) {
-			return false
-		}
-	}
-	return true
-}
-
-// hasPart reports whether a dispatcher has a part of the customer's limit. It
-// is worked out once for each view and configuration.
-func (e *Entry) hasPart(q *queue, dispatcher string) bool {
-	if q.partsVersion != e.version {
-		q.partsVersion = e.version
-		q.parts = make(map[string]bool, len(q.parts))
-	}
-	part, known := q.parts[dispatcher]
-	if !known {
-		part = e.config.HasPart(q.key.pool, q.key.customer, dispatcher)
-		q.parts[dispatcher] = part
-	}
-	return part
-}
-
 // spill asks at other dispatchers for what has gone on waiting.
 func (e *Entry) spill(now time.Duration) {
 	for _, q := range e.sortedQueues() {
@@ -87,19 +55,16 @@
 	}
 }
 
-// best returns the dispatcher for the queue's next request: one that has a
-// part of the customer's limit, then one with a free slot, in this zone first;
-// else the one at which the queue has the fewest
+// best returns the dispatcher for the queue's next request: one with a free
+// slot, in this zone first; else the one at which the queue has the fewest
 // requests, of these the one that serves at the highest virtual time.
 func (e *Entry) best(now time.Duration, p *poolView, q *queue) *dispatcherView {
 	var best *dispatcherView
-	bestPart := false
 	p.cursor++
 	for i := range p.dispatchers {
 		d := p.dispatchers[(i+p.cursor)%len(p.dispatchers)]
-		part := e.hasPart(q, d.id)
-		if best == nil || (part && !bestPart) || (part == bestPart && d.betterThan(best, now, e.config.Zone, q)) {
-			best, bestPart = d, part
+		if best == nil || d.betterThan(best, now, e.config.Zone, q) {
+			best = d
 		}
 	}
 	return best
@@ -183,7 +148,7 @@
 // the expense of another dispatcher that has not served it yet.
 func (e *Entry) moveTo(p *poolView, d *dispatcherView) {
 	for _, q := range e.sortedQueues() {
-		if q.key.pool != p.name || !e.hasPart(q, d.id) {
+		if q.key.pool != p.name {
 			continue
 		}
 		for d.free > 0 && q.placed[d.id] < len(q.waiting) {
@@ -225,7 +190,7 @@
 func (e *Entry) climb(now time.Duration, p *poolView, q *queue) {
 	var low, high *dispatcherView
 	for _, d := range p.dispatchers {
-		if !d.recent || now-d.heard > _levelStale || !e.hasPart(q, d.id) {
+		if !d.recent || now-d.heard > _levelStale {
 			continue
 		}
 		if q.placed[d.id] > 0 && (low == nil || d.level < low.level) {
--- a/internal/qlentry/qlentry.go
+++ b/internal/qlentry/qlentry.go
@@ -26,8 +26,6 @@
 	spillAt     time.Duration
 	rebalanceAt time.Duration
 	trimAt      time.Duration
-	// version counts changes of the view and the configuration.
-	version uint64
 	// ownSeen is the last grant handled of this process's own dispatcher.
 	ownSeen uint64
 }
@@ -49,7 +47,6 @@
 // routers among them. Requests placed with a router that no longer
 // dispatches are placed anew.
 func (e *Entry) SetPool(now time.Duration, name string, owners map[string]string, dispatchers []DispatcherConfig) {
-	e.version++
 	p := e.pools[name]
 	if p == nil {
 		p = &poolView{
--- a/internal/qlentry/types.go
+++ b/internal/qlentry/types.go
@@ -89,9 +89,6 @@
 	Want func(customer, pool string, waiting int, estimate float64, seen uint64) int
 	// Done ends a grant of the dispatcher of this same process.
 	Done func(number uint64, cost float64, outcome qldispatch.Outcome)
-	// HasPart reports whether a dispatcher may grant a customer's requests
-	// without asking; with a limit below their number some may not.
-	HasPart func(pool, customer, dispatcher string) bool
 	// Monitor receives the invariants' checks.
 	Monitor *qlinvariant.Monitor
 }
@@ -172,15 +169,11 @@
 	remote int
 	// excess counts those of them that no request waits for any more; below
 	// 0, the requests that are not asked for elsewhere yet.
-	excess int
-	// parts tells, as of a version, which dispatchers have a part of the
-	// customer's limit.
-	parts        map[string]bool
-	partsVersion uint64
-	estimate     float64
-	samples      int
-	retries      float64
-	lastUseAt    time.Duration
+	excess    int
+	estimate  float64
+	samples   int
+	retries   float64
+	lastUseAt time.Duration
 }
 
 type waiting struct {
--- a/internal/qlusage/qlusage.go
+++ b/internal/qlusage/qlusage.go
@@ -50,6 +50,9 @@
 	// _allotmentLease mirrors the lease at dispatchers, with a margin for
 	// the way there.
 	_allotmentLease = 6 * time.Second
+	// _inFlightCounts is how long a dispatcher's word on what runs with it
+	// counts; one with more than its free share repeats it sooner.
+	_inFlightCounts = 20 * time.Second
 	_sweepPeriod    = 10 * time.Second
 )
 
@@ -59,9 +62,10 @@
 	Limits func(customer string) (limits qlfair.Limits, ok bool)
 	// LargestCost returns the bound on one request's cost in a pool.
 	LargestCost func(pool string) float64
-	// Part returns what a dispatcher may use of a customer's bound without
-	// asking. The parts of all dispatchers add up to the bound.
-	Part func(pool, customer, dispatcher string, bound int) int
+	// FreeShare returns what a dispatcher may use of a customer's bound without
+	// asking, and Lendable what homes may lend; see qlfair.
+	FreeShare func(pool, customer, dispatcher string, bound int) int
+	Lendable  func(pool string, bound int) int
 	// Monitor receives the invariants' checks.
 	Monitor *qlinvariant.Monitor
 }
@@ -133,6 +137,19 @@
 	at       time.Duration
 }
 
+// using is what the dispatcher may be using of the bound: its part while its
+// lease lasts, then what it last said to run. It says so again in time.
+func (s *source) using(now time.Duration) int {
+	switch age := now - s.at; {
+	case age < _allotmentLease:
+		return s.held
+	case age < _inFlightCounts:
+		return s.inFlight
+	default:
+		return 0
+	}
+}
+
 // hold takes what a dispatcher says to use of the bound: its part, or what
 // runs with it since its part was more. One that has not had the last answer
 // yet may be using what that gave.
@@ -367,13 +384,13 @@
 	return float64(s.inFlight+s.waiting) / float64(sum)
 }
 
-// pooled adds up the parts of the dispatchers that report. Only they share
-// one bound by demand; the others may use their own parts at any time.
+// pooled is what the dispatchers that report share by demand: what may be lent
+// and their own free shares. The others may use theirs at any time.
 func (h *Home) pooled(now time.Duration, p *pool, customer, poolName string, bound int) int {
-	sum := 0
+	sum := h.config.Lendable(poolName, bound)
 	for id, s := range p.customers[customer].sources {
 		if now-s.at < _allotmentLease {
-			sum += h.config.Part(poolName, customer, id, bound)
+			sum += h.config.FreeShare(poolName, customer, id, bound)
 		}
 	}
 	return sum
@@ -395,8 +412,8 @@
 func (r *record) allot(now time.Duration, from string, part float64, bound int) int {
 	others := 0
 	for id, s := range r.sources {
-		if id != from && now-s.at < _allotmentLease {
-			others += s.held
+		if id != from {
+			others += s.using(now)
 		}
 	}
 	// Rounding up may hand out more than the bound in sum; the rest that is
