Routers count slots that idle while work waits

Change: each dispatcher adds up slot-seconds in service, in use, and idle while work waits here or, by what was last heard, elsewhere; in the dump and in /debug/vars, with the counts of violated invariants. Work that only a limit holds back does not count, so levels tell it apart.

--- a/internal/qlcore/fleet_test.go
+++ b/internal/qlcore/fleet_test.go
@@ -108,14 +108,12 @@
 	list          qlcore.List
 	service       map[string]float64
 	// executions holds, for each key that ran, when its core took it.
-	executions  map[string][]time.Duration
-	messages    int
-	bytes       int
-	lastSent    map[[2]string]time.Duration
-	idleSeconds float64
-	slotSeconds float64
-	violations  []string
-	maxWait     map[string]time.Duration
+	executions map[string][]time.Duration
+	messages   int
+	bytes      int
+	lastSent   map[[2]string]time.Duration
+	violations []string
+	maxWait    map[string]time.Duration
 	// lastStart and maxPause tell how long a flooding customer went without
 	// any of its requests being sent.
 	lastStart map[string]time.Duration
--- a/internal/qlcore/level.go
+++ b/internal/qlcore/level.go
@@ -24,7 +24,8 @@
 	}
 	levels[from] = heardLevel{
 		level:   qlwire.ToVirtual(level.GetLevel()),
-		waiting: level.GetWaiting() > 0,
+		waiting: int(level.GetWaiting()),
+		limited: int(level.GetLimited()),
 		at:      c.now,
 	}
 }
@@ -61,7 +62,7 @@
 			delete(levels, from)
 			continue
 		}
-		if heard.waiting {
+		if heard.waiting > 0 {
 			contended = append(contended, heard.level)
 		}
 	}
--- a/internal/qlcore/qlcore.go
+++ b/internal/qlcore/qlcore.go
@@ -63,6 +63,9 @@
 	copyAt      time.Duration
 	copyPause   time.Duration
 	slowAt      time.Duration
+
+	slotSeconds    map[string]*SlotSeconds
+	slotsCountedAt time.Duration
 }
 
 // New returns a core that knows no other router and no configuration.
@@ -89,6 +92,7 @@
 		answered:    make(map[string]uint64),
 		asked:       make(map[uint64]time.Duration),
 		idleOffered: make(map[string]bool),
+		slotSeconds: make(map[string]*SlotSeconds),
 	}
 	c.live = qlring.New([]qlring.Node{qlring.NewNode(config.Self, config.Zone)})
 	c.buildRoles()
--- a/internal/qlcore/state.go
+++ b/internal/qlcore/state.go
@@ -23,6 +23,7 @@
 	Members      []qlmember.MemberState  `json:"members"`
 	Dispatcher   []qldispatch.PoolState  `json:"dispatcher"`
 	Home         []qlusage.CustomerState `json:"usage-home"`
+	Slots        []SlotSeconds           `json:"slot-seconds"`
 	Queues       []qlentry.QueueState    `json:"queues"`
 	Running      int                     `json:"running"`
 	Claims       int                     `json:"claims"`
@@ -48,6 +49,7 @@
 		Members:      c.members.State(),
 		Dispatcher:   c.dispatcher.State(c.now),
 		Home:         c.home.State(),
+		Slots:        c.SlotSeconds(),
 		Queues:       queues,
 		Running:      running,
 		Claims:       c.acceptor.Len(),
--- a/internal/qlcore/tick.go
+++ b/internal/qlcore/tick.go
@@ -36,6 +36,7 @@
 // slowTick does the periodic work that need not be done at once.
 func (c *Core) slowTick() {
 	c.updateVirtualTimes()
+	c.countSlots()
 	c.entry.Costs(func(number uint64, cost float64) {
 		c.dispatcher.Progress(c.config.Self, number, cost)
 	})
--- a/internal/qlcore/types.go
+++ b/internal/qlcore/types.go
@@ -129,11 +129,12 @@
 	LeavingUpstreams []string
 }
 
-// heardLevel is the level of a dispatcher as last heard, and whether anyone
-// waits there.
+// heardLevel is the level of a dispatcher as last heard, how many requests wait
+// there, and how many of these only limits hold back.
 type heardLevel struct {
 	level   float64
-	waiting bool
+	waiting int
+	limited int
 	at      time.Duration
 }
 
--- a/internal/qldispatch/replica.go
+++ b/internal/qldispatch/replica.go
@@ -138,24 +138,68 @@
 	}
 }
 
-// Level describes one pool here, for entries that look for slots.
-func (d *Dispatcher) Level(now time.Duration, name string) *qlwire.PoolLevel {
+// SlotCount is what there is of slots and work in one pool at a dispatcher.
+type SlotCount struct {
+	inService int
+	free      int
+	waiting   int
+}
+
+// InService returns the slots of upstreams in service.
+func (s SlotCount) InService() int {
+	return s.inService
+}
+
+// Free returns the slots that may be granted now.
+func (s SlotCount) Free() int {
+	return s.free
+}
+
+// InUse returns the slots that may not be granted, though in service.
+func (s SlotCount) InUse() int {
+	return s.inService - s.free
+}
+
+// Waiting returns the requests that wait for a slot, without those that their
+// customer's limit holds back.
+func (s SlotCount) Waiting() int {
+	return s.waiting
+}
+
+// Slots counts slots and waiting requests of one pool.
+func (d *Dispatcher) Slots(now time.Duration, name string) SlotCount {
 	p := d.pools[name]
 	if p == nil {
-		return &qlwire.PoolLevel{
-			Pool: name,
-		}
+		return SlotCount{}
+	}
+	count := SlotCount{
+		waiting: p.waiting,
+	}
+	for _, a := range p.parked {
+		count.waiting -= a.waiting
 	}
-	free := 0
 	for _, r := range p.replicas {
-		free += max(0, r.free(now))
+		count.free += max(0, r.free(now))
+		if r.inService(now) {
+			count.inService += r.slots
+		}
 	}
-	return &qlwire.PoolLevel{
-		Pool:    name,
-		Level:   qlwire.FromVirtual(p.currentLevel()),
-		Free:    uint32(free),
-		Waiting: uint32(p.waiting),
+	return count
+}
+
+// Level describes one pool here, for entries that look for slots.
+func (d *Dispatcher) Level(now time.Duration, name string) *qlwire.PoolLevel {
+	level := &qlwire.PoolLevel{
+		Pool: name,
+	}
+	if p := d.pools[name]; p != nil {
+		slots := d.Slots(now, name)
+		level.Level = qlwire.FromVirtual(p.currentLevel())
+		level.Free = uint32(slots.Free())
+		level.Waiting = uint32(p.waiting)
+		level.Limited = uint32(p.waiting - slots.Waiting())
 	}
+	return level
 }
 
 // currentLevel is the virtual time of the customer that is next here. With
--- a/internal/qlrouter/operations.go
+++ b/internal/qlrouter/operations.go
@@ -51,6 +51,14 @@
 
 func (r *Router) metrics() any {
 	counters := r.peers.Counters()
+	ctx, cancel := context.WithTimeout(context.Background(), _dumpTimeout)
+	defer cancel()
+	var slots []qlcore.SlotSeconds
+	var violations map[string]uint64
+	r.ask(ctx, func(time.Duration) {
+		slots = r.core.SlotSeconds()
+		violations = r.monitor.Counts()
+	})
 	return map[string]any{
 		"answered":                r.answered.Load(),
 		"refused":                 r.refusals.Load(),
@@ -63,6 +71,8 @@
 		"peer-messages":           counters.Messages.Load(),
 		"peer-dropped":            counters.Dropped.Load(),
 		"goroutines":              runtime.NumGoroutine(),
+		"slot-seconds":            slots,
+		"invariant-violations":    violations,
 	}
 }
 
