Engines by customer within a quarter of the load; a restarted home learns first

Prefix locality. Services are still chosen by load.

Change: a home that is up for less than 2 s and knows no virtual time leaves out customers that it has nothing to place by.

--- a/internal/qlcore/faults_test.go
+++ b/internal/qlcore/faults_test.go
@@ -302,7 +302,9 @@
 // invariant asserted inside the program.
 func TestRandomFaults(t *testing.T) {
 	t.Parallel()
-	for seed := uint64(1); seed <= uint64(*_seeds); seed++ {
+	// With seeds 19 and 62 a home that had restarted unnoticed put customers at
+	// a virtual time of 0.
+	for _, seed := range append(seedRange(), 19, 62) {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			t.Parallel()
 			config := userSize(seed, 5*time.Millisecond)
--- a/internal/qlcore/tick.go
+++ b/internal/qlcore/tick.go
@@ -96,8 +96,10 @@
 	}
 }
 
-// sendReport sends one report. Until a home has answered, it may be new and is
-// told the fleet's virtual time.
+// sendReport sends one report. Where a home may have nothing to place a customer
+// by, it is told the fleet's virtual time: before it has answered, and with
+// customers whose virtual time is not known here. It may have restarted since
+// it answered.
 func (c *Core) sendReport(home, pool string, items []*qlwire.UsageItem) {
 	c.reportSequence++
 	c.asked[c.reportSequence] = c.now
@@ -107,7 +109,7 @@
 		Pool:     pool,
 		Answered: c.answered[home],
 	}
-	if report.GetAnswered() == 0 {
+	if report.GetAnswered() == 0 || anyUnknown(items) {
 		report.VirtualTime = qlwire.FromVirtual(c.dispatcher.VirtualTime(pool))
 	}
 	c.send(home, &qlwire.Message{
@@ -146,6 +148,15 @@
 	return owner.ID()
 }
 
+func anyUnknown(items []*qlwire.UsageItem) bool {
+	for _, item := range items {
+		if item.GetKnownVirtualTime() == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Core) answerReport(from string, epoch uint64, report *qlwire.UsageReport) {
 	reply := c.home.Report(c.now, from, epoch, report)
 	c.send(from, &qlwire.Message{
--- a/internal/qlcore/view.go
+++ b/internal/qlcore/view.go
@@ -137,6 +137,7 @@
 	c.dispatcher.SetPool(c.now, qldispatch.PoolConfig{
 		Name:        pool.Name(),
 		LargestCost: pool.LargestCost(),
+		Caches:      pool.Engine(),
 		Replicas:    owned,
 	})
 	c.setDispatchers(pool.Name(), owners, ring)
--- a/internal/qldispatch/grant.go
+++ b/internal/qldispatch/grant.go
@@ -31,7 +31,7 @@
 			p.queue.Remove(flow)
 			continue
 		}
-		r := d.choose(now, p)
+		r := p.choose(now, a)
 		if r == nil {
 			return
 		}
@@ -57,24 +57,6 @@
 	return a.inFlight < d.allotment(now, a) && d.rateAllows(now, a)
 }
 
-// choose returns the least loaded upstream with a free slot, or nil. Equal
-// ones take turns, so that prompts without locality spread out.
-func (d *Dispatcher) choose(now time.Duration, p *pool) *replica {
-	var best *replica
-	bestLoad := 0.0
-	p.rotation++
-	for i := range p.replicas {
-		r := p.replicas[(i+p.rotation)%len(p.replicas)]
-		if r.free(now) <= 0 {
-			continue
-		}
-		if load := float64(r.inUse+r.foreignNow(now)) / float64(r.slots); best == nil || load < bestLoad {
-			best, bestLoad = r, load
-		}
-	}
-	return best
-}
-
 func (d *Dispatcher) grant(now time.Duration, p *pool, a *account, w *want, r *replica) {
 	start := a.service.VirtualTime()
 	cost := math.Round(min(max(w.estimate, _minCost), p.largestCost))
--- a/internal/qldispatch/qldispatch.go
+++ b/internal/qldispatch/qldispatch.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/quetzallane/quetzallane/internal/qlfair"
 	"github.com/quetzallane/quetzallane/internal/qlwire"
 )
@@ -45,6 +46,7 @@
 	d.version++
 	p := d.pool(config.Name)
 	p.largestCost = config.LargestCost
+	p.caches = config.Caches
 	kept := p.replicas[:0:0]
 	listed := make(map[string]bool, len(config.Replicas))
 	for _, rc := range config.Replicas {
@@ -85,6 +87,7 @@
 	if r == nil {
 		r = &replica{
 			id:    config.ID,
+			hash:  xxhash.Sum64String(config.ID),
 			pool:  p,
 			limit: config.Slots,
 		}
--- a/internal/qldispatch/types.go
+++ b/internal/qldispatch/types.go
@@ -183,7 +183,9 @@
 type PoolConfig struct {
 	Name        string
 	LargestCost float64
-	Replicas    []ReplicaConfig
+	// Caches says that the upstreams keep prefixes of prompts.
+	Caches   bool
+	Replicas []ReplicaConfig
 }
 
 // ReplicaConfig configures one upstream that the dispatcher owns.
@@ -197,6 +199,7 @@
 type pool struct {
 	name        string
 	largestCost float64
+	caches      bool
 	replicas    []*replica
 	queue       qlfair.Queue[*account]
 	accounts    map[string]*account
@@ -210,6 +213,7 @@
 
 type replica struct {
 	id      string
+	hash    uint64
 	pool    *pool
 	slots   int
 	leaving bool
--- a/internal/qlring/qlring.go
+++ b/internal/qlring/qlring.go
@@ -87,7 +87,7 @@
 		if zoned && node.zone != zone {
 			continue
 		}
-		if s := score(hash, node.hash); !found || s > bestScore {
+		if s := Score(hash, node.hash); !found || s > bestScore {
 			best, bestScore, found = node, s, true
 		}
 	}
@@ -102,7 +102,7 @@
 	found := false
 	for _, node := range r.nodes {
 		if node.id == id {
-			own, found = score(hash, node.hash), true
+			own, found = Score(hash, node.hash), true
 		}
 	}
 	if !found {
@@ -110,7 +110,7 @@
 	}
 	rank := 0
 	for _, node := range r.nodes {
-		if score(hash, node.hash) > own {
+		if Score(hash, node.hash) > own {
 			rank++
 		}
 	}
@@ -122,7 +122,7 @@
 	hash := xxhash.Sum64String(key)
 	ranked := append([]Node(nil), r.nodes...)
 	sort.Slice(ranked, func(i, j int) bool {
-		return score(hash, ranked[i].hash) > score(hash, ranked[j].hash)
+		return Score(hash, ranked[i].hash) > Score(hash, ranked[j].hash)
 	})
 	return ranked
 }
@@ -154,9 +154,9 @@
 	return chosen
 }
 
-// score mixes a key's and a node's hash; the constants are those of the
+// Score mixes a key's and a node's hash; the constants are those of the
 // splitmix64 finalizer, chosen for its avalanche.
-func score(key, node uint64) uint64 {
+func Score(key, node uint64) uint64 {
 	x := key ^ (node * 0x9e3779b97f4a7c15)
 	x ^= x >> 30
 	x *= 0xbf58476d1ce4e5b9
--- a/internal/qlusage/qlusage.go
+++ b/internal/qlusage/qlusage.go
@@ -50,6 +50,10 @@
 	// _allotmentLease mirrors the lease at dispatchers, with a margin for
 	// the way there.
 	_allotmentLease = 6 * time.Second
+	// _learn is how long a home that has just started leaves out customers that
+	// it has nothing to place by. In a fleet that runs it hears the system's
+	// virtual time by then; a customer placed at 0 would be ahead of all others.
+	_learn = 2 * time.Second
 	// _inFlightCounts is how long a dispatcher's word on what runs with it
 	// counts; one with more than its free share repeats it sooner.
 	_inFlightCounts = 20 * time.Second
@@ -200,6 +204,9 @@
 			delete(p.customers, item.GetCustomer())
 			continue
 		}
+		if now < _learn && p.virtualTime == 0 && item.GetKnownVirtualTime() == 0 {
+			continue
+		}
 		h.add(now, p, report, from, epoch, item, limits)
 		reply.Totals = append(reply.Totals, h.total(now, p, report.GetPool(), from, item, limits))
 	}
--- a/internal/qlusage/qlusage_test.go
+++ b/internal/qlusage/qlusage_test.go
@@ -15,7 +15,11 @@
 	"pgregory.net/rapid"
 )
 
-const _largest = 1000.0
+const (
+	_largest = 1000.0
+	// _up is the time for which a home is up when a test begins.
+	_up = 10 * time.Second
+)
 
 // TestMain fixes the seed of random tests, so that their verdict is the same
 // every time; -rapid.seed=N takes another.
@@ -91,7 +95,7 @@
 			report *qlwire.UsageReport
 		}
 		var underWay []sent
-		now := time.Second
+		now := _up
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(1, 500).Draw(t, "pause")) * time.Millisecond
 			s := sources[rapid.IntRange(0, 2).Draw(t, "source")]
@@ -130,10 +134,10 @@
 		}
 	}
 	for i := range 5 {
-		round(home, time.Duration(i)*time.Second)
+		round(home, _up+time.Duration(i)*time.Second)
 	}
 	next := newHome(t, 100)
-	round(next, 6*time.Second)
+	round(next, _up+6*time.Second)
 	got, want := next.State()[0].VirtualTime, float64(total)/2
 	// The dispatchers' knowledge is up to one round old.
 	if math.Abs(got-want) > 600 {
@@ -202,7 +206,7 @@
 			h := holders[rapid.IntRange(0, 2).Draw(t, "dispatcher")]
 			switch rapid.IntRange(0, 2).Draw(t, "event") {
 			case 0:
-				h.answers = append(h.answers, home.Report(time.Duration(step)*50*time.Millisecond, h.id, 1, h.report(t, uint64(step+1))))
+				h.answers = append(h.answers, home.Report(_up+time.Duration(step)*50*time.Millisecond, h.id, 1, h.report(t, uint64(step+1))))
 			case 1:
 				h.receive()
 			case 2:
@@ -218,3 +222,23 @@
 		}
 	})
 }
+
+// TestRestartedHomePlacesNobodyAtZero reports a customer that is new at its
+// dispatcher to a home that has just restarted. The home learns the system's
+// virtual time before it answers.
+func TestRestartedHomePlacesNobodyAtZero(t *testing.T) {
+	home := newHome(t, 100)
+	s := &source{
+		id:   "r1",
+		used: 50,
+	}
+	reply := home.Report(100*time.Millisecond, "r1", 1, s.report())
+	if got := reply.GetTotals(); len(got) != 0 {
+		t.Errorf("totals of a home that knows nothing: got %v, want none", got)
+	}
+	home.SetVirtualTime(200*time.Millisecond, "m", 5000)
+	reply = home.Report(300*time.Millisecond, "r1", 1, s.report())
+	if got, want := qlwire.ToVirtual(reply.GetTotals()[0].GetVirtualTime()), 5025.0; got != want {
+		t.Errorf("virtual time: got %v, want %v", got, want)
+	}
+}
