--- a/internal/qlcore/fairness_test.go
+++ b/internal/qlcore/fairness_test.go
@@ -65,6 +65,9 @@
 		}
 		gap = max(gap, high-low)
 		for _, u := range f.upstreams {
+			if u.gone {
+				continue
+			}
 			busy += min(u.running, u.slots)
 			total += u.slots
 		}
--- a/internal/qlcore/faults_test.go
+++ b/internal/qlcore/faults_test.go
@@ -22,6 +22,9 @@
 	for end := f.now + length; f.now < end; {
 		f.run(f.now + 20*time.Millisecond)
 		for _, u := range f.upstreams {
+			if u.gone {
+				continue
+			}
 			busy += min(u.running, u.slots)
 			total += u.slots
 		}
@@ -438,3 +441,66 @@
 		})
 	}
 }
+
+// TestZoneLoss kills all routers of one of six zones at once; the zone's
+// upstreams are gone, too. The others' slots are to be as busy as before soon
+// afterwards, and service as even.
+func TestZoneLoss(t *testing.T) {
+	t.Parallel()
+	config := userSize(3, 5*time.Millisecond)
+	config.routers, config.zones, config.upstreams = 36, 6, 72
+	config.customers = make([]float64, 60)
+	for i := range config.customers {
+		config.customers[i] = 1
+	}
+	f := newFleet(t, config)
+	for i := range config.customers {
+		for _, j := range []int{i, i + 7, i + 20} {
+			f.flood(f.nodes[j%36], i, 20, f.costs)
+		}
+	}
+	f.run(20 * time.Second)
+	for _, n := range f.nodes {
+		if n.zone == "z0" {
+			f.kill(n)
+		}
+	}
+	for _, u := range f.upstreams {
+		u.gone = u.zone == "z0"
+	}
+	known := time.Duration(0)
+	began := f.now
+	during := f.utilisation(5 * time.Second)
+	for ; known == 0 && f.now < began+60*time.Second; f.run(f.now + 250*time.Millisecond) {
+		if f.allKnowWhoLives() {
+			known = f.now - began
+		}
+	}
+	after := f.measure(5*time.Second, 20*time.Second)
+	t.Logf("utilisation %.3f in the 5 s from the loss, known everywhere after %v, then %.3f; gap then %.1f", during, known, after.utilisation, after.gap)
+	if want := 15 * time.Second; known == 0 || known > want {
+		t.Errorf("known everywhere after %v, want at most %v", known, want)
+	}
+	if want := 0.97; after.utilisation < want {
+		t.Errorf("utilisation after the loss: got %.3f, want at least %.2f", after.utilisation, want)
+	}
+	if want := gapBound(); after.gap > want {
+		t.Errorf("gap after the loss: got %.1f, want at most %.1f", after.gap, want)
+	}
+}
+
+// allKnowWhoLives reports whether every live router takes all dead ones for
+// dead.
+func (f *fleet) allKnowWhoLives() bool {
+	for _, n := range f.nodes {
+		if !n.alive {
+			continue
+		}
+		for _, member := range n.core.State().Members {
+			if !f.node(member.ID).alive && member.State == "alive" {
+				return false
+			}
+		}
+	}
+	return true
+}
--- a/internal/qlcore/upstream_test.go
+++ b/internal/qlcore/upstream_test.go
@@ -15,6 +15,8 @@
 	zone    string
 	slots   int
 	leaving bool
+	// gone upstreams refuse connections and report no load.
+	gone    bool
 	running int
 	peak    int
 	// history holds the running count over time, for lagged reports.
@@ -57,6 +59,9 @@
 
 func (f *fleet) reportLoads() {
 	for _, u := range f.upstreams {
+		if u.gone {
+			continue
+		}
 		u.history = append(u.history, u.running)
 		lag := int(f.config.loadLag / _loadPeriod)
 		reported := u.history[max(0, len(u.history)-1-lag)]
@@ -143,7 +148,12 @@
 				n.core.Retry(now, id, qldispatch.Declined)
 				return
 			}
-			f.transmit(n, epoch, r, f.upstream(a.Upstream()))
+			u := f.upstream(a.Upstream())
+			if u.gone {
+				n.core.Retry(now, id, qldispatch.Unreached)
+				return
+			}
+			f.transmit(n, epoch, r, u)
 		})
 	})
 }
