--- a/cmd/quetzallaned/harness_test.go
+++ b/cmd/quetzallaned/harness_test.go
@@ -358,7 +358,11 @@
 type answer struct {
 	code int
 	body string
-	err  error
+	// request is the request's id, original that of the one whose key it
+	// repeats.
+	request  string
+	original string
+	err      error
 }
 
 // call sends a request; a connection that breaks gives an error and no code.
@@ -382,8 +386,10 @@
 		text = trailer
 	}
 	a := answer{
-		body: string(data),
-		err:  err,
+		body:     string(data),
+		request:  response.Header.Get("X-Request-Id"),
+		original: response.Header.Get("Quetzallane-Original-Request"),
+		err:      err,
 	}
 	_, _ = fmt.Sscan(text, &a.code)
 	return a
--- a/cmd/quetzallaned/partition_test.go
+++ b/cmd/quetzallaned/partition_test.go
@@ -144,7 +144,8 @@
 	if got, want := book(f.processes[0], "cut").code, int(qlcode.ClaimUnavailable); got != want {
 		t.Errorf("a keyed booking on the small side: got code %d, want %d", got, want)
 	}
-	if got, want := book(f.processes[1], "cut").code, int(qlcode.Answered); got != want {
+	first := book(f.processes[1], "cut")
+	if got, want := first.code, int(qlcode.Answered); got != want {
 		t.Errorf("the same on the large side: got code %d, want %d", got, want)
 	}
 	for i, p := range f.processes {
@@ -159,9 +160,13 @@
 		s := f.state(f.processes[0])
 		return s.Vouches && s.Revision == 2
 	})
-	if got, want := book(f.processes[0], "cut").code, int(qlcode.DuplicateKey); got != want {
+	repeat := book(f.processes[0], "cut")
+	if got, want := repeat.code, int(qlcode.DuplicateKey); got != want {
 		t.Errorf("the same after healing: got code %d, want %d", got, want)
 	}
+	if got, want := repeat.original, first.request; got != want || want == "" {
+		t.Errorf("the request that the repeat is told of: got %q, want %q", got, want)
+	}
 	if got := f.bookings("cut"); got != 1 {
 		t.Errorf("the booking ran %d times, want once", got)
 	}
--- a/cmd/quetzallaned/upstream_test.go
+++ b/cmd/quetzallaned/upstream_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -152,8 +153,50 @@
 // TestSecondSignalCutsAndSaysSo stops a router by two signals during a long
 // stream: the stream breaks, the log names it, and the exit status tells.
 func TestSecondSignalCutsAndSaysSo(t *testing.T) {
+	f := newProcessFleet(t, 3)
+	f.cutStream(f.processes[0], func(victim *process) {
+		time.Sleep(500 * time.Millisecond)
+		_ = victim.command.Process.Signal(syscall.SIGTERM)
+	})
+}
+
+// TestStopDeadlineCutsAndSaysSo stops a router whose stop-deadline is shorter
+// than a stream.
+func TestStopDeadlineCutsAndSaysSo(t *testing.T) {
 	f := newProcessFleet(t, 3)
 	victim := f.processes[0]
+	f.stopCleanly(victim)
+	text, err := os.ReadFile(victim.settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	shorter := strings.Replace(string(text), `"stop-deadline": "10s"`, `"stop-deadline": "1s"`, 1)
+	if err := os.WriteFile(victim.settings, []byte(shorter), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	f.start(victim)
+	f.waitReady(victim)
+	began := time.Now()
+	f.cutStream(victim, func(*process) {})
+	if got, want := time.Since(began), 5*time.Second; got > want {
+		t.Errorf("the stop took %v, want at most %v", got, want)
+	}
+}
+
+// stopCleanly stops a router that has nothing to finish.
+func (f *processFleet) stopCleanly(p *process) {
+	f.t.Helper()
+	_ = p.command.Process.Signal(syscall.SIGTERM)
+	<-p.exited
+	if p.exit != nil {
+		f.t.Fatalf("%s: got exit %v, want status 0", p.id, p.exit)
+	}
+}
+
+// cutStream stops a router during a long stream and checks what is said of the
+// stream once it is cut.
+func (f *processFleet) cutStream(victim *process, cut func(*process)) {
+	f.t.Helper()
 	done := make(chan answer, 1)
 	go func() {
 		body := `{"model":"m","prompt":"long","max_tokens":2000,"stream":true}`
@@ -161,21 +204,20 @@
 	}()
 	time.Sleep(500 * time.Millisecond)
 	_ = victim.command.Process.Signal(syscall.SIGTERM)
-	time.Sleep(500 * time.Millisecond)
-	_ = victim.command.Process.Signal(syscall.SIGTERM)
+	cut(victim)
 	got := <-done
 	<-victim.exited
 	if got.err == nil {
-		t.Errorf("the cut stream ended cleanly with code %d", got.code)
+		f.t.Errorf("the cut stream ended cleanly with code %d", got.code)
 	}
 	if victim.exit == nil {
-		t.Error("exit status 0, want another")
+		f.t.Error("exit status 0, want another")
 	}
 	if !strings.Contains(victim.log.String(), "event=request-cut") {
-		t.Error("the log does not name the cut request")
+		f.t.Error("the log does not name the cut request")
 	}
 	if !strings.Contains(got.body, `"code":304`) {
-		t.Errorf("the stream does not say that the stop cut it: %q", got.body[max(0, len(got.body)-200):])
+		f.t.Errorf("the stream does not say that the stop cut it: %q", got.body[max(0, len(got.body)-200):])
 	}
 }
 
