--- a/internal/qlcore/limits_test.go
+++ b/internal/qlcore/limits_test.go
@@ -34,14 +34,7 @@
 	f.run(10 * time.Second)
 	checkBound := func(when string, low, high int) {
 		t.Helper()
-		peak, sum, samples := 0, 0, 0
-		for end := f.now + 20*time.Second; f.now < end; samples++ {
-			f.run(f.now + 20*time.Millisecond)
-			inFlight := f.inFlight(customerName(0))
-			peak = max(peak, inFlight)
-			sum += inFlight
-		}
-		mean := float64(sum) / float64(samples)
+		peak, mean := f.watchInFlight(customerName(0), 20*time.Second)
 		t.Logf("%s: in flight at most %d, mean %.1f", when, peak, mean)
 		if peak > high {
 			t.Errorf("%s: got %d in flight, want at most %d", when, peak, high)
@@ -69,11 +62,7 @@
 	t.Parallel()
 	config := userSize(8, 5*time.Millisecond)
 	bound := 2
-	config.limits = func(int) qlconfig.Limits {
-		return qlconfig.Limits{
-			MaxInFlight: &bound,
-		}
-	}
+	config.limits = inFlightLimit(bound)
 	f := newFleet(t, config)
 	f.run(5 * time.Second)
 	for i, n := range f.nodes {
@@ -92,6 +81,28 @@
 	f.check()
 }
 
+// inFlightLimit gives every customer the same bound on requests in flight.
+func inFlightLimit(bound int) func(int) qlconfig.Limits {
+	return func(int) qlconfig.Limits {
+		return qlconfig.Limits{
+			MaxInFlight: &bound,
+		}
+	}
+}
+
+// watchInFlight runs the fleet for a while and returns the most requests of a
+// customer that were in flight, and the mean.
+func (f *fleet) watchInFlight(customer string, length time.Duration) (peak int, mean float64) {
+	sum, samples := 0, 0
+	for end := f.now + length; f.now < end; samples++ {
+		f.run(f.now + 20*time.Millisecond)
+		inFlight := f.inFlight(customer)
+		peak = max(peak, inFlight)
+		sum += inFlight
+	}
+	return peak, float64(sum) / float64(samples)
+}
+
 func (f *fleet) inFlight(customer string) int {
 	count := 0
 	for _, r := range f.requests {
@@ -113,23 +124,12 @@
 			config.routers = 40
 			config.upstreams = 80
 			bound := 20
-			config.limits = func(int) qlconfig.Limits {
-				return qlconfig.Limits{
-					MaxInFlight: &bound,
-				}
-			}
+			config.limits = inFlightLimit(bound)
 			f := newFleet(t, config)
 			f.flood(f.nodes[0], 0, 40, f.costs)
 			f.flood(f.nodes[20], 0, 40, f.costs)
 			f.run(10 * time.Second)
-			peak, sum, samples := 0, 0, 0
-			for end := f.now + 20*time.Second; f.now < end; samples++ {
-				f.run(f.now + 20*time.Millisecond)
-				inFlight := f.inFlight(customerName(0))
-				peak = max(peak, inFlight)
-				sum += inFlight
-			}
-			mean := float64(sum) / float64(samples)
+			peak, mean := f.watchInFlight(customerName(0), 20*time.Second)
 			t.Logf("in flight at most %d, mean %.1f, of %d", peak, mean, bound)
 			if peak > bound {
 				t.Errorf("got %d in flight, want at most %d", peak, bound)
@@ -149,11 +149,7 @@
 	t.Parallel()
 	config := userSize(9, 5*time.Millisecond)
 	bound := 8
-	config.limits = func(int) qlconfig.Limits {
-		return qlconfig.Limits{
-			MaxInFlight: &bound,
-		}
-	}
+	config.limits = inFlightLimit(bound)
 	f := newFleet(t, config)
 	f.run(5 * time.Second)
 	for _, n := range f.nodes[:bound] {
--- a/internal/qlcore/qlcore.go
+++ b/internal/qlcore/qlcore.go
@@ -12,7 +12,6 @@
 	"github.com/quetzallane/quetzallane/internal/qlring"
 	"github.com/quetzallane/quetzallane/internal/qlusage"
 	"github.com/quetzallane/quetzallane/internal/qlwire"
-	"github.com/quetzallane/quetzallane/pkg/qlcode"
 	"github.com/quetzallane/quetzallane/pkg/qlconfig"
 )
 
@@ -112,12 +111,12 @@
 		Died:        c.died,
 	})
 	c.dispatcher = qldispatch.New(qldispatch.Config{
-		Self:     c.config.Self,
-		Limits:   c.limits,
-		Fallback: c.fallback,
-		Grant:    c.granted,
-		Resync:   c.askDemand,
-		Monitor:  c.config.Monitor,
+		Self:    c.config.Self,
+		Limits:  c.limits,
+		Rank:    c.rank,
+		Grant:   c.granted,
+		Resync:  c.askDemand,
+		Monitor: c.config.Monitor,
 	})
 	c.home = qlusage.New(qlusage.Config{
 		Limits:      c.limits,
@@ -293,168 +292,6 @@
 	c.dispatcher.Done(c.now, c.config.Self, number, cost, outcome)
 }
 
-// Submit takes a caller's request. It ends in Start or Refuse, once.
-func (c *Core) Submit(now time.Duration, request Request) {
-	c.advance(now)
-	c.requests[request.ID] = &requestState{
-		request: request,
-	}
-	if c.closed {
-		c.refuse(request.ID, qlcode.Stopping, 0, "")
-		return
-	}
-	if request.Key != "" && !request.Repeatable {
-		c.proposer.Claim(c.now, request.ID, qlclaim.Key(request.Customer, request.Key), request.BodyHash, request.Name)
-	} else {
-		c.enqueue(c.requests[request.ID], false)
-	}
-	c.settle()
-}
-
-func (c *Core) enqueue(state *requestState, urgent bool) {
-	request := state.request
-	customer := c.configuration.Customer(request.Customer)
-	if customer == nil {
-		c.refuse(request.ID, qlcode.UnknownKey, 0, "")
-		return
-	}
-	if !c.hasUpstream(request.Pool) {
-		c.refuse(request.ID, qlcode.NoUpstream, time.Second, "")
-		return
-	}
-	if state.deadline == 0 {
-		state.deadline = c.now + customer.MaxWait()
-	}
-	c.entry.Submit(c.now, qlentry.Request{
-		ID:          request.ID,
-		Customer:    request.Customer,
-		Pool:        request.Pool,
-		Hint:        request.Hint,
-		Deadline:    state.deadline,
-		QueueLength: customer.QueueLength(),
-		Urgent:      urgent,
-	})
-}
-
-func (c *Core) hasUpstream(name string) bool {
-	pool := c.configuration.Pool(name)
-	if pool == nil {
-		return false
-	}
-	for _, upstream := range pool.Upstreams() {
-		if !upstream.Leaving && !c.leavingVMs[upstream.ID] {
-			return true
-		}
-	}
-	return false
-}
-
-func (c *Core) claimDecided(id uint64, result qlclaim.Result, holder string) {
-	state := c.requests[id]
-	if state == nil {
-		c.proposer.Release(id)
-		return
-	}
-	switch result {
-	case qlclaim.Claimed:
-		c.enqueue(state, false)
-	case qlclaim.Duplicate:
-		c.refuse(id, qlcode.DuplicateKey, 0, holder)
-	case qlclaim.DuplicateMismatch:
-		c.refuse(id, qlcode.KeyBodyMismatch, 0, holder)
-	case qlclaim.Unavailable:
-		c.refuse(id, qlcode.ClaimUnavailable, time.Second, "")
-	}
-}
-
-func (c *Core) start(id uint64, assignment qlentry.Assignment) {
-	state := c.requests[id]
-	if state == nil {
-		c.entry.Finish(c.now, id, 0, qldispatch.Declined)
-		return
-	}
-	if state.request.Key != "" && !state.request.Repeatable && !c.proposer.Good(c.now, id) {
-		c.entry.Finish(c.now, id, 0, qldispatch.Declined)
-		c.refuse(id, qlcode.ClaimUnavailable, time.Second, "")
-		return
-	}
-	state.starts++
-	c.config.Start(id, assignment)
-}
-
-// ClaimGoodUntil returns the time up to which the request's claim protects
-// it; ok is false for a request that needs none.
-func (c *Core) ClaimGoodUntil(id uint64) (until time.Duration, ok bool) {
-	state := c.requests[id]
-	if state == nil || state.request.Key == "" || state.request.Repeatable {
-		return 0, false
-	}
-	return c.proposer.GoodUntil(id), true
-}
-
-func (c *Core) refuseNotSent(id uint64, code qlcode.Code, retryAfter time.Duration) {
-	c.refuse(id, code, retryAfter, "")
-}
-
-func (c *Core) refuse(id uint64, code qlcode.Code, retryAfter time.Duration, holder string) {
-	if c.requests[id] == nil {
-		return
-	}
-	delete(c.requests, id)
-	c.proposer.Release(id)
-	c.config.Refuse(id, Refusal{
-		code:       code,
-		retryAfter: retryAfter,
-		holder:     holder,
-	})
-}
-
-// Cancel takes out a request whose caller left while it waited.
-func (c *Core) Cancel(now time.Duration, id uint64) {
-	c.advance(now)
-	if c.requests[id] == nil {
-		return
-	}
-	c.entry.Cancel(c.now, id)
-	c.refuse(id, qlcode.CallerLeft, 0, "")
-	c.settle()
-}
-
-// Progress notes what a running request has cost so far.
-func (c *Core) Progress(now time.Duration, id uint64, cost float64) {
-	c.advance(now)
-	c.entry.Progress(id, cost)
-}
-
-// Finish ends a request that was sent, or one whose caller gave up before it
-// was (outcome Declined or Unreached): then its claim is given back.
-func (c *Core) Finish(now time.Duration, id uint64, cost float64, outcome qldispatch.Outcome) {
-	c.advance(now)
-	c.entry.Finish(c.now, id, cost, outcome)
-	delete(c.requests, id)
-	if outcome == qldispatch.Declined || outcome == qldispatch.Unreached {
-		c.proposer.Release(id)
-	} else {
-		c.proposer.Finish(id)
-	}
-	c.settle()
-}
-
-// Retry puts a started request back in front: it was certainly not sent, or
-// may be repeated. The customer's retry budget decides.
-func (c *Core) Retry(now time.Duration, id uint64, outcome qldispatch.Outcome) {
-	c.advance(now)
-	state := c.requests[id]
-	if state == nil {
-		return
-	}
-	notSent := outcome == qldispatch.Declined || outcome == qldispatch.Unreached
-	c.config.Monitor.Check(notSent || state.request.Repeatable, qlinvariant.UnrepeatableSentTwice, state.request.Name, state.request.Pool)
-	c.entry.Finish(c.now, id, 0, outcome)
-	c.enqueue(state, true)
-	c.settle()
-}
-
 // ApplyLoad takes an upstream's load report.
 func (c *Core) ApplyLoad(now time.Duration, upstream string, running int) {
 	c.advance(now)
--- a/internal/qlcore/slots_test.go
+++ b/internal/qlcore/slots_test.go
@@ -3,8 +3,6 @@
 import (
 	"testing"
 	"time"
-
-	"github.com/quetzallane/quetzallane/pkg/qlconfig"
 )
 
 // countedSlots adds up the routers' own counts.
@@ -48,12 +46,7 @@
 func TestLimitedWorkIsNoReasonForIdleSlots(t *testing.T) {
 	t.Parallel()
 	config := userSize(5, 5*time.Millisecond)
-	bound := 2
-	config.limits = func(int) qlconfig.Limits {
-		return qlconfig.Limits{
-			MaxInFlight: &bound,
-		}
-	}
+	config.limits = inFlightLimit(2)
 	f := newFleet(t, config)
 	f.spread(true)
 	f.run(10 * time.Second)
--- a/internal/qlcore/view.go
+++ b/internal/qlcore/view.go
@@ -233,7 +233,7 @@
 	return c.configuration.Pool(name).LargestCost()
 }
 
-func (c *Core) fallback(pool, customer string) (rank, total int) {
+func (c *Core) rank(pool, customer string) (rank, total int) {
 	ring := c.poolRings[pool]
 	if ring == nil {
 		return 0, 1
--- a/internal/qldispatch/bench_test.go
+++ b/internal/qldispatch/bench_test.go
@@ -29,9 +29,9 @@
 				MaxInFlight: 1000,
 			}, true
 		},
-		Fallback: func(string, string) (int, int) { return 0, 1 },
-		Grant:    func(g qldispatch.Grant) { d.granted = g },
-		Monitor:  &qlinvariant.Monitor{},
+		Rank:    func(string, string) (int, int) { return 0, 1 },
+		Grant:   func(g qldispatch.Grant) { d.granted = g },
+		Monitor: &qlinvariant.Monitor{},
 	})
 	var replicas []qldispatch.ReplicaConfig
 	for i := range 8 {
--- a/internal/qldispatch/choose_test.go
+++ b/internal/qldispatch/choose_test.go
@@ -46,9 +46,9 @@
 				MaxInFlight: 1000,
 			}, true
 		},
-		Fallback: func(string, string) (int, int) { return 0, 1 },
-		Grant:    func(g qldispatch.Grant) { e.grants = append(e.grants, g) },
-		Monitor:  &qlinvariant.Monitor{},
+		Rank:    func(string, string) (int, int) { return 0, 1 },
+		Grant:   func(g qldispatch.Grant) { e.grants = append(e.grants, g) },
+		Monitor: &qlinvariant.Monitor{},
 	})
 	config := qldispatch.PoolConfig{
 		Name:        "m",
--- a/internal/qldispatch/qldispatch.go
+++ b/internal/qldispatch/qldispatch.go
@@ -182,7 +182,7 @@
 	switch part := d.freeShare(a); {
 	case now < a.allottedUntil:
 		return a.allotted
-	case now < a.partFrom:
+	case now < a.freeFrom:
 		return min(a.allotted, part)
 	default:
 		return part
@@ -192,12 +192,12 @@
 // freeShare is what this router may use of the customer's bound without
 // asking.
 func (d *Dispatcher) freeShare(a *account) int {
-	if a.partVersion != d.version {
-		rank, total := d.config.Fallback(a.pool.name, a.service.ID())
-		a.part = qlfair.FreeShare(a.limits.MaxInFlight, rank, total)
-		a.partVersion = d.version
+	if a.freeVersion != d.version {
+		rank, total := d.config.Rank(a.pool.name, a.service.ID())
+		a.free = qlfair.FreeShare(a.limits.MaxInFlight, rank, total)
+		a.freeVersion = d.version
 	}
-	return a.part
+	return a.free
 }
 
 func (d *Dispatcher) rateAllows(now time.Duration, a *account) bool {
@@ -206,7 +206,7 @@
 	}
 	rate := a.allottedRate
 	if now >= a.allottedUntil {
-		_, total := d.config.Fallback(a.pool.name, a.service.ID())
+		_, total := d.config.Rank(a.pool.name, a.service.ID())
 		rate = a.limits.CostRate / float64(max(total, 1))
 	}
 	a.bucket += rate * (now - a.bucketAt).Seconds()
--- a/internal/qldispatch/qldispatch_test.go
+++ b/internal/qldispatch/qldispatch_test.go
@@ -29,11 +29,11 @@
 		now: 10 * time.Second,
 	}
 	p.dispatcher = qldispatch.New(qldispatch.Config{
-		Self:     "r1",
-		Limits:   func(string) (qlfair.Limits, bool) { return p.limits, true },
-		Fallback: func(string, string) (int, int) { return 0, 1 },
-		Grant:    func(g qldispatch.Grant) { p.grants = append(p.grants, g) },
-		Monitor:  &qlinvariant.Monitor{},
+		Self:    "r1",
+		Limits:  func(string) (qlfair.Limits, bool) { return p.limits, true },
+		Rank:    func(string, string) (int, int) { return 0, 1 },
+		Grant:   func(g qldispatch.Grant) { p.grants = append(p.grants, g) },
+		Monitor: &qlinvariant.Monitor{},
 	})
 	p.dispatcher.SetPool(0, qldispatch.PoolConfig{
 		Name:        "m",
@@ -141,10 +141,10 @@
 	}
 }
 
-// TestPartIsNotUsedWhileItMayBeLent gives a lease of nothing on a limit of 8, of
+// TestFreeShareIsNotUsedWhileItMayBeLent gives a lease of nothing on a limit of 8, of
 // which this router's free share is 4. Others may hold that until their leases
 // have ended too, so the end of the own lease does not bring it back yet.
-func TestPartIsNotUsedWhileItMayBeLent(t *testing.T) {
+func TestFreeShareIsNotUsedWhileItMayBeLent(t *testing.T) {
 	p := newPool()
 	p.limits.MaxInFlight = 8
 	asked := p.now
--- a/internal/qldispatch/types.go
+++ b/internal/qldispatch/types.go
@@ -76,11 +76,11 @@
 	// a usage home forgets a silent dispatcher, so counters may start anew.
 	_forgetAccount = 300 * time.Second
 	// _allotmentLease is how long a home's allotment is valid, from the report
-	// that it answers. _partAfter is when this router may use its own part
+	// that it answers. _freeAfter is when this router may use its free share
 	// again without asking: until then another may hold it on lease. It exceeds
-	// the time for which a home lends the part out and the lease on it.
+	// the time for which a home lends the share out and the lease on it.
 	_allotmentLease = 5 * time.Second
-	_partAfter      = 12 * time.Second
+	_freeAfter      = 12 * time.Second
 	// _rateBurst is the length of time over which a cost rate may be used up
 	// at once.
 	_rateBurst = 2 * time.Second
@@ -95,9 +95,9 @@
 	// Limits returns what the configuration in force says of a customer;
 	// ok is false for one that it does not name.
 	Limits func(customer string) (limits qlfair.Limits, ok bool)
-	// Fallback returns this router's rank among the fleet's dispatchers for
-	// the customer, and their number, for when no home answers.
-	Fallback func(pool, customer string) (rank, total int)
+	// Rank returns this router's rank among the fleet's dispatchers for the
+	// customer, by which free shares of limits go, and their number.
+	Rank func(pool, customer string) (rank, total int)
 	// Grant receives each grant.
 	Grant func(Grant)
 	// Resync asks an entry to state its demands in full, since what is known
@@ -255,13 +255,14 @@
 	parked   bool
 	// confirmed is set once a home has answered.
 	confirmed bool
-	// part is this router's own part of the limit, as of a version.
-	part          int
-	partVersion   uint64
+	// free is this router's free share of the limit, as of a version.
+	free          int
+	freeVersion   uint64
 	allotted      int
 	allottedRate  float64
 	allottedUntil time.Duration
-	partFrom      time.Duration
+	// freeFrom is when the free share may be used again.
+	freeFrom time.Duration
 	// limited is set while the customer's limit binds over the fleet.
 	limited      bool
 	bucket       float64
--- a/internal/qldispatch/usage.go
+++ b/internal/qldispatch/usage.go
@@ -150,7 +150,7 @@
 		a.allottedRate = total.GetCostRate()
 		a.limited = total.GetLimited()
 		a.allottedUntil = asked + _allotmentLease
-		a.partFrom = asked + _partAfter
+		a.freeFrom = asked + _freeAfter
 		d.unpark(a)
 		p.queue.Fix(a.flow)
 	}
