--- a/internal/qldispatch/choose.go
+++ b/internal/qldispatch/choose.go
@@ -15,8 +15,8 @@
 //
 // The least loaded upstream is a good choice for any request. An engine keeps
 // the prefixes of the prompts that it saw last, though, and a customer's
-// prompts mostly begin alike, so of the engines that are about as little loaded
-// as the least loaded one, the one comes first in an order that is the
+// prompts mostly begin alike. So of the engines that are about as little loaded
+// as the least loaded one, it takes the first in an order that is the
 // customer's own. Nobody keeps track of what is cached where: engines' news of
 // that is late and has gaps, and the order is the same after any restart.
 func (p *pool) choose(now time.Duration, a *account) *replica {
--- a/internal/qldispatch/qldispatch.go
+++ b/internal/qldispatch/qldispatch.go
@@ -23,7 +23,7 @@
 	numbered uint64
 	sweepAt  time.Duration
 	// version counts changes of the view and the configuration, after which
-	// parts of limits are worked out anew.
+	// free shares of limits are worked out anew.
 	version uint64
 	// asking is set when a customer waits for its part of a limit.
 	asking bool
