--- /dev/null
+++ b/cmd/quetzallaned/edge.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/juju/errors"
+	"github.com/quetzallane/quetzallane/internal/qledge"
+	"github.com/quetzallane/quetzallane/internal/qllog"
+	"github.com/quetzallane/quetzallane/internal/qlsetting"
+	"github.com/quetzallane/quetzallane/platform"
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+)
+
+func newEdgeCommand() *cobra.Command {
+	var path string
+	var check bool
+	command := &cobra.Command{
+		Use:   "edge [--settings FILE]",
+		Short: "Run one router on the users' platform",
+		Long:  "Run one router on the users' platform until SIGTERM, which stops it without cutting a request.\nThe platform makes the settings from deploy/router.json.tmpl; docs/PLATFORM.md says more.",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			settings, err := qlsetting.LoadEdge(path)
+			if err != nil || check {
+				return err
+			}
+			return runEdge(path, settings)
+		},
+	}
+	command.Flags().StringVar(&path, "settings", platform.SettingsPath(), "settings file, JSON with comments")
+	command.Flags().BoolVar(&check, "check", false, "check the settings and exit")
+	return command
+}
+
+func runEdge(path string, settings *qlsetting.Edge) error {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	log, lines, err := qllog.NewBounded(os.Stdout, settings.LogLevel)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer lines.Close()
+	edge, err := qledge.New(qledge.Config{
+		Settings: settings,
+		Source:   platform.NewStore(settings.Store).Source(),
+		Dialect:  platform.Dialect(),
+		Log:      log,
+		Lines:    lines,
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	go func() {
+		for range reload {
+			changed, err := qlsetting.LoadEdge(path)
+			if err != nil {
+				log.Error("settings-refused", zap.Error(err))
+				continue
+			}
+			edge.Reload(changed)
+		}
+	}()
+	return edge.Run(ctx)
+}
--- a/cmd/quetzallaned/main.go
+++ b/cmd/quetzallaned/main.go
@@ -52,6 +52,7 @@
 	command.Flags().StringVar(&path, "settings", "", "settings file, JSON with comments")
 	command.Flags().BoolVar(&check, "check", false, "check the settings and exit")
 	_ = command.MarkFlagRequired("settings")
+	command.AddCommand(newEdgeCommand())
 	return command
 }
 
--- /dev/null
+++ b/internal/qlcatalog/qlcatalog.go
@@ -0,0 +1,190 @@
+// Package qlcatalog holds the list of upstreams as it was last learned.
+//
+// Upstreams register themselves under a lease in the platform's store. While
+// the store is away leases lapse although the upstreams live; they register
+// again within two seconds of its return. An entry that vanishes around an
+// outage is therefore kept for that long, and then taken for gone. An entry
+// that vanishes at any other time, or while it was draining, goes at once.
+//
+// # Usage
+//
+//	catalog := qlcatalog.New()
+//	catalog.Put(now, entry)
+//	catalog.Away(now); catalog.Back(now)
+//	if catalog.Tick(now) { publish(catalog.Entries()) }
+package qlcatalog
+
+import (
+	"sort"
+	"time"
+)
+
+// _lapseHold is how long after the store's return lapsed entries may come
+// back: the platform states about two seconds, of which a part is for the way
+// of the news.
+const _lapseHold = 1800 * time.Millisecond
+
+// State is what an upstream says of itself.
+type State int
+
+// The states.
+const (
+	Ready State = iota + 1
+	Draining
+)
+
+// Entry is one upstream.
+type Entry struct {
+	ID      string
+	Service string
+	// Address is IP:port.
+	Address string
+	Zone    string
+	Slots   int
+	State   State
+	// Born tells starts under one id apart, in milliseconds of Unix time.
+	Born int64
+	// Revision is the store's at the entry's last change.
+	Revision uint64
+	// Raw is the entry as the store holds it, for other routers.
+	Raw []byte
+}
+
+// Catalog is the list. It is not safe for several goroutines.
+type Catalog struct {
+	entries  map[string]Entry
+	lapsed   map[string]bool
+	revision uint64
+	away     bool
+	known    bool
+	backAt   time.Duration
+	wasAway  bool
+	changed  bool
+	// changedAt is the revision of the last change of an entry.
+	changedAt uint64
+}
+
+// New returns an empty list.
+func New() *Catalog {
+	return &Catalog{
+		entries: make(map[string]Entry),
+		lapsed:  make(map[string]bool),
+	}
+}
+
+// Known reports whether the list was ever read.
+func (c *Catalog) Known() bool {
+	return c.known
+}
+
+// Revision returns the store's revision up to which the list is complete.
+func (c *Catalog) Revision() uint64 {
+	return c.revision
+}
+
+// Changed returns the revision of the last change that is known.
+func (c *Catalog) Changed() uint64 {
+	return c.changedAt
+}
+
+// Advance says that all changes up to the revision were applied.
+func (c *Catalog) Advance(revision uint64) {
+	c.revision = max(c.revision, revision)
+}
+
+// Away says that the store does not answer.
+func (c *Catalog) Away() {
+	c.away = true
+}
+
+// Back says that the store answers again.
+func (c *Catalog) Back(now time.Duration) {
+	if c.away {
+		c.away = false
+		c.wasAway = true
+		c.backAt = now
+	}
+}
+
+// Put takes an entry unless a newer one is known.
+func (c *Catalog) Put(entry Entry) {
+	if old, ok := c.entries[entry.ID]; ok && old.Revision > entry.Revision {
+		return
+	}
+	c.entries[entry.ID] = entry
+	c.changedAt = max(c.changedAt, entry.Revision)
+	delete(c.lapsed, entry.ID)
+	c.changed = true
+}
+
+// Delete takes the removal of an entry at the revision.
+func (c *Catalog) Delete(now time.Duration, id string, revision uint64) {
+	c.changedAt = max(c.changedAt, revision)
+	entry, ok := c.entries[id]
+	if !ok || entry.Revision > revision {
+		return
+	}
+	if entry.State == Ready && c.holds(now) {
+		c.lapsed[id] = true
+		return
+	}
+	delete(c.entries, id)
+	delete(c.lapsed, id)
+	c.changed = true
+}
+
+func (c *Catalog) holds(now time.Duration) bool {
+	return c.away || c.wasAway && now < c.backAt+_lapseHold
+}
+
+// Replace takes the whole list as of the revision. An older one is ignored.
+func (c *Catalog) Replace(now time.Duration, entries []Entry, revision uint64) {
+	if c.known && revision < c.revision {
+		return
+	}
+	c.known = true
+	c.changed = true
+	listed := make(map[string]bool, len(entries))
+	for _, entry := range entries {
+		listed[entry.ID] = true
+		c.Put(entry)
+	}
+	for id := range c.entries {
+		if !listed[id] {
+			c.Delete(now, id, revision)
+		}
+	}
+	c.Advance(revision)
+}
+
+// Tick drops lapsed entries whose time is over and reports whether the list
+// changed since the last call.
+func (c *Catalog) Tick(now time.Duration) bool {
+	if len(c.lapsed) > 0 && !c.holds(now) {
+		for id := range c.lapsed {
+			delete(c.entries, id)
+			delete(c.lapsed, id)
+		}
+		c.changed = true
+	}
+	changed := c.changed
+	c.changed = false
+	return changed
+}
+
+// Lapsed returns how many entries are kept although the store lacks them.
+func (c *Catalog) Lapsed() int {
+	return len(c.lapsed)
+}
+
+// Entries returns the upstreams sorted by id.
+func (c *Catalog) Entries() []Entry {
+	entries := make([]Entry, 0, len(c.entries))
+	for _, entry := range c.entries {
+		entries = append(entries, entry)
+	}
+	sort.Slice(entries, func(i, j int) bool {
+		return entries[i].ID < entries[j].ID
+	})
+	return entries
+}
--- /dev/null
+++ b/internal/qledge/qledge.go
@@ -0,0 +1,289 @@
+// Package qledge runs a router in front of a platform's upstreams.
+//
+// # Who owns what
+//
+// One control goroutine, that of the fleet, owns the documents and all
+// decision code about engines. One goroutine follows each document of the
+// platform's store and hands what it reads to control. Callers' requests have
+// a goroutine each; they read an immutable view of configuration and
+// upstreams, and ask control by a channel.
+//
+// # Usage
+//
+//	edge := qledge.New(qledge.Config{Settings: settings, Source: source, Dialect: dialect, Log: log})
+//	err := edge.Run(ctx) // until the context ends; then a planned stop
+package qledge
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/quetzallane/quetzallane/internal/qlbudget"
+	"github.com/quetzallane/quetzallane/internal/qlcatalog"
+	"github.com/quetzallane/quetzallane/internal/qlfleet"
+	"github.com/quetzallane/quetzallane/internal/qlforward"
+	"github.com/quetzallane/quetzallane/internal/qllog"
+	"github.com/quetzallane/quetzallane/internal/qlowner"
+	"github.com/quetzallane/quetzallane/internal/qlroute"
+	"github.com/quetzallane/quetzallane/internal/qlsetting"
+	"go.uber.org/zap"
+)
+
+const (
+	// _fetchDelay lets the store deliver a document before a router is asked.
+	_fetchDelay = 200 * time.Millisecond
+	// _pruneInterval is the time between searches for unused connections.
+	_pruneInterval = time.Second
+	// _firstView is how long callers' connections wait in the kernel for the
+	// first configuration before they are answered that there is none.
+	_firstView = 400 * time.Millisecond
+	// _stopMargin is how much earlier than the platform's SIGKILL a stop ends.
+	_stopMargin = 600 * time.Millisecond
+	// _stopPoll is how often a stop looks for the last request's end.
+	_stopPoll = 50 * time.Millisecond
+	// _memoryPart is the part of the VM's memory that the runtime may use
+	// before it collects harder; _bodyPart is what requests may hold.
+	_memoryPart = 0.7
+	_bodyPart   = 0.25
+	_megabyte   = 1 << 20
+	// _defaultHeaderTimeout and _defaultIdleTimeout hold where no
+	// configuration is known when callers are first accepted.
+	_defaultHeaderTimeout = 5 * time.Second
+	_defaultIdleTimeout   = 60 * time.Second
+	// _idleSlack keeps connections a little longer than callers use them.
+	_idleSlack = 500 * time.Millisecond
+)
+
+// Config configures an Edge.
+type Config struct {
+	Settings *qlsetting.Edge
+	Source   Source
+	Dialect  qlforward.Dialect
+	Log      *zap.Logger
+	// Lines is the logger's volume, for metrics; it may be nil.
+	Lines *qllog.Bounded
+}
+
+// Edge is one running router.
+type Edge struct {
+	config    Config
+	settings  *qlsetting.Edge
+	log       *zap.Logger
+	started   time.Time
+	fleet     *qlfleet.Fleet
+	forwarder *qlforward.Forwarder
+	known     atomic.Bool
+	stopping  atomic.Bool
+
+	// What follows belongs to the control goroutine.
+	table    *qlroute.Table
+	rawTable []byte
+	catalog  *qlcatalog.Catalog
+	fetching bool
+	pruneAt  time.Duration
+
+	randomMu sync.Mutex
+	random   *rand.Rand
+}
+
+// New opens the sockets to other routers.
+func New(config Config) (*Edge, error) {
+	settings := config.Settings
+	e := &Edge{
+		config:   config,
+		settings: settings,
+		log:      config.Log.With(zap.String("router", settings.ID)),
+		started:  time.Now(),
+		catalog:  qlcatalog.New(),
+		random:   newRandom(),
+	}
+	runtime.GOMAXPROCS(settings.Processors)
+	debug.SetMemoryLimit(int64(_memoryPart * float64(settings.Memory) * _megabyte))
+	fleet, err := qlfleet.New(qlfleet.Config{
+		Core: qlowner.Config{
+			Self:        settings.ID,
+			Zone:        settings.Zone,
+			Address:     settings.PeerAddress,
+			Incarnation: uint64(e.started.UnixMilli()),
+			Random:      newRandom(),
+			Seeds:       peerAddresses(settings),
+			Revisions:   e.revisions,
+			Behind:      e.behind,
+			Local:       settings.Placement == qlsetting.PlacementLocal,
+		},
+		Fetch: e.answerFetch,
+		Tick:  e.tick,
+		Clock: e.clock,
+		Log:   e.log,
+	})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	e.fleet = fleet
+	e.forwarder = qlforward.New(qlforward.Config{
+		Dialect: config.Dialect,
+		Placement: qlforward.Placement{
+			Ask:     fleet.Ask,
+			First:   fleet.First,
+			End:     fleet.End,
+			Routers: fleet.Live,
+		},
+		Budget: qlbudget.Config{
+			Ratio:     settings.RetryRatio,
+			Window:    settings.RetryWindow.Std(),
+			Allowance: settings.RetryAllowance,
+		},
+		Zone:       settings.Zone,
+		BodyMemory: int64(_bodyPart * float64(settings.Memory) * _megabyte),
+		Clock:      e.clock,
+		Random:     newRandom(),
+		Log:        e.log,
+	})
+	return e, nil
+}
+
+func newRandom() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
+
+// peerAddresses are where the seeds' routers are reached: ports are the same
+// on all VMs.
+func peerAddresses(settings *qlsetting.Edge) []string {
+	_, port, err := net.SplitHostPort(settings.PeerAddress)
+	if err != nil {
+		return nil
+	}
+	var addresses []string
+	for _, seed := range settings.Seeds {
+		if host, _, err := net.SplitHostPort(seed); err == nil {
+			addresses = append(addresses, net.JoinHostPort(host, port))
+		}
+	}
+	return addresses
+}
+
+func (e *Edge) clock() time.Duration {
+	return time.Since(e.started)
+}
+
+// spread returns a time around the given one, so that routers that failed
+// together do not return together.
+func (e *Edge) spread(d time.Duration) time.Duration {
+	e.randomMu.Lock()
+	defer e.randomMu.Unlock()
+	return d/2 + time.Duration(e.random.Int64N(int64(d)))
+}
+
+// tick runs in the control goroutine.
+func (e *Edge) tick(now time.Duration) {
+	e.refresh(now)
+	if now >= e.pruneAt {
+		e.pruneAt = now + _pruneInterval
+		e.forwarder.Prune()
+	}
+}
+
+// Run serves until the context ends, then stops as planned: what runs is
+// finished, as far as the stop's deadline allows.
+func (e *Edge) Run(ctx context.Context) error {
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	callers, err := net.Listen("tcp4", e.settings.CallerAddress)
+	if err != nil {
+		return errors.Annotate(err, "listen for callers")
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		e.fleet.Run(background)
+	}()
+	go e.follow(background, e.configurationDocument())
+	go e.follow(background, e.upstreamsDocument())
+	if err := e.serveOperations(); err != nil {
+		return errors.Trace(err)
+	}
+	e.log.Info("started", zap.String("zone", e.settings.Zone), zap.String("callers", e.settings.CallerAddress),
+		zap.String("peers", e.settings.PeerAddress), zap.Strings("seeds", e.settings.Seeds))
+	server := e.callerServer(ctx)
+	go func() {
+		if err := server.Serve(callers); !errors.Is(err, http.ErrServerClosed) {
+			e.log.Error("callers-not-served", zap.Error(err))
+		}
+	}()
+	<-ctx.Done()
+	err = e.stop(server, callers)
+	cancel()
+	<-ended
+	return errors.Trace(err)
+}
+
+// callerServer returns the server for callers, with the limits of the first
+// configuration if it comes soon.
+func (e *Edge) callerServer(ctx context.Context) *http.Server {
+	for waited := time.Duration(0); waited < _firstView && !e.known.Load(); waited += _stopPoll / 5 {
+		sleep(ctx, _stopPoll/5)
+	}
+	server := &http.Server{
+		Handler:           e.forwarder,
+		ReadHeaderTimeout: _defaultHeaderTimeout,
+		IdleTimeout:       _defaultIdleTimeout,
+		ErrorLog:          zap.NewStdLog(e.log),
+	}
+	e.fleet.Call(func(time.Duration) {
+		if e.table == nil {
+			return
+		}
+		limits := e.table.Limits()
+		if limits.HeaderTimeout > 0 {
+			server.ReadHeaderTimeout = limits.HeaderTimeout
+		}
+		if limits.IdleTimeout > 0 {
+			server.IdleTimeout = limits.IdleTimeout + _idleSlack
+		}
+		server.MaxHeaderBytes = limits.HeaderBytes
+	})
+	return server
+}
+
+// stop ends what runs: the balancer is told first and connections are taken
+// until it has noticed; then the last requests are waited for.
+func (e *Edge) stop(server *http.Server, callers net.Listener) error {
+	began := time.Now()
+	e.stopping.Store(true)
+	e.forwarder.SetClosing()
+	e.fleet.Call(func(time.Duration) { e.fleet.Core().Leave() })
+	e.log.Info("stopping", zap.Int64("active", e.forwarder.Active()))
+	deadline := began.Add(e.settings.StopDeadline.Std() - _stopMargin)
+	time.Sleep(e.settings.BalancerNotice.Std())
+	_ = callers.Close()
+	for e.forwarder.Active() > 0 && time.Now().Before(deadline) {
+		time.Sleep(_stopPoll)
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	err := server.Shutdown(ctx)
+	cut := e.forwarder.Active()
+	e.log.Info("stopped", zap.Int64("cut", cut), zap.Duration("took", time.Since(began)))
+	if cut > 0 {
+		return errors.Errorf("stop cut %d requests", cut)
+	}
+	if err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		return errors.Annotate(err, "stop")
+	}
+	return nil
+}
+
+// Reload takes changed settings as far as they can change while the router
+// runs: the seeds. All others hold from the next start on.
+func (e *Edge) Reload(settings *qlsetting.Edge) {
+	e.log.Info("settings-reloaded", zap.Strings("seeds", settings.Seeds))
+	e.fleet.Post(func(time.Duration) { e.fleet.Core().SetSeeds(peerAddresses(settings)) })
+}
--- /dev/null
+++ b/internal/qledge/reader.go
@@ -0,0 +1,155 @@
+package qledge
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+)
+
+const (
+	// _watchWait is how long a watch waits for a change. A connection that
+	// goes silent is found after it, or by keep-alive probes.
+	_watchWait = 5 * time.Second
+	// _replyTimeout bounds a call beside its wait.
+	_replyTimeout = 1500 * time.Millisecond
+	// _retryFirst and _retryMost bound the pause after a failed call; it
+	// doubles from one to the other.
+	_retryFirst = 100 * time.Millisecond
+	_retryMost  = 600 * time.Millisecond
+)
+
+// document is one watched document: how to read it whole, how to watch it,
+// and what to do with what comes.
+type document struct {
+	name string
+	// read reads it whole and returns the revision to watch from.
+	read func(ctx context.Context) (uint64, error)
+	// watch waits for changes and applies them.
+	watch func(ctx context.Context, after uint64) (uint64, error)
+	// away and back are told of the store's loss and return.
+	away func()
+	back func()
+}
+
+// follow reads and watches a document until the context ends.
+func (e *Edge) follow(ctx context.Context, d *document) {
+	revision := uint64(0)
+	lost := false
+	pause := _retryFirst
+	for ctx.Err() == nil {
+		began := time.Now()
+		next, err := e.step(ctx, d, revision)
+		switch {
+		case err == nil:
+			if lost {
+				lost = false
+				e.log.Info("store-regained", zap.String("document", d.name), zap.Uint64("revision", next))
+			}
+			d.back()
+			revision, pause = next, _retryFirst
+			continue
+		case errors.Is(err, ErrHistoryLost):
+			e.log.Info("store-history-lost", zap.String("document", d.name), zap.Uint64("revision", revision))
+			revision = 0
+			continue
+		case ctx.Err() != nil:
+			return
+		}
+		if !lost {
+			lost = true
+			e.log.Warn("store-lost", zap.String("document", d.name), zap.Uint64("revision", revision),
+				zap.Duration("waited", time.Since(began)), zap.Error(err))
+		}
+		if !errors.Is(err, ErrNoDocument) {
+			d.away()
+		}
+		sleep(ctx, e.spread(pause))
+		pause = min(2*pause, _retryMost)
+	}
+}
+
+func (e *Edge) step(ctx context.Context, d *document, revision uint64) (uint64, error) {
+	if revision == 0 {
+		ctx, cancel := context.WithTimeout(ctx, _replyTimeout)
+		defer cancel()
+		return d.read(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, _watchWait+_replyTimeout)
+	defer cancel()
+	return d.watch(ctx, revision)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// configurationDocument is the configuration as the store has it.
+func (e *Edge) configurationDocument() *document {
+	source := &e.config.Source
+	return &document{
+		name: "configuration",
+		read: func(ctx context.Context) (uint64, error) {
+			item, revision, err := source.ReadConfiguration(ctx)
+			if err != nil {
+				return 0, errors.Trace(err)
+			}
+			e.fleet.Post(func(time.Duration) { e.adoptConfiguration(item.Value, "store") })
+			return revision, nil
+		},
+		watch: func(ctx context.Context, after uint64) (uint64, error) {
+			items, revision, err := source.WatchConfiguration(ctx, after, _watchWait)
+			if err != nil {
+				return 0, errors.Trace(err)
+			}
+			e.fleet.Post(func(time.Duration) {
+				for _, item := range items {
+					if !item.Deleted {
+						e.adoptConfiguration(item.Value, "store")
+					}
+				}
+			})
+			return revision, nil
+		},
+		away: func() {},
+		back: func() {},
+	}
+}
+
+// upstreamsDocument is the list of upstreams as the store has it.
+func (e *Edge) upstreamsDocument() *document {
+	source := &e.config.Source
+	return &document{
+		name: "upstreams",
+		read: func(ctx context.Context) (uint64, error) {
+			items, revision, err := source.ReadUpstreams(ctx)
+			if err != nil {
+				return 0, errors.Trace(err)
+			}
+			e.fleet.Post(func(now time.Duration) {
+				e.catalog.Back(now)
+				e.replaceUpstreams(now, items, revision)
+			})
+			return revision, nil
+		},
+		watch: func(ctx context.Context, after uint64) (uint64, error) {
+			items, revision, err := source.WatchUpstreams(ctx, after, _watchWait)
+			if err != nil {
+				return 0, errors.Trace(err)
+			}
+			e.fleet.Post(func(now time.Duration) {
+				e.catalog.Back(now)
+				e.changeUpstreams(now, items, revision)
+			})
+			return revision, nil
+		},
+		away: func() { e.fleet.Post(func(time.Duration) { e.catalog.Away() }) },
+		back: func() {},
+	}
+}
--- /dev/null
+++ b/internal/qlengine/qlengine.go
@@ -0,0 +1,368 @@
+// Package qlengine models the work of one model engine.
+//
+// It answers the load of long prompts: engines batch requests, read prompts in
+// order of arrival and report late, so who places requests has to know what
+// an engine still has to read. The model holds the prompt tokens placed and
+// not yet read, the requests that run, and which parts of prompts the
+// engine's memory holds; it predicts the time to a request's first event, and
+// corrects its predictions by what is observed.
+//
+// # Usage
+//
+//	engine := qlengine.New(qlengine.Config{Slots: 128, Memory: 460000, TokensPerEvent: 5})
+//	forecast := engine.Forecast(now, prompt)
+//	engine.Place(now, key, prompt)
+//	engine.First(now, key)
+//	engine.End(now, key, qlengine.Completed)
+package qlengine
+
+import (
+	"time"
+)
+
+const (
+	// _startRate is in prompt tokens a second, until it is learned.
+	_startRate = 100_000
+	// _minRate and _maxRate bound what is learned, in tokens a second.
+	_minRate = 5_000
+	_maxRate = 1_000_000
+	// _startLatency is the first event's time on an idle engine, until it is
+	// learned.
+	_startLatency = 50 * time.Millisecond
+	// _stepTime is a decoding step of an idle engine, _stepPerRun what each
+	// running request adds.
+	_stepTime   = 4 * time.Millisecond
+	_stepPerRun = 100 * time.Microsecond
+	// _overdueSlack is how much later than predicted a first event may come
+	// before the engine is taken for slow: events are told late.
+	_overdueSlack = 200 * time.Millisecond
+	// _correction is the weight of one observation in the learned ratio.
+	_correction = 0.08
+	// _minRatio and _maxRatio bound observed time against predicted time.
+	_minRatio = 0.4
+	_maxRatio = 8
+	// _ratioMemory is after how long a ratio that is not observed any more
+	// has lost two thirds of its distance from 1.
+	_ratioMemory = 5 * time.Second
+	// _faultMemory is the same for observed failures.
+	_faultMemory = 3 * time.Second
+)
+
+// Part is a piece of a prompt that several requests may share.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Prompt is what a request asks of an engine.
+type Prompt struct {
+	// Tokens is the length of the whole prompt, parts included.
+	Tokens int
+	// Output is the most tokens generated.
+	Output int
+	// Parts are the prompt's pieces in order; the last is the request's own.
+	Parts []Part
+}
+
+// Own returns the prompt's tokens that no other request shares.
+func (p *Prompt) Own() int {
+	own := p.Tokens
+	for i := range len(p.Parts) - 1 {
+		own -= p.Parts[i].Tokens
+	}
+	return max(own, 0)
+}
+
+// Affinity returns the id of the last shared part; ok is false without one.
+func (p *Prompt) Affinity() (id uint64, ok bool) {
+	if len(p.Parts) < 2 {
+		return 0, false
+	}
+	return p.Parts[len(p.Parts)-2].ID, true
+}
+
+// Config configures an Engine.
+type Config struct {
+	Slots int
+	// Memory is in tokens; 0 when unknown.
+	Memory int
+	// TokensPerEvent is how many tokens the first event waits for.
+	TokensPerEvent int
+}
+
+// Key names a run: the router that sends it and its number there.
+type Key struct {
+	Router  string
+	Request uint64
+}
+
+// Outcome says how a run ended.
+type Outcome int
+
+// The outcomes.
+const (
+	// Completed runs ended with their whole answer.
+	Completed Outcome = iota + 1
+	// Abandoned runs were left by their callers, or not sent.
+	Abandoned
+	// Failed runs broke off or were not answered.
+	Failed
+	// Unreachable runs were not sent, since the engine took no connection.
+	Unreachable
+	// Shed runs were turned away by an engine that is full.
+	Shed
+)
+
+type run struct {
+	placedAt  time.Duration
+	predicted time.Duration
+	unread    int
+	memory    int
+	first     bool
+}
+
+// Engine is the model. It is not safe for several goroutines.
+type Engine struct {
+	config   Config
+	runs     map[Key]*run
+	waiting  int
+	unread   int
+	reserved int
+	// finishAt is when all that was placed will have been read.
+	finishAt time.Duration
+	cache    cache
+	ratio    float64
+	ratioAt  time.Duration
+	faults   float64
+	faultsAt time.Duration
+}
+
+// New returns an idle engine that holds nothing.
+func New(config Config) *Engine {
+	return &Engine{
+		config: config,
+		runs:   make(map[Key]*run),
+		cache:  newCache(config.Memory),
+		ratio:  1,
+	}
+}
+
+// Forecast is what placing a request would mean.
+type Forecast struct {
+	// Wait is the time until the engine begins to read the prompt.
+	Wait time.Duration
+	// First is the time to the first event.
+	First time.Duration
+	// Missing is how many tokens of shared parts have to be read again.
+	Missing int
+	// Fits is false when slots or memory are used up.
+	Fits bool
+}
+
+// Forecast predicts what placing the prompt now would mean.
+func (e *Engine) Forecast(now time.Duration, prompt *Prompt) Forecast {
+	missing := e.cache.missing(prompt.Parts)
+	ratio := e.slowness(now)
+	wait := max(e.finishAt-now, 0) + e.overdue(now)
+	read := readTime(prompt.Own() + missing)
+	first := wait + read + e.decode()
+	return Forecast{
+		Wait:    time.Duration(float64(wait) * ratio),
+		First:   time.Duration(float64(first) * ratio),
+		Missing: missing,
+		Fits:    len(e.runs) < e.config.Slots && e.room(prompt, missing),
+	}
+}
+
+// ReadTime returns how long an engine of the usual speed reads the tokens.
+func ReadTime(tokens int) time.Duration {
+	return readTime(tokens)
+}
+
+func readTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / _startRate * float64(time.Second))
+}
+
+// decode is the time from a prompt's end to its first event.
+func (e *Engine) decode() time.Duration {
+	step := _stepTime + time.Duration(len(e.runs))*_stepPerRun
+	return _startLatency + time.Duration(e.config.TokensPerEvent)*step
+}
+
+func (e *Engine) room(prompt *Prompt, missing int) bool {
+	if e.config.Memory == 0 {
+		return true
+	}
+	return e.reserved+prompt.Own()+prompt.Output+missing <= e.config.Memory
+}
+
+// overdue is how much longer than predicted the oldest first event takes.
+func (e *Engine) overdue(now time.Duration) time.Duration {
+	late := time.Duration(0)
+	for _, r := range e.runs {
+		if !r.first {
+			late = max(late, now-r.placedAt-r.predicted-_overdueSlack)
+		}
+	}
+	return late
+}
+
+// slowness is the ratio of observed to predicted times, which fades to 1.
+func (e *Engine) slowness(now time.Duration) float64 {
+	fade := min(float64(now-e.ratioAt)/float64(_ratioMemory), 1)
+	return e.ratio + (1-e.ratio)*fade
+}
+
+// Place takes a run that was placed now.
+func (e *Engine) Place(now time.Duration, key Key, prompt *Prompt) {
+	if e.runs[key] != nil {
+		return
+	}
+	forecast := e.Forecast(now, prompt)
+	unread := prompt.Own() + forecast.Missing
+	e.finishAt = max(e.finishAt, now) + readTime(unread)
+	e.add(key, &run{
+		placedAt:  now,
+		predicted: forecast.First,
+		unread:    unread,
+		memory:    prompt.Own() + prompt.Output,
+	})
+	e.cache.use(prompt.Parts)
+}
+
+// Adopt takes a run that another router placed.
+func (e *Engine) Adopt(now time.Duration, key Key, unread, memory int) {
+	if e.runs[key] != nil {
+		return
+	}
+	e.finishAt = max(e.finishAt, now) + readTime(unread)
+	e.add(key, &run{
+		placedAt:  now,
+		predicted: e.finishAt - now + e.decode(),
+		unread:    unread,
+		memory:    memory,
+		first:     unread == 0,
+	})
+}
+
+func (e *Engine) add(key Key, r *run) {
+	e.runs[key] = r
+	e.reserved += r.memory
+	if !r.first {
+		e.waiting++
+		e.unread += r.unread
+	}
+}
+
+// First takes a run's first event and returns the time from its placing, and
+// whether the run was waiting for it.
+func (e *Engine) First(now time.Duration, key Key) (took time.Duration, ok bool) {
+	r := e.runs[key]
+	if r == nil || r.first {
+		return 0, false
+	}
+	took = now - r.placedAt
+	e.observe(now, float64(took)/float64(max(r.predicted, time.Millisecond)))
+	e.markRead(now, r)
+	return took, true
+}
+
+func (e *Engine) observe(now time.Duration, ratio float64) {
+	current := e.slowness(now)
+	ratio = min(max(ratio*current, _minRatio), _maxRatio)
+	e.ratio = current + _correction*(ratio-current)
+	e.ratioAt = now
+}
+
+func (e *Engine) markRead(now time.Duration, r *run) {
+	r.first = true
+	e.waiting--
+	e.unread -= r.unread
+	if e.waiting == 0 {
+		e.finishAt = min(e.finishAt, now)
+		return
+	}
+	e.finishAt = min(e.finishAt, now+readTime(e.unread))
+}
+
+// End takes a run's end.
+func (e *Engine) End(now time.Duration, key Key, outcome Outcome) {
+	r := e.runs[key]
+	if r == nil {
+		return
+	}
+	if !r.first {
+		e.markRead(now, r)
+	}
+	delete(e.runs, key)
+	e.reserved -= r.memory
+	e.note(now, outcome)
+}
+
+func (e *Engine) note(now time.Duration, outcome Outcome) {
+	weight := 0.0
+	switch outcome {
+	case Abandoned:
+		return
+	case Failed, Shed:
+		weight = 1
+	case Unreachable:
+		weight = 3
+	case Completed:
+	}
+	faults := e.Faults(now)
+	e.faults = faults + _faultWeight*(weight-faults)
+	e.faultsAt = now
+}
+
+// _faultWeight is the weight of one run's end in the rate of failures.
+const _faultWeight = 0.2
+
+// Faults returns the rate of failed runs, which fades with time.
+func (e *Engine) Faults(now time.Duration) float64 {
+	fade := min(float64(now-e.faultsAt)/float64(_faultMemory), 1)
+	return e.faults * (1 - fade)
+}
+
+// Running returns how many runs the engine has.
+func (e *Engine) Running() int {
+	return len(e.runs)
+}
+
+// Waiting returns how many runs wait for their first event.
+func (e *Engine) Waiting() int {
+	return e.waiting
+}
+
+// Unread returns the tokens placed and not yet read.
+func (e *Engine) Unread() int {
+	return e.unread
+}
+
+// Slowness returns observed times against predicted ones.
+func (e *Engine) Slowness(now time.Duration) float64 {
+	return e.slowness(now)
+}
+
+// Expire ends runs that are older than the age; their ends were lost.
+func (e *Engine) Expire(now, age time.Duration) {
+	for key, r := range e.runs {
+		if now-r.placedAt > age {
+			e.End(now, key, Abandoned)
+		}
+	}
+}
+
+// Drop ends all runs that a router placed: it is gone, and so are they.
+func (e *Engine) Drop(now time.Duration, router string) {
+	for key := range e.runs {
+		if key.Router == router {
+			e.End(now, key, Abandoned)
+		}
+	}
+}
+
+// Has reports whether the run is known.
+func (e *Engine) Has(key Key) bool {
+	return e.runs[key] != nil
+}
--- a/internal/qllog/qllog.go
+++ b/internal/qllog/qllog.go
@@ -5,6 +5,9 @@
 //
 //	log, err := qllog.New(os.Stderr, "info")
 //	log.Info("request-ended", zap.String("request", id), zap.Int("code", 100))
+//
+//	log, bounded, err := qllog.NewBounded(os.Stdout, "info")
+//	defer bounded.Close()
 package qllog
 
 import (
@@ -22,11 +25,15 @@
 	if err != nil {
 		return nil, errors.NotValidf("log level %q (write debug, info, warn or error)", level)
 	}
+	core := zapcore.NewCore(zaplogfmt.NewEncoder(encoderConfig()), zapcore.Lock(zapcore.AddSync(w)), parsed)
+	return zap.New(core), nil
+}
+
+func encoderConfig() zapcore.EncoderConfig {
 	config := zap.NewProductionEncoderConfig()
 	config.TimeKey = "time"
 	config.MessageKey = "event"
 	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	config.EncodeDuration = zapcore.StringDurationEncoder
-	core := zapcore.NewCore(zaplogfmt.NewEncoder(config), zapcore.Lock(zapcore.AddSync(w)), parsed)
-	return zap.New(core), nil
+	return config
 }
--- /dev/null
+++ b/internal/qlowner/packet.go
@@ -0,0 +1,308 @@
+package qlowner
+
+import (
+	"time"
+
+	"github.com/quetzallane/quetzallane/internal/qlengine"
+	"github.com/quetzallane/quetzallane/internal/qlfleetwire"
+	"github.com/quetzallane/quetzallane/internal/qlmember"
+	"github.com/quetzallane/quetzallane/internal/qlplace"
+	"github.com/quetzallane/quetzallane/internal/qlwire"
+	"google.golang.org/protobuf/proto"
+)
+
+// box returns the packet that gathers for a router.
+func (c *Core) box(now time.Duration, to string) *outbox {
+	box := c.outboxes[to]
+	if box == nil {
+		box = &outbox{
+			packet: c.newPacket(),
+			since:  now,
+		}
+		c.outboxes[to] = box
+	}
+	return box
+}
+
+func (c *Core) newPacket() *qlfleetwire.Packet {
+	return &qlfleetwire.Packet{
+		From:        c.config.Self,
+		Incarnation: c.config.Incarnation,
+	}
+}
+
+// Flush sends what is due.
+func (c *Core) Flush(now time.Duration) {
+	for to, box := range c.outboxes {
+		if !box.urgent && now-box.since < _noteDelay {
+			continue
+		}
+		delete(c.outboxes, to)
+		if router := c.routers[to]; router != nil {
+			c.send(router.GetAddress(), box.packet)
+		}
+	}
+}
+
+// NextFlush returns when Flush has to be called next.
+func (c *Core) NextFlush() (at time.Duration, ok bool) {
+	for _, box := range c.outboxes {
+		if due := box.since + _noteDelay; !ok || due < at {
+			at, ok = due, true
+		}
+	}
+	return at, ok
+}
+
+func (c *Core) send(address string, packet *qlfleetwire.Packet) {
+	c.stats.Packets++
+	c.config.Send(address, packet)
+}
+
+func (c *Core) sendMembership(to string, message *qlwire.Message) {
+	router := c.routers[to]
+	if router == nil {
+		return
+	}
+	body, err := proto.Marshal(message)
+	if err != nil {
+		// Only invalid UTF-8 fails, and ids were checked with the settings.
+		return
+	}
+	packet := c.newPacket()
+	packet.Membership = body
+	c.send(router.GetAddress(), packet)
+}
+
+// introduce tells a router of those that this one knows, and asks for those
+// that it knows.
+func (c *Core) introduce(now time.Duration) {
+	if now < c.introduceAt {
+		return
+	}
+	wait := _introduceLater
+	targets := c.config.Seeds
+	if len(c.routers) == 0 {
+		wait = _introduceFirst
+	} else if ids := c.members.IDs(); len(ids) > 0 {
+		other := c.routers[ids[c.config.Random.IntN(len(ids))]].GetAddress()
+		targets = []string{other}
+		if len(c.config.Seeds) > 0 {
+			targets = append(targets, c.config.Seeds[c.config.Random.IntN(len(c.config.Seeds))])
+		}
+	}
+	c.introduceAt = now + wait
+	for _, address := range targets {
+		if address != c.config.Address {
+			packet := c.newPacket()
+			packet.Introduction = c.introduction(true)
+			c.send(address, packet)
+		}
+	}
+}
+
+func (c *Core) introduction(wantsReply bool) *qlfleetwire.Introduction {
+	introduction := &qlfleetwire.Introduction{
+		WantsReply: wantsReply,
+		Routers: []*qlfleetwire.Router{{
+			Id:      c.config.Self,
+			Zone:    c.config.Zone,
+			Address: c.config.Address,
+			Leaving: c.leaving,
+		}},
+	}
+	for _, i := range c.config.Random.Perm(len(c.members.IDs())) {
+		if len(introduction.Routers) == _introduced {
+			break
+		}
+		introduction.Routers = append(introduction.Routers, c.routers[c.members.IDs()[i]])
+	}
+	return introduction
+}
+
+// Receive takes a packet from an address.
+func (c *Core) Receive(now time.Duration, source string, packet *qlfleetwire.Packet) {
+	from := packet.GetFrom()
+	if from == "" || from == c.config.Self {
+		return
+	}
+	if introduction := packet.GetIntroduction(); introduction != nil {
+		c.learn(now, introduction.GetRouters())
+		if introduction.GetWantsReply() {
+			reply := c.newPacket()
+			reply.Introduction = c.introduction(false)
+			c.send(source, reply)
+		}
+	}
+	if len(packet.GetMembership()) > 0 {
+		c.receiveMembership(now, from, packet.GetMembership())
+	}
+	c.members.Note(now, from)
+	for _, ask := range packet.GetAsks() {
+		c.answer(now, from, ask)
+	}
+	for _, verdict := range packet.GetVerdicts() {
+		c.receiveVerdict(now, from, verdict)
+	}
+	for _, note := range packet.GetNotes() {
+		c.receiveNote(now, from, note)
+	}
+}
+
+func (c *Core) learn(now time.Duration, routers []*qlfleetwire.Router) {
+	changed := false
+	for _, router := range routers {
+		if router.GetId() == c.config.Self || router.GetId() == "" {
+			continue
+		}
+		if known := c.routers[router.GetId()]; known == nil || known.GetAddress() != router.GetAddress() {
+			c.routers[router.GetId()] = router
+			changed = true
+		}
+	}
+	if !changed {
+		return
+	}
+	list := make([]qlmember.Listed, 0, len(c.routers))
+	for _, router := range c.routers {
+		list = append(list, qlmember.Listed{
+			ID:      router.GetId(),
+			Zone:    router.GetZone(),
+			Address: router.GetAddress(),
+		})
+	}
+	c.listRevision++
+	c.members.SetList(now, c.listRevision, list)
+}
+
+func (c *Core) receiveMembership(now time.Duration, from string, body []byte) {
+	message := &qlwire.Message{}
+	if proto.Unmarshal(body, message) != nil || c.routers[from] == nil {
+		return
+	}
+	switch {
+	case message.GetProbe() != nil:
+		c.members.Probe(now, from, message.GetProbe())
+	case message.GetProbeAck() != nil:
+		c.members.Ack(now, from, message.GetProbeAck())
+	case message.GetIndirectProbe() != nil:
+		c.members.IndirectProbe(from, message.GetIndirectProbe())
+	}
+}
+
+// answer decides on another router's request.
+func (c *Core) answer(now time.Duration, from string, ask *qlfleetwire.Ask) {
+	c.stats.ForOthers++
+	c.placer.SetOthers(1)
+	request := decodeAsk(from, ask)
+	verdict := c.placer.Ask(now, request)
+	box := c.box(now, from)
+	box.urgent = true
+	box.packet.Verdicts = append(box.packet.Verdicts, &qlfleetwire.Verdict{
+		Request:      ask.GetRequest(),
+		Engine:       verdict.Engine,
+		Reason:       uint32(verdict.Reason),
+		RetryAfterMs: uint32(verdict.RetryAfter.Milliseconds()),
+		PredictedMs:  uint32(verdict.Predicted.Milliseconds()),
+		Missing:      uint32(verdict.Missing),
+	})
+}
+
+func (c *Core) receiveVerdict(now time.Duration, from string, verdict *qlfleetwire.Verdict) {
+	delete(c.distrusted, from)
+	q, ok := c.questions[verdict.GetRequest()]
+	if !ok || q.owner != from {
+		c.release(now, from, verdict)
+		return
+	}
+	delete(c.questions, verdict.GetRequest())
+	c.stats.ByOwner++
+	c.conclude(now, q.request, qlplace.Verdict{
+		Engine:     verdict.GetEngine(),
+		Reason:     qlplace.Reason(verdict.GetReason()),
+		Predicted:  time.Duration(verdict.GetPredictedMs()) * time.Millisecond,
+		RetryAfter: time.Duration(verdict.GetRetryAfterMs()) * time.Millisecond,
+		Missing:    int(verdict.GetMissing()),
+		Decider:    from,
+	})
+}
+
+// release gives back what an owner placed too late: the request was decided
+// here, or its caller left.
+func (c *Core) release(now time.Duration, from string, verdict *qlfleetwire.Verdict) {
+	if verdict.GetEngine() == "" {
+		return
+	}
+	if run := c.runs[verdict.GetRequest()]; run != nil && run.engine == verdict.GetEngine() {
+		return
+	}
+	box := c.box(now, from)
+	box.packet.Notes = append(box.packet.Notes, &qlfleetwire.Note{
+		Request: verdict.GetRequest(),
+		Outcome: uint32(qlengine.Abandoned),
+	})
+}
+
+// receiveNote takes what became of another router's run.
+func (c *Core) receiveNote(now time.Duration, from string, note *qlfleetwire.Note) {
+	key := qlengine.Key{
+		Router:  from,
+		Request: note.GetRequest(),
+	}
+	if note.GetOutcome() != 0 {
+		c.placer.End(now, key, qlengine.Outcome(note.GetOutcome()))
+		return
+	}
+	goal := time.Duration(note.GetGoalMs()) * time.Millisecond
+	c.placer.Adopt(now, key, note.GetEngine(), int(note.GetUnread()), int(note.GetMemory()), goal)
+	if note.GetUnread() == 0 {
+		c.placer.First(now, key)
+	}
+}
+
+func encodeAsk(request *qlplace.Request) *qlfleetwire.Ask {
+	ask := &qlfleetwire.Ask{
+		Request:      request.Key.Request,
+		Service:      request.Service,
+		Customer:     request.Customer,
+		Zone:         request.Zone,
+		PromptTokens: uint32(request.Prompt.Tokens),
+		OutputTokens: uint32(request.Prompt.Output),
+		GoalMs:       uint32(request.Goal.Milliseconds()),
+		Excluded:     request.Excluded,
+		Again:        request.Again,
+	}
+	for _, part := range request.Prompt.Parts {
+		ask.Parts = append(ask.Parts, &qlfleetwire.Part{
+			Id:     part.ID,
+			Tokens: uint32(part.Tokens),
+		})
+	}
+	return ask
+}
+
+func decodeAsk(from string, ask *qlfleetwire.Ask) *qlplace.Request {
+	request := &qlplace.Request{
+		Key: qlengine.Key{
+			Router:  from,
+			Request: ask.GetRequest(),
+		},
+		Service:  ask.GetService(),
+		Customer: ask.GetCustomer(),
+		Zone:     ask.GetZone(),
+		Prompt: qlengine.Prompt{
+			Tokens: int(ask.GetPromptTokens()),
+			Output: int(ask.GetOutputTokens()),
+		},
+		Goal:     time.Duration(ask.GetGoalMs()) * time.Millisecond,
+		Excluded: ask.GetExcluded(),
+		Again:    ask.GetAgain(),
+	}
+	for _, part := range ask.GetParts() {
+		request.Prompt.Parts = append(request.Prompt.Parts, qlengine.Part{
+			ID:     part.GetId(),
+			Tokens: int(part.GetTokens()),
+		})
+	}
+	return request
+}
--- /dev/null
+++ b/internal/qlowner/qlowner.go
@@ -0,0 +1,404 @@
+// Package qlowner has each request for an engine decided by one router.
+//
+// It answers heavy load on engines: a router that knows all that was placed
+// decides better than many that each know a part. The owner of the engines is
+// found by rendezvous hashing over the live routers; nobody is elected. A
+// request asks the owner by one datagram. When no answer comes within a few
+// round trips the router decides by itself, scaling up what it knows; an owner
+// that misses twice is passed over for a while. Losing an owner loses only
+// knowledge: routers tell the next one what they have running.
+//
+// Two routers may own the engines at once while views differ. Each then knows
+// a part of the load, and engines may get up to twice what is meant for them,
+// for as long as the views differ.
+//
+// # Usage
+//
+//	core := qlowner.New(qlowner.Config{Self: "r1", Zone: "z1", Address: "10.0.0.1:7400", Send: send, Decide: decide, Random: random})
+//	core.Ask(now, request)
+//	core.Receive(now, source, packet)
+//	core.Tick(now)
+//	core.Flush(now)
+package qlowner
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/quetzallane/quetzallane/internal/qlengine"
+	"github.com/quetzallane/quetzallane/internal/qlfleetwire"
+	"github.com/quetzallane/quetzallane/internal/qlmember"
+	"github.com/quetzallane/quetzallane/internal/qlplace"
+	"github.com/quetzallane/quetzallane/internal/qlring"
+	"github.com/quetzallane/quetzallane/internal/qlwire"
+)
+
+const (
+	// _answerWait is how long an owner's answer is waited for: a few round
+	// trips between zones, and a small part of any objective.
+	_answerWait = 50 * time.Millisecond
+	// _missLimit and _missPause: an owner that did not answer so many times in
+	// a row is passed over for so long.
+	_missLimit = 2
+	_missPause = 1500 * time.Millisecond
+	// _noteDelay lets notes share a datagram.
+	_noteDelay = 10 * time.Millisecond
+	// _introduceFirst and _introduceLater are the time between introductions
+	// before another router is known, and after.
+	_introduceFirst = 250 * time.Millisecond
+	_introduceLater = 3 * time.Second
+	// _introduced bounds the routers of one introduction.
+	_introduced = 40
+	// _probeInterval and _suspicion find a router that is gone within about
+	// two seconds in a fleet of ten.
+	_probeInterval = 300 * time.Millisecond
+	_probeTimeout  = 100 * time.Millisecond
+	_suspicion     = time.Second
+	// _ownerKey names the engines in the routers' rendezvous order.
+	_ownerKey = "engines"
+	// _expireInterval is the time between searches for lost runs.
+	_expireInterval = time.Second
+	// _fallbackLoad is how much of the others' load a router that decides by
+	// itself assumes, in parts of its own for each other router.
+	_fallbackLoad = 1.0
+)
+
+// Config configures a Core.
+type Config struct {
+	Self        string
+	Zone        string
+	Address     string
+	Incarnation uint64
+	Random      *rand.Rand
+	// Seeds are addresses of routers to begin with.
+	Seeds []string
+	// Send sends a packet to an address; it may be lost.
+	Send func(address string, packet *qlfleetwire.Packet)
+	// Decide takes the decision on a request.
+	Decide func(request uint64, verdict qlplace.Verdict)
+	// Revisions returns those of the documents in force.
+	Revisions func() (configuration, list uint64)
+	// Behind is called when a router has newer documents.
+	Behind func(address string, configuration, list uint64)
+	// Changed is called when the set of live routers changed.
+	Changed func(live int)
+	// Local makes this router decide all requests by itself.
+	Local bool
+}
+
+type question struct {
+	request *qlplace.Request
+	owner   string
+	until   time.Duration
+}
+
+// own is a run of this router's.
+type own struct {
+	engine string
+	unread int
+	memory int
+	goal   time.Duration
+}
+
+type outbox struct {
+	packet *qlfleetwire.Packet
+	urgent bool
+	since  time.Duration
+}
+
+type distrust struct {
+	misses int
+	until  time.Duration
+}
+
+// Core is the decision code. It is not safe for several goroutines.
+type Core struct {
+	config       Config
+	placer       *qlplace.Placer
+	members      *qlmember.Members
+	routers      map[string]*qlfleetwire.Router
+	listRevision uint64
+	ranked       []qlring.Node
+	questions    map[uint64]question
+	runs         map[uint64]*own
+	outboxes     map[string]*outbox
+	distrusted   map[string]distrust
+	leaving      bool
+	introduceAt  time.Duration
+	expireAt     time.Duration
+	owner        string
+	stats        Stats
+}
+
+// Stats counts what was decided where.
+type Stats struct {
+	AskedOwner uint64 `json:"asked-owner"`
+	ByOwner    uint64 `json:"answered-by-owner"`
+	ByItself   uint64 `json:"decided-alone"`
+	ForOthers  uint64 `json:"decided-for-others"`
+	Missed     uint64 `json:"answers-missed"`
+	Packets    uint64 `json:"packets"`
+}
+
+// New returns a core that knows no other router.
+func New(config Config) *Core {
+	c := &Core{
+		config: config,
+		placer: qlplace.New(qlplace.Config{
+			Random: config.Random,
+		}),
+		routers:    make(map[string]*qlfleetwire.Router),
+		questions:  make(map[uint64]question),
+		runs:       make(map[uint64]*own),
+		outboxes:   make(map[string]*outbox),
+		distrusted: make(map[string]distrust),
+	}
+	c.members = qlmember.New(qlmember.Config{
+		Self:          config.Self,
+		Zone:          config.Zone,
+		Incarnation:   config.Incarnation,
+		ProbeInterval: _probeInterval,
+		ProbeTimeout:  _probeTimeout,
+		Suspicion:     _suspicion,
+		Random:        config.Random,
+		Send:          c.sendMembership,
+		Digest:        c.digest,
+		Heard:         c.heard,
+		Changed:       c.rank,
+		Died:          func(string) {},
+	})
+	c.rank()
+	return c
+}
+
+// Placer returns the placer, which has to be told of engines.
+func (c *Core) Placer() *qlplace.Placer {
+	return c.placer
+}
+
+// Stats returns the counters.
+func (c *Core) Stats() Stats {
+	return c.stats
+}
+
+// Members returns the view of the other routers, for dumps.
+func (c *Core) Members() []qlmember.MemberState {
+	return c.members.State()
+}
+
+// Live returns how many routers answer, this one included.
+func (c *Core) Live() int {
+	return len(c.ranked)
+}
+
+// Owner returns the router that decides for this one.
+func (c *Core) Owner() string {
+	return c.owner
+}
+
+func (c *Core) rank() {
+	if c.members == nil {
+		return
+	}
+	live := c.members.Live()
+	if c.leaving && len(live) > 1 {
+		live = live[1:]
+	}
+	c.ranked = qlring.New(live).Rank(_ownerKey)
+	c.config.Changed(len(c.ranked))
+}
+
+func (c *Core) digest() *qlwire.Digest {
+	configuration, list := c.config.Revisions()
+	return &qlwire.Digest{
+		ConfigurationRevision: configuration,
+		ListRevision:          list,
+		Leaving:               c.leaving,
+	}
+}
+
+func (c *Core) heard(from string, digest *qlwire.Digest) {
+	configuration, list := c.config.Revisions()
+	if digest.GetConfigurationRevision() > configuration || digest.GetListRevision() > list {
+		c.config.Behind(c.members.Address(from), digest.GetConfigurationRevision(), digest.GetListRevision())
+	}
+}
+
+// Push tells a few routers of new documents at once.
+func (c *Core) Push() {
+	c.members.Push()
+}
+
+// Leave tells all routers that this one stops, so that they ask another.
+func (c *Core) Leave() {
+	c.leaving = true
+	c.rank()
+	c.members.Announce()
+}
+
+// Ask begins the decision on a request of this router's.
+func (c *Core) Ask(now time.Duration, request *qlplace.Request) {
+	request.Key.Router = c.config.Self
+	owner := c.chooseOwner(now)
+	if owner == c.config.Self || c.config.Local {
+		c.decide(now, request)
+		return
+	}
+	c.stats.AskedOwner++
+	c.questions[request.Key.Request] = question{
+		request: request,
+		owner:   owner,
+		until:   now + _answerWait,
+	}
+	box := c.box(now, owner)
+	box.packet.Asks = append(box.packet.Asks, encodeAsk(request))
+	box.urgent = true
+}
+
+// chooseOwner returns the first router in order that answered lately.
+func (c *Core) chooseOwner(now time.Duration) string {
+	owner := c.config.Self
+	for _, node := range c.ranked {
+		if d := c.distrusted[node.ID()]; node.ID() == c.config.Self || d.misses < _missLimit || now >= d.until {
+			owner = node.ID()
+			break
+		}
+	}
+	if owner != c.owner {
+		c.owner = owner
+		c.tellAll(now)
+	}
+	return owner
+}
+
+// tellAll tells a new owner what this router has running.
+func (c *Core) tellAll(now time.Duration) {
+	if c.owner == c.config.Self {
+		return
+	}
+	for request, run := range c.runs {
+		c.note(now, request, run, 0)
+	}
+}
+
+// decide decides on an own request by what is known here.
+func (c *Core) decide(now time.Duration, request *qlplace.Request) {
+	c.stats.ByItself++
+	if c.owner == c.config.Self {
+		c.placer.SetOthers(1)
+	} else {
+		c.placer.SetOthers(1 + _fallbackLoad*float64(len(c.ranked)-1))
+	}
+	verdict := c.placer.Ask(now, request)
+	verdict.Decider = c.config.Self
+	c.conclude(now, request, verdict)
+}
+
+// conclude hands a decision out and notes the run.
+func (c *Core) conclude(now time.Duration, request *qlplace.Request, verdict qlplace.Verdict) {
+	if verdict.Engine != "" {
+		run := &own{
+			engine: verdict.Engine,
+			unread: request.Prompt.Own() + verdict.Missing,
+			memory: request.Prompt.Own() + request.Prompt.Output,
+			goal:   request.Goal,
+		}
+		c.runs[request.Key.Request] = run
+		if verdict.Decider != c.config.Self {
+			c.placer.Place(now, request, verdict.Engine)
+		} else if c.owner != c.config.Self {
+			c.note(now, request.Key.Request, run, 0)
+		}
+	}
+	c.config.Decide(request.Key.Request, verdict)
+}
+
+// First takes the first event of a run of this router's.
+func (c *Core) First(now time.Duration, request uint64) {
+	run := c.runs[request]
+	if run == nil {
+		return
+	}
+	run.unread = 0
+	c.placer.First(now, c.key(request))
+	if c.owner != c.config.Self {
+		c.note(now, request, run, 0)
+	}
+}
+
+// End takes the end of a run of this router's, or of a request that its
+// caller left before it was decided.
+func (c *Core) End(now time.Duration, request uint64, outcome qlengine.Outcome) {
+	run := c.runs[request]
+	if run == nil {
+		// The verdict of a question that was dropped is given back.
+		delete(c.questions, request)
+		return
+	}
+	delete(c.runs, request)
+	c.placer.End(now, c.key(request), outcome)
+	if c.owner != c.config.Self {
+		c.note(now, request, run, outcome)
+	}
+}
+
+func (c *Core) key(request uint64) qlengine.Key {
+	return qlengine.Key{
+		Router:  c.config.Self,
+		Request: request,
+	}
+}
+
+// note tells the owner of a run.
+func (c *Core) note(now time.Duration, request uint64, run *own, outcome qlengine.Outcome) {
+	box := c.box(now, c.owner)
+	box.packet.Notes = append(box.packet.Notes, &qlfleetwire.Note{
+		Request: request,
+		Engine:  run.engine,
+		Unread:  uint32(run.unread),
+		Memory:  uint32(run.memory),
+		GoalMs:  uint32(run.goal.Milliseconds()),
+		Outcome: uint32(outcome),
+	})
+}
+
+// Tick does what time demands.
+func (c *Core) Tick(now time.Duration) {
+	c.members.Tick(now)
+	c.introduce(now)
+	if now >= c.expireAt {
+		c.expireAt = now + _expireInterval
+		c.placer.Tick(now)
+	}
+}
+
+// Expire decides here what the owner did not answer in time.
+func (c *Core) Expire(now time.Duration) {
+	for id, q := range c.questions {
+		if now < q.until {
+			continue
+		}
+		delete(c.questions, id)
+		c.stats.Missed++
+		d := c.distrusted[q.owner]
+		d.misses++
+		d.until = now + _missPause
+		c.distrusted[q.owner] = d
+		c.decide(now, q.request)
+	}
+}
+
+// NextExpiry returns when Expire has to be called next.
+func (c *Core) NextExpiry() (at time.Duration, ok bool) {
+	for _, q := range c.questions {
+		if !ok || q.until < at {
+			at, ok = q.until, true
+		}
+	}
+	return at, ok
+}
+
+// SetSeeds takes other addresses to begin with.
+func (c *Core) SetSeeds(seeds []string) {
+	c.config.Seeds = seeds
+}
--- /dev/null
+++ b/internal/qlplace/qlplace.go
@@ -0,0 +1,472 @@
+// Package qlplace decides which engine serves a request, and whether one does.
+//
+// It answers the heaviest load: more prompts than the engines can read within
+// the latency objective. A request goes where its first event is predicted
+// soonest, counting the price of reading shared parts again. It is admitted
+// when the prediction is well within its objective; how well follows from how
+// many admitted requests met theirs. Who has had more than its fair share
+// needs a better prediction than the others. Everything else is refused at
+// once, with the time after which there should be room.
+//
+// # Usage
+//
+//	placer := qlplace.New(qlplace.Config{Random: random})
+//	placer.SetEngines(now, engines)
+//	verdict := placer.Ask(now, request)
+//	placer.First(now, key)
+//	placer.End(now, key, outcome)
+package qlplace
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/quetzallane/quetzallane/internal/qlengine"
+	"github.com/quetzallane/quetzallane/internal/qlring"
+	"github.com/quetzallane/quetzallane/internal/qlshare"
+)
+
+const (
+	// _rereadPrice is how much a token that is read again weighs against one
+	// that delays the request.
+	_rereadPrice = 3
+	// _startBound is the part of the objective that a prediction may take.
+	_startBound = 0.6
+	_minBound   = 0.35
+	_maxBound   = 0.9
+	// _boundRise and _boundFall are the steps after a first event in time and
+	// after a late one. Their ratio sets the share of late ones, about one in
+	// fifteen.
+	_boundRise = 0.001
+	_boundFall = 0.015
+	// _overFactor and _shortFactor scale the bound for customers above and
+	// below their fair share.
+	_overFactor  = 0.6
+	_shortFactor = 1.3
+	// _faultPrice is what a rate of failures of 1 weighs against the
+	// objective.
+	_faultPrice = 3.0
+	// _crossPrice is what a zone's border weighs: its transfer is priced, and
+	// it adds a round trip.
+	_crossPrice = 8 * time.Millisecond
+	// _minRetry and _retrySpread bound when callers are told to return.
+	_minRetry    = 250 * time.Millisecond
+	_retrySpread = 500 * time.Millisecond
+	// _runAge is when a run whose end was never told is forgotten.
+	_runAge = 30 * time.Second
+	// _shareSpan is the window of fair shares.
+	_shareSpan = 4 * time.Second
+	// _outputWeight is the cost of a generated token against a read one.
+	_outputWeight = 2
+)
+
+// EngineInfo is one engine as the list of upstreams has it.
+type EngineInfo struct {
+	ID      string
+	Service string
+	Zone    string
+	// Born tells starts of one engine apart.
+	Born   int64
+	Config qlengine.Config
+}
+
+// Request asks for an engine.
+type Request struct {
+	Key      qlengine.Key
+	Service  string
+	Customer string
+	// Zone is that of the router that will send the request.
+	Zone   string
+	Prompt qlengine.Prompt
+	// Goal is the objective for the first event, as far as it is left.
+	Goal time.Duration
+	// Excluded engines were tried already.
+	Excluded []string
+	// Again is set when the request was admitted before and its engine
+	// failed: it is placed if at all possible.
+	Again bool
+}
+
+// Reason says why a request was refused.
+type Reason int
+
+// The reasons.
+const (
+	Admitted Reason = iota
+	// NoEngine: no engine of the service is known.
+	NoEngine
+	// Late: the first event would come too late.
+	Late
+	// OverShare: it would come too late for one above its fair share.
+	OverShare
+	// Full: no engine has a slot and memory.
+	Full
+)
+
+// String returns the reason's name for logs.
+func (r Reason) String() string {
+	switch r {
+	case Admitted:
+		return "admitted"
+	case NoEngine:
+		return "no-engine"
+	case Late:
+		return "late"
+	case OverShare:
+		return "over-share"
+	case Full:
+		return "full"
+	}
+	return "invalid"
+}
+
+// Verdict is the decision.
+type Verdict struct {
+	// Engine is empty when the request is refused.
+	Engine string
+	Reason Reason
+	// Predicted is the time to the first event at the best engine.
+	Predicted time.Duration
+	// RetryAfter is when a refused request may find room.
+	RetryAfter time.Duration
+	// Missing is how many shared tokens will be read again.
+	Missing int
+	// Decider is the router that decided.
+	Decider string
+}
+
+type engine struct {
+	info  EngineInfo
+	hash  qlring.Node
+	model *qlengine.Engine
+}
+
+type pool struct {
+	engines []*engine
+	bound   float64
+	late    uint64
+	inTime  uint64
+}
+
+type placed struct {
+	engine *engine
+	goal   time.Duration
+}
+
+// Config configures a Placer.
+type Config struct {
+	Random *rand.Rand
+}
+
+// Placer decides for the engines it knows. It is not safe for several
+// goroutines.
+type Placer struct {
+	config  Config
+	pools   map[string]*pool
+	engines map[string]*engine
+	runs    map[qlengine.Key]placed
+	shares  *qlshare.Window
+	// others scales the load that is known up to what all routers place,
+	// while this one hears only of its own.
+	others float64
+}
+
+// New returns a placer without engines.
+func New(config Config) *Placer {
+	return &Placer{
+		config:  config,
+		pools:   make(map[string]*pool),
+		engines: make(map[string]*engine),
+		runs:    make(map[qlengine.Key]placed),
+		shares: qlshare.New(qlshare.Config{
+			Span: _shareSpan,
+		}),
+		others: 1,
+	}
+}
+
+// SetCapacity sets what all engines produce together, in tokens a second.
+func (p *Placer) SetCapacity(tokens float64) {
+	p.shares.SetCapacity(tokens)
+}
+
+// SetOthers says by how much the load is larger than what is told here.
+func (p *Placer) SetOthers(factor float64) {
+	p.others = max(factor, 1)
+}
+
+// SetEngines takes the engines that may get new requests. What is known of
+// the others' runs is dropped.
+func (p *Placer) SetEngines(infos []EngineInfo) {
+	for _, pool := range p.pools {
+		pool.engines = pool.engines[:0]
+	}
+	known := make(map[string]*engine, len(infos))
+	for _, info := range infos {
+		e := p.engines[info.ID]
+		if e == nil || e.info.Born != info.Born || e.info.Config != info.Config {
+			e = &engine{
+				hash:  qlring.NewNode(info.ID, info.Zone),
+				model: qlengine.New(info.Config),
+			}
+		}
+		e.info = info
+		known[info.ID] = e
+		pool := p.pool(info.Service)
+		pool.engines = append(pool.engines, e)
+	}
+	p.engines = known
+}
+
+func (p *Placer) pool(service string) *pool {
+	found := p.pools[service]
+	if found == nil {
+		found = &pool{
+			bound: _startBound,
+		}
+		p.pools[service] = found
+	}
+	return found
+}
+
+// Ask decides on a request and, if it is admitted, counts it as placed.
+func (p *Placer) Ask(now time.Duration, request *Request) Verdict {
+	cost := costOf(&request.Prompt)
+	p.shares.Asked(now, request.Customer, cost)
+	pool := p.pool(request.Service)
+	best, forecast := p.best(now, pool, request)
+	if best == nil {
+		return p.refuse(NoEngine, 0)
+	}
+	verdict := p.judge(now, pool, request, forecast)
+	if verdict.Reason != Admitted {
+		return verdict
+	}
+	p.shares.Granted(now, request.Customer, cost)
+	best.model.Place(now, request.Key, &request.Prompt)
+	p.runs[request.Key] = placed{
+		engine: best,
+		goal:   request.Goal,
+	}
+	verdict.Engine = best.info.ID
+	verdict.Missing = forecast.Missing
+	return verdict
+}
+
+func costOf(prompt *qlengine.Prompt) float64 {
+	return float64(prompt.Own() + _outputWeight*prompt.Output)
+}
+
+// best returns the engine that harms least, one that fits before others.
+func (p *Placer) best(now time.Duration, pool *pool, request *Request) (*engine, qlengine.Forecast) {
+	var chosen *engine
+	var chosenForecast qlengine.Forecast
+	var chosenScore time.Duration
+	affinity, _ := request.Prompt.Affinity()
+	for _, e := range pool.engines {
+		if excluded(request.Excluded, e.info.ID) {
+			continue
+		}
+		forecast := e.model.Forecast(now, &request.Prompt)
+		p.scale(&forecast)
+		score := p.score(now, e, &forecast, request)
+		better := chosen == nil || forecast.Fits && !chosenForecast.Fits
+		if !better && forecast.Fits == chosenForecast.Fits {
+			better = score < chosenScore || score == chosenScore && e.hash.Beats(affinity, chosen.hash)
+		}
+		if better {
+			chosen, chosenForecast, chosenScore = e, forecast, score
+		}
+	}
+	return chosen, chosenForecast
+}
+
+func excluded(ids []string, id string) bool {
+	for _, other := range ids {
+		if other == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Placer) scale(forecast *qlengine.Forecast) {
+	extra := time.Duration(float64(forecast.Wait) * (p.others - 1))
+	forecast.Wait += extra
+	forecast.First += extra
+}
+
+func (p *Placer) score(now time.Duration, e *engine, forecast *qlengine.Forecast, request *Request) time.Duration {
+	score := forecast.First + _rereadPrice*qlengine.ReadTime(forecast.Missing)
+	score += time.Duration(_faultPrice * e.model.Faults(now) * float64(request.Goal))
+	if e.info.Zone != request.Zone {
+		score += _crossPrice
+	}
+	return score
+}
+
+func (p *Placer) judge(now time.Duration, pool *pool, request *Request, forecast qlengine.Forecast) Verdict {
+	verdict := Verdict{
+		Predicted: forecast.First,
+	}
+	if request.Again {
+		return verdict
+	}
+	if !forecast.Fits {
+		return p.refuse(Full, forecast.First)
+	}
+	factor, reason := 1.0, Late
+	switch p.shares.Standing(now, request.Customer) {
+	case qlshare.Over:
+		factor, reason = _overFactor, OverShare
+	case qlshare.Short:
+		factor = _shortFactor
+	case qlshare.Fair:
+	}
+	allowed := time.Duration(float64(request.Goal) * min(pool.bound*factor, 1))
+	if forecast.First > allowed {
+		refusal := p.refuse(reason, forecast.First)
+		refusal.RetryAfter += forecast.First - allowed
+		return refusal
+	}
+	return verdict
+}
+
+func (p *Placer) refuse(reason Reason, predicted time.Duration) Verdict {
+	spread := time.Duration(p.config.Random.Int64N(int64(_retrySpread)))
+	return Verdict{
+		Reason:     reason,
+		Predicted:  predicted,
+		RetryAfter: _minRetry + spread,
+	}
+}
+
+// Place counts a request that another router placed on the engine.
+func (p *Placer) Place(now time.Duration, request *Request, id string) {
+	e := p.engines[id]
+	if e == nil {
+		return
+	}
+	e.model.Place(now, request.Key, &request.Prompt)
+	p.runs[request.Key] = placed{
+		engine: e,
+		goal:   request.Goal,
+	}
+}
+
+// Adopt takes a run that another router placed on an engine.
+func (p *Placer) Adopt(now time.Duration, key qlengine.Key, id string, unread, memory int, goal time.Duration) {
+	e := p.engines[id]
+	if e == nil {
+		return
+	}
+	if _, known := p.runs[key]; known {
+		return
+	}
+	e.model.Adopt(now, key, unread, memory)
+	p.runs[key] = placed{
+		engine: e,
+		goal:   goal,
+	}
+}
+
+// First takes a run's first event.
+func (p *Placer) First(now time.Duration, key qlengine.Key) {
+	run, ok := p.runs[key]
+	if !ok {
+		return
+	}
+	took, ok := run.engine.model.First(now, key)
+	if !ok || run.goal == 0 {
+		return
+	}
+	pool := p.pool(run.engine.info.Service)
+	if took > run.goal {
+		pool.late++
+		pool.bound = max(pool.bound-_boundFall, _minBound)
+		return
+	}
+	pool.inTime++
+	pool.bound = min(pool.bound+_boundRise, _maxBound)
+}
+
+// End takes a run's end.
+func (p *Placer) End(now time.Duration, key qlengine.Key, outcome qlengine.Outcome) {
+	run, ok := p.runs[key]
+	if !ok {
+		return
+	}
+	delete(p.runs, key)
+	run.engine.model.End(now, key, outcome)
+}
+
+// Drop forgets the runs of a router that is gone.
+func (p *Placer) Drop(now time.Duration, router string) {
+	for key, run := range p.runs {
+		if key.Router == router {
+			delete(p.runs, key)
+			run.engine.model.End(now, key, qlengine.Abandoned)
+		}
+	}
+}
+
+// Tick forgets runs whose ends were lost.
+func (p *Placer) Tick(now time.Duration) {
+	for _, e := range p.engines {
+		e.model.Expire(now, _runAge)
+	}
+	for key, run := range p.runs {
+		if !run.engine.model.Has(key) {
+			delete(p.runs, key)
+		}
+	}
+}
+
+// Has reports whether the engine is known and may get requests.
+func (p *Placer) Has(id string) bool {
+	return p.engines[id] != nil
+}
+
+// PoolState is one service's engines, for dumps.
+type PoolState struct {
+	Service string        `json:"service"`
+	Bound   float64       `json:"bound"`
+	InTime  uint64        `json:"in-time"`
+	Late    uint64        `json:"late"`
+	Engines []EngineState `json:"engines"`
+}
+
+// EngineState is one engine, for dumps.
+type EngineState struct {
+	ID       string  `json:"id"`
+	Running  int     `json:"running"`
+	Waiting  int     `json:"waiting"`
+	Unread   int     `json:"unread-tokens"`
+	Slowness float64 `json:"slowness"`
+	Faults   float64 `json:"faults"`
+}
+
+// State returns what is believed of the engines.
+func (p *Placer) State(now time.Duration) []PoolState {
+	var states []PoolState
+	for service, pool := range p.pools {
+		state := PoolState{
+			Service: service,
+			Bound:   pool.bound,
+			InTime:  pool.inTime,
+			Late:    pool.late,
+		}
+		for _, e := range pool.engines {
+			state.Engines = append(state.Engines, EngineState{
+				ID:       e.info.ID,
+				Running:  e.model.Running(),
+				Waiting:  e.model.Waiting(),
+				Unread:   e.model.Unread(),
+				Slowness: e.model.Slowness(now),
+				Faults:   e.model.Faults(now),
+			})
+		}
+		states = append(states, state)
+	}
+	return states
+}
--- a/internal/qlring/qlring.go
+++ b/internal/qlring/qlring.go
@@ -165,3 +165,8 @@
 	x ^= x >> 31
 	return x
 }
+
+// Beats reports whether the node comes before the other in the key's order.
+func (n Node) Beats(key uint64, other Node) bool {
+	return Score(key, n.hash) > Score(key, other.hash)
+}
--- /dev/null
+++ b/internal/qlsetting/edge.go
@@ -0,0 +1,135 @@
+package qlsetting
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"reflect"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/quetzallane/quetzallane/pkg/qljson"
+	"go.uber.org/zap/zapcore"
+)
+
+// Edge holds the settings of a router in front of a platform's upstreams.
+type Edge struct {
+	// ID is this VM's name, and Zone where it stands.
+	ID   string `json:"id"`
+	Zone string `json:"zone"`
+	// CallerAddress is where callers connect, ReadyAddress where the
+	// balancer asks, OperationsAddress serves metrics and dumps.
+	CallerAddress     string `json:"caller-address"`
+	ReadyAddress      string `json:"ready-address"`
+	OperationsAddress string `json:"operations-address"`
+	// PeerAddress is where other routers reach this one, by TCP and UDP.
+	PeerAddress string `json:"peer-address"`
+	// Seeds are addresses of some routers' VMs; the port is not used.
+	Seeds []string `json:"seeds"`
+	// Store is the address of the platform's store.
+	Store string `json:"store"`
+	// Memory is what the process may use, in MB.
+	Memory int `json:"memory-mb"`
+	// Processors is how many the VM has.
+	Processors int `json:"processors"`
+	// StopDeadline bounds a planned stop.
+	StopDeadline qljson.Duration `json:"stop-deadline"`
+	// BalancerNotice is how long a stopping router takes connections after it
+	// reports not ready.
+	BalancerNotice qljson.Duration `json:"balancer-notice"`
+	// RetryRatio, RetryWindow and RetryAllowance bound repeated sends of all
+	// routers to one service.
+	RetryRatio     float64         `json:"retry-ratio"`
+	RetryWindow    qljson.Duration `json:"retry-window"`
+	RetryAllowance float64         `json:"retry-allowance"`
+	// Placement is owner, or local for routers that decide each by itself.
+	Placement string `json:"placement"`
+	// LogLevel is debug, info, warn or error.
+	LogLevel string `json:"log-level"`
+}
+
+// The ways of placement.
+const (
+	PlacementOwner = "owner"
+	PlacementLocal = "local"
+)
+
+// LoadEdge reads and checks the settings of a router in front of a platform's
+// upstreams.
+func LoadEdge(path string) (*Edge, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Annotate(err, "settings")
+	}
+	return ParseEdge(path, data)
+}
+
+// ParseEdge checks settings whose text was read from a source.
+func ParseEdge(source string, data []byte) (*Edge, error) {
+	settings := &Edge{}
+	if err := qljson.Decode(source, data, settings); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if err := checkGiven(source, data, reflect.TypeFor[Edge]()); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if name, reason := settings.fault(); name != "" {
+		position := qljson.Position(source, data, qljson.FindName(data, name))
+		return nil, errors.NewNotValid(nil, fmt.Sprintf("%s: %q: %s", position, name, reason))
+	}
+	return settings, nil
+}
+
+func (s *Edge) fault() (name, reason string) {
+	for _, text := range []struct {
+		name  string
+		value string
+	}{
+		{name: "id", value: s.ID},
+		{name: "zone", value: s.Zone},
+	} {
+		if text.value == "" {
+			return text.name, "is empty"
+		}
+	}
+	for _, address := range []struct {
+		name  string
+		value string
+	}{
+		{name: "caller-address", value: s.CallerAddress},
+		{name: "ready-address", value: s.ReadyAddress},
+		{name: "operations-address", value: s.OperationsAddress},
+		{name: "peer-address", value: s.PeerAddress},
+		{name: "store", value: s.Store},
+	} {
+		if _, _, err := net.SplitHostPort(address.value); err != nil {
+			return address.name, "write it as host:port"
+		}
+	}
+	return s.numberFault()
+}
+
+func (s *Edge) numberFault() (name, reason string) {
+	switch {
+	case s.Memory < 1:
+		return "memory-mb", "write 1 or more"
+	case s.Processors < 1:
+		return "processors", "write 1 or more"
+	case s.StopDeadline.Std() < time.Second:
+		return "stop-deadline", "write at least 1s"
+	case s.BalancerNotice < 0 || s.BalancerNotice >= s.StopDeadline:
+		return "balancer-notice", "write 0s or more, and less than stop-deadline"
+	case s.RetryRatio < 0:
+		return "retry-ratio", "write 0 or more"
+	case s.RetryWindow.Std() < time.Millisecond:
+		return "retry-window", "write at least 1ms"
+	case s.RetryAllowance < 0:
+		return "retry-allowance", "write 0 or more"
+	case s.Placement != PlacementOwner && s.Placement != PlacementLocal:
+		return "placement", "write owner or local"
+	}
+	if _, err := zapcore.ParseLevel(s.LogLevel); err != nil {
+		return "log-level", "write debug, info, warn or error"
+	}
+	return "", ""
+}
--- /dev/null
+++ b/internal/qlshare/qlshare.go
@@ -0,0 +1,171 @@
+// Package qlshare tells which customers have had more than their fair share.
+//
+// It answers the load of one customer that sends many times its usual: over a
+// sliding window each customer's share is the max-min division of what the
+// engines produce by what each customer asked for. What a customer asks beyond
+// it is admitted only where room is left.
+//
+// # Usage
+//
+//	window := qlshare.New(qlshare.Config{Span: 4 * time.Second})
+//	window.Asked(now, customer, cost)
+//	window.Granted(now, customer, cost)
+//	standing := window.Standing(now, customer)
+package qlshare
+
+import (
+	"sort"
+	"time"
+)
+
+const (
+	_buckets = 16
+	// _overSlack is how far above the level counts as over it.
+	_overSlack = 1.02
+	// _underShare is the part of the level below which a customer is short.
+	_underShare = 0.8
+)
+
+// Standing is a customer's place against its fair share.
+type Standing int
+
+// The standings.
+const (
+	Short Standing = iota + 1
+	Fair
+	Over
+)
+
+// Config configures a Window.
+type Config struct {
+	// Span is the length of the window.
+	Span time.Duration
+	// Capacity is the cost that can be granted in a second; 0 when unknown.
+	Capacity float64
+}
+
+type usage struct {
+	asked   [_buckets]float64
+	granted [_buckets]float64
+}
+
+// Window is the sliding window. It is not safe for several goroutines.
+type Window struct {
+	config    Config
+	customers map[string]*usage
+	current   int64
+	level     float64
+	levelAt   int64
+}
+
+// New returns an empty window.
+func New(config Config) *Window {
+	return &Window{
+		config:    config,
+		customers: make(map[string]*usage),
+		levelAt:   -1,
+	}
+}
+
+// SetCapacity sets the cost that can be granted in a second.
+func (w *Window) SetCapacity(capacity float64) {
+	w.config.Capacity = capacity
+}
+
+func (w *Window) advance(now time.Duration) int {
+	width := max(w.config.Span/_buckets, time.Millisecond)
+	index := int64(now / width)
+	for step := max(w.current+1, index-_buckets+1); step <= index; step++ {
+		for name, u := range w.customers {
+			u.asked[step%_buckets] = 0
+			u.granted[step%_buckets] = 0
+			if sum(&u.asked) == 0 && sum(&u.granted) == 0 {
+				delete(w.customers, name)
+			}
+		}
+	}
+	w.current = max(w.current, index)
+	return int(w.current % _buckets)
+}
+
+func sum(values *[_buckets]float64) float64 {
+	total := 0.0
+	for _, value := range values {
+		total += value
+	}
+	return total
+}
+
+func (w *Window) of(customer string) *usage {
+	u := w.customers[customer]
+	if u == nil {
+		u = &usage{}
+		w.customers[customer] = u
+	}
+	return u
+}
+
+// Asked counts the cost of a request that came.
+func (w *Window) Asked(now time.Duration, customer string, cost float64) {
+	bucket := w.advance(now)
+	w.of(customer).asked[bucket] += cost
+}
+
+// Granted counts the cost of a request that was admitted.
+func (w *Window) Granted(now time.Duration, customer string, cost float64) {
+	bucket := w.advance(now)
+	w.of(customer).granted[bucket] += cost
+}
+
+// Standing returns the customer's place against the level.
+func (w *Window) Standing(now time.Duration, customer string) Standing {
+	w.advance(now)
+	if w.levelAt != w.current {
+		w.level = w.computeLevel()
+		w.levelAt = w.current
+	}
+	u := w.customers[customer]
+	if u == nil {
+		return Short
+	}
+	granted := sum(&u.granted)
+	switch {
+	case granted > w.level*_overSlack:
+		return Over
+	case granted < _underShare*min(w.level, sum(&u.asked)):
+		return Short
+	}
+	return Fair
+}
+
+// Level returns the most that a customer is due in the window.
+func (w *Window) Level() float64 {
+	return w.level
+}
+
+// computeLevel divides what can be granted by max-min fairness: who asks for
+// less than the level gets all of it, the others get the level.
+func (w *Window) computeLevel() float64 {
+	asked := make([]float64, 0, len(w.customers))
+	granted := 0.0
+	for _, u := range w.customers {
+		asked = append(asked, sum(&u.asked))
+		granted += sum(&u.granted)
+	}
+	capacity := w.config.Capacity * w.config.Span.Seconds()
+	if capacity == 0 {
+		capacity = granted
+	}
+	sort.Float64s(asked)
+	for i, demand := range asked {
+		level := capacity / float64(len(asked)-i)
+		if demand >= level {
+			return level
+		}
+		capacity -= demand
+	}
+	if len(asked) == 0 {
+		return 0
+	}
+	return asked[len(asked)-1]
+}
