--- a/internal/qlconn/qlconn.go
+++ b/internal/qlconn/qlconn.go
@@ -330,10 +330,9 @@
 	asked := &http.Request{
 		Method: request.Method,
 	}
-	if request.HeadTimeout > 0 {
-		e.BoundRead(request.HeadTimeout)
-		defer e.BoundRead(0)
-	}
+	// A kept connection may still have the bound of its last exchange.
+	e.BoundRead(request.HeadTimeout)
+	defer e.BoundRead(0)
 	for skipped := 0; skipped <= _maxSkipped; {
 		response, err := http.ReadResponse(e.conn.reader, asked)
 		if err != nil {
