Engines' load in predictions; stops take nothing late; heads of broken answers

(3) half of the admitted streams were late: predictions left out that steps of generation wait for prompts that are read meanwhile. Ruled out: a bound that was too lax alone (it stood at its floor). Change: after the balancer's notice requests are refused and idle connections closed; heads are copied when the first event is written; the time to the first event grows with the engine's load; long prompts are judged by their wait; fair shares divide what was granted, whole prompts counted.

--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -47,8 +47,8 @@
 	_firstView = 400 * time.Millisecond
 	// _stopMargin is how much earlier than the platform's SIGKILL a stop ends.
 	_stopMargin = 600 * time.Millisecond
-	// _stopPoll is how often a stop looks for the last request's end.
-	_stopPoll = 50 * time.Millisecond
+	// _viewPoll is how often the first configuration is looked for.
+	_viewPoll = 10 * time.Millisecond
 	// _memoryPart is the part of the VM's memory that the runtime may use
 	// before it collects harder; _bodyPart is what requests may hold.
 	_memoryPart = 0.7
@@ -89,6 +89,8 @@
 	catalog  *qlcatalog.Catalog
 	fetching bool
 	pruneAt  time.Duration
+	// decided is how many decisions for others were logged.
+	decided uint64
 
 	randomMu sync.Mutex
 	random   *rand.Rand
@@ -188,6 +190,7 @@
 	if now >= e.pruneAt {
 		e.pruneAt = now + _pruneInterval
 		e.forwarder.Prune()
+		e.logPlacement(now)
 	}
 }
 
@@ -219,7 +222,7 @@
 		}
 	}()
 	<-ctx.Done()
-	err = e.stop(server, callers)
+	err = e.stop(server)
 	cancel()
 	<-ended
 	return errors.Trace(err)
@@ -228,8 +231,8 @@
 // callerServer returns the server for callers, with the limits of the first
 // configuration if it comes soon.
 func (e *Edge) callerServer(ctx context.Context) *http.Server {
-	for waited := time.Duration(0); waited < _firstView && !e.known.Load(); waited += _stopPoll / 5 {
-		sleep(ctx, _stopPoll/5)
+	for waited := time.Duration(0); waited < _firstView && !e.known.Load(); waited += _viewPoll {
+		sleep(ctx, _viewPoll)
 	}
 	server := &http.Server{
 		Handler:           e.forwarder,
@@ -255,7 +258,7 @@
 
 // stop ends what runs: the balancer is told first and connections are taken
 // until it has noticed; then the last requests are waited for.
-func (e *Edge) stop(server *http.Server, callers net.Listener) error {
+func (e *Edge) stop(server *http.Server) error {
 	began := time.Now()
 	e.stopping.Store(true)
 	e.forwarder.SetClosing()
@@ -263,10 +266,7 @@
 	e.log.Info("stopping", zap.Int64("active", e.forwarder.Active()))
 	deadline := began.Add(e.settings.StopDeadline.Std() - _stopMargin)
 	time.Sleep(e.settings.BalancerNotice.Std())
-	_ = callers.Close()
-	for e.forwarder.Active() > 0 && time.Now().Before(deadline) {
-		time.Sleep(_stopPoll)
-	}
+	e.forwarder.SetRefusing()
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	err := server.Shutdown(ctx)
@@ -287,3 +287,30 @@
 	e.log.Info("settings-reloaded", zap.Strings("seeds", settings.Seeds))
 	e.fleet.Post(func(time.Duration) { e.fleet.Core().SetSeeds(peerAddresses(settings)) })
 }
+
+// logPlacement writes a line for each service of engines that this router
+// decides about.
+func (e *Edge) logPlacement(now time.Duration) {
+	stats := e.fleet.Core().Stats()
+	if stats.ForOthers == e.decided {
+		return
+	}
+	e.decided = stats.ForOthers
+	for _, pool := range e.fleet.Core().Placer().State(now) {
+		running, waiting, unread, slowness := 0, 0, 0, 0.0
+		for _, engine := range pool.Engines {
+			running += engine.Running
+			waiting += engine.Waiting
+			unread += engine.Unread
+			slowness += engine.Slowness / float64(len(pool.Engines))
+		}
+		if len(pool.Engines) == 0 {
+			continue
+		}
+		e.log.Info("placement-state", zap.String("service", pool.Service), zap.Int("engines", len(pool.Engines)),
+			zap.Int("running", running), zap.Int("waiting", waiting), zap.Int("unread", unread),
+			zap.Float64("slowness", slowness), zap.Float64("bound", pool.Bound),
+			zap.Uint64("in-time", pool.InTime), zap.Uint64("late", pool.Late),
+			zap.Uint64("decided-for-others", stats.ForOthers), zap.Int("routers", e.fleet.Core().Live()))
+	}
+}
--- a/internal/qlengine/qlengine.go
+++ b/internal/qlengine/qlengine.go
@@ -17,6 +17,7 @@
 package qlengine
 
 import (
+	"math"
 	"time"
 )
 
@@ -33,6 +34,11 @@
 	// running request adds.
 	_stepTime   = 4 * time.Millisecond
 	_stepPerRun = 100 * time.Microsecond
+	// _chunk is how many prompt tokens an engine reads in one step, between the
+	// steps of what it generates.
+	_chunk = 4096
+	// _loadMemory is the span over which an engine's load is averaged.
+	_loadMemory = 500 * time.Millisecond
 	// _overdueSlack is how much later than predicted a first event may come
 	// before the engine is taken for slow: events are told late.
 	_overdueSlack = 200 * time.Millisecond
@@ -131,6 +137,9 @@
 	// finishAt is when all that was placed will have been read.
 	finishAt time.Duration
 	cache    cache
+	// load is the part of its time that the engine reads prompts.
+	load     float64
+	loadAt   time.Duration
 	ratio    float64
 	ratioAt  time.Duration
 	faults   float64
@@ -151,7 +160,9 @@
 type Forecast struct {
 	// Wait is the time until the engine begins to read the prompt.
 	Wait time.Duration
-	// First is the time to the first event.
+	// Read is the time that it reads the prompt, and First that to the first
+	// event.
+	Read  time.Duration
 	First time.Duration
 	// Missing is how many tokens of shared parts have to be read again.
 	Missing int
@@ -165,9 +176,10 @@
 	ratio := e.slowness(now)
 	wait := max(e.finishAt-now, 0) + e.overdue(now)
 	read := readTime(prompt.Own() + missing)
-	first := wait + read + e.decode()
+	first := wait + read + e.decode(now)
 	return Forecast{
 		Wait:    time.Duration(float64(wait) * ratio),
+		Read:    time.Duration(float64(read) * ratio),
 		First:   time.Duration(float64(first) * ratio),
 		Missing: missing,
 		Fits:    len(e.runs) < e.config.Slots && e.room(prompt, missing),
@@ -183,12 +195,25 @@
 	return time.Duration(float64(tokens) / _startRate * float64(time.Second))
 }
 
-// decode is the time from a prompt's end to its first event.
-func (e *Engine) decode() time.Duration {
+// decode is the time from a prompt's end to its first event: each of its
+// tokens takes a step, in which others' prompts are read, too.
+func (e *Engine) decode(now time.Duration) time.Duration {
 	step := _stepTime + time.Duration(len(e.runs))*_stepPerRun
+	step += time.Duration(min(e.loadNow(now), 1) * float64(readTime(_chunk)))
 	return _startLatency + time.Duration(e.config.TokensPerEvent)*step
 }
 
+// loadNow is the load as it has faded since the last placing.
+func (e *Engine) loadNow(now time.Duration) float64 {
+	return e.load * math.Exp(-float64(now-e.loadAt)/float64(_loadMemory))
+}
+
+// addLoad counts tokens that were placed.
+func (e *Engine) addLoad(now time.Duration, tokens int) {
+	e.load = e.loadNow(now) + float64(readTime(tokens))/float64(_loadMemory)
+	e.loadAt = now
+}
+
 func (e *Engine) room(prompt *Prompt, missing int) bool {
 	if e.config.Memory == 0 {
 		return true
@@ -221,6 +246,7 @@
 	forecast := e.Forecast(now, prompt)
 	unread := prompt.Own() + forecast.Missing
 	e.finishAt = max(e.finishAt, now) + readTime(unread)
+	e.addLoad(now, unread)
 	e.add(key, &run{
 		placedAt:  now,
 		predicted: forecast.First,
@@ -238,7 +264,7 @@
 	e.finishAt = max(e.finishAt, now) + readTime(unread)
 	e.add(key, &run{
 		placedAt:  now,
-		predicted: e.finishAt - now + e.decode(),
+		predicted: e.finishAt - now + e.decode(now),
 		unread:    unread,
 		memory:    memory,
 		first:     unread == 0,
--- a/internal/qlforward/engine.go
+++ b/internal/qlforward/engine.go
@@ -233,10 +233,7 @@
 func (f *Forwarder) passStream(x *exchange, e *qlconn.Exchange, run uint64) (attemptResult, error) {
 	controller := http.NewResponseController(x.w)
 	if !x.began {
-		copyHeader(x.w.Header(), e.Response().Header)
-		if f.closing.Load() {
-			x.w.Header().Set("Connection", "close")
-		}
+		x.head = e.Response().Header
 		if err := controller.SetWriteDeadline(x.deadline.Add(_writeSlack)); err != nil {
 			return attemptBroken, errors.Trace(err)
 		}
@@ -263,7 +260,7 @@
 			}
 		}
 		if err == io.EOF {
-			f.endStream(x, &splitter)
+			f.endStream(x)
 			return attemptDone, nil
 		}
 		if err != nil {
@@ -292,10 +289,7 @@
 	if len(events) == 0 {
 		return nil
 	}
-	if !x.began {
-		x.began = true
-		x.w.WriteHeader(http.StatusOK)
-	}
+	f.begin(x)
 	if _, err := x.w.Write(events); err != nil {
 		return errors.Annotate(err, "caller")
 	}
@@ -314,9 +308,18 @@
 }
 
 // endStream ends a whole stream.
-func (f *Forwarder) endStream(x *exchange, _ *qlevent.Splitter) {
-	if !x.began {
-		x.w.WriteHeader(http.StatusOK)
-	}
+func (f *Forwarder) endStream(x *exchange) {
+	f.begin(x)
 	f.ended(x, qlcode.Answered, http.StatusOK)
 }
+
+// begin writes a stream's head. An engine that breaks off before its first
+// event leaves no trace in the answer that the caller gets instead.
+func (f *Forwarder) begin(x *exchange) {
+	if x.began {
+		return
+	}
+	x.began = true
+	f.copyHeader(x, x.head)
+	x.w.WriteHeader(http.StatusOK)
+}
--- a/internal/qlforward/header.go
+++ b/internal/qlforward/header.go
@@ -34,7 +34,8 @@
 }
 
 // copyHeader passes an answer's headers on.
-func copyHeader(to, from http.Header) {
+func (f *Forwarder) copyHeader(x *exchange, from http.Header) {
+	to := x.w.Header()
 	for name, values := range from {
 		if !hopByHop(name) {
 			to[name] = values
@@ -47,4 +48,7 @@
 	if _, ok := from["Content-Type"]; !ok {
 		to["Content-Type"] = nil
 	}
+	if f.closing.Load() {
+		to.Set("Connection", "close")
+	}
 }
--- a/internal/qlforward/plain.go
+++ b/internal/qlforward/plain.go
@@ -208,12 +208,8 @@
 
 // passWhole passes an answer on as it is.
 func (f *Forwarder) passWhole(x *exchange, got *reply) {
+	f.copyHeader(x, got.response.Header)
 	header := x.w.Header()
-	closing := header.Get("Connection")
-	copyHeader(header, got.response.Header)
-	if closing != "" {
-		header.Set("Connection", closing)
-	}
 	if x.request.Method != http.MethodHead {
 		header.Set("Content-Length", strconv.Itoa(len(got.body)))
 	}
--- a/internal/qlforward/qlforward.go
+++ b/internal/qlforward/qlforward.go
@@ -78,14 +78,15 @@
 // Forwarder is the handler of callers' requests. It is safe for several
 // goroutines.
 type Forwarder struct {
-	config  Config
-	pool    *qlconn.Pool
-	view    atomic.Pointer[View]
-	closing atomic.Bool
-	next    atomic.Uint64
-	active  atomic.Int64
-	held    atomic.Int64
-	metrics *Metrics
+	config   Config
+	pool     *qlconn.Pool
+	view     atomic.Pointer[View]
+	closing  atomic.Bool
+	refusing atomic.Bool
+	next     atomic.Uint64
+	active   atomic.Int64
+	held     atomic.Int64
+	metrics  *Metrics
 
 	// mu guards what all requests decide by.
 	mu        sync.Mutex
@@ -126,6 +127,12 @@
 	f.closing.Store(true)
 }
 
+// SetRefusing makes the router refuse all further requests: it stops, and
+// could not finish them.
+func (f *Forwarder) SetRefusing() {
+	f.refusing.Store(true)
+}
+
 // Active returns how many requests are under way.
 func (f *Forwarder) Active() int64 {
 	return f.active.Load()
@@ -175,10 +182,12 @@
 	sentBefore bool
 	excluded   []string
 	upstream   string
-	began      bool
-	last       int64
-	hasLast    bool
-	cause      string
+	// head is the header of the first engine that answered.
+	head    http.Header
+	began   bool
+	last    int64
+	hasLast bool
+	cause   string
 }
 
 // ServeHTTP serves one request.
@@ -194,6 +203,10 @@
 		start:   time.Now(),
 		caller:  f.config.Dialect.ReadCaller(request.Header),
 	}
+	if f.refusing.Load() {
+		f.refuse(x, qlcode.Stopping, 0, "the router stops")
+		return
+	}
 	held := int64(_requestMemory) + max(request.ContentLength, 0)
 	defer f.held.Add(-held)
 	if f.held.Add(held) > f.config.BodyMemory {
--- a/internal/qlplace/qlplace.go
+++ b/internal/qlplace/qlplace.go
@@ -52,6 +52,8 @@
 	// _minRetry and _retrySpread bound when callers are told to return.
 	_minRetry    = 250 * time.Millisecond
 	_retrySpread = 500 * time.Millisecond
+	// _usualWeight is the weight of one prompt in the mean time of reading.
+	_usualWeight = 0.01
 	// _runAge is when a run whose end was never told is forgotten.
 	_runAge = 30 * time.Second
 	// _shareSpan is the window of fair shares.
@@ -144,8 +146,10 @@
 type pool struct {
 	engines []*engine
 	bound   float64
-	late    uint64
-	inTime  uint64
+	// usualRead is the mean time that prompts take to be read.
+	usualRead time.Duration
+	late      uint64
+	inTime    uint64
 }
 
 type placed struct {
@@ -254,7 +258,7 @@
 }
 
 func costOf(prompt *qlengine.Prompt) float64 {
-	return float64(prompt.Own() + _outputWeight*prompt.Output)
+	return float64(prompt.Tokens + _outputWeight*prompt.Output)
 }
 
 // best returns the engine that harms least, one that fits before others.
@@ -324,9 +328,13 @@
 	case qlshare.Fair:
 	}
 	allowed := time.Duration(float64(request.Goal) * min(pool.bound*factor, 1))
-	if forecast.First > allowed {
+	// A long prompt takes its own time; it is not refused for more of it than
+	// the usual one has, or the longest would hardly ever be served.
+	expected := forecast.First - max(forecast.Read-pool.usualRead, 0)
+	pool.usualRead += time.Duration(_usualWeight * float64(forecast.Read-pool.usualRead))
+	if expected > allowed {
 		refusal := p.refuse(reason, forecast.First)
-		refusal.RetryAfter += forecast.First - allowed
+		refusal.RetryAfter += expected - allowed
 		return refusal
 	}
 	return verdict
--- a/internal/qlshare/qlshare.go
+++ b/internal/qlshare/qlshare.go
@@ -152,9 +152,10 @@
 		asked = append(asked, sum(&u.asked))
 		granted += sum(&u.granted)
 	}
-	capacity := w.config.Capacity * w.config.Span.Seconds()
-	if capacity == 0 {
-		capacity = granted
+	// Engines may produce less than is stated: what was granted tells.
+	capacity := granted
+	if stated := w.config.Capacity * w.config.Span.Seconds(); stated > 0 {
+		capacity = min(capacity, stated)
 	}
 	sort.Float64s(asked)
 	for i, demand := range asked {
