Customers above their share come to one level; one objective bounds all kinds

Crew chat was refused most, its objective being the strictest while the others filled the engines up to theirs. Ruled out: routers that decide alone (the owner decided throughout). Change: the level divides the stated throughput; the bound of a customer falls with the root of what it had against its due; the strictest objective asked for lately bounds all kinds.

--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -296,6 +296,13 @@
 		return
 	}
 	e.decided = stats.ForOthers
+	shares := e.fleet.Core().Placer().Shares()
+	for _, customer := range shares.State() {
+		if customer.Asked > shares.Level() {
+			e.log.Info("share-state", zap.String("customer", customer.Customer), zap.Float64("asked", customer.Asked),
+				zap.Float64("granted", customer.Granted), zap.Float64("level", shares.Level()))
+		}
+	}
 	for _, pool := range e.fleet.Core().Placer().State(now) {
 		running, waiting, unread, slowness := 0, 0, 0, 0.0
 		for _, engine := range pool.Engines {
--- a/internal/qlforward/engine.go
+++ b/internal/qlforward/engine.go
@@ -106,7 +106,7 @@
 		Customer: x.customer,
 		Zone:     f.config.Zone,
 		Prompt:   *x.caller.Prompt,
-		Goal:     max(x.route.Goal()-time.Since(x.start), time.Millisecond),
+		Goal:     x.route.Goal(),
 		Excluded: x.excluded,
 		Again:    x.sent || x.began,
 	})
--- a/internal/qlplace/qlplace.go
+++ b/internal/qlplace/qlplace.go
@@ -18,6 +18,7 @@
 package qlplace
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -39,10 +40,13 @@
 	// fifteen.
 	_boundRise = 0.001
 	_boundFall = 0.015
-	// _overFactor and _shortFactor scale the bound for customers above and
-	// below their fair share.
-	_overFactor  = 0.6
+	// _overFactor and _shortFactor scale the bound for customers just above
+	// their fair share, and for those with less than _shortRatio of it. It
+	// falls to _leastFactor.
+	_overFactor  = 0.8
 	_shortFactor = 1.3
+	_shortRatio  = 0.8
+	_leastFactor = 0.2
 	// _faultPrice is what a rate of failures of 1 weighs against the
 	// objective.
 	_faultPrice = 3.0
@@ -52,6 +56,9 @@
 	// _minRetry and _retrySpread bound when callers are told to return.
 	_minRetry    = 250 * time.Millisecond
 	_retrySpread = 500 * time.Millisecond
+	// _goalMemory is over how many requests the strictest objective is
+	// forgotten.
+	_goalMemory = 1000
 	// _usualWeight is the weight of one prompt in the mean time of reading.
 	_usualWeight = 0.01
 	// _runAge is when a run whose end was never told is forgotten.
@@ -146,6 +153,8 @@
 type pool struct {
 	engines []*engine
 	bound   float64
+	// goal is the strictest objective that was asked for lately.
+	goal time.Duration
 	// usualRead is the mean time that prompts take to be read.
 	usualRead time.Duration
 	late      uint64
@@ -238,6 +247,7 @@
 	cost := costOf(&request.Prompt)
 	p.shares.Asked(now, request.Customer, cost)
 	pool := p.pool(request.Service)
+	pool.noteGoal(request.Goal)
 	best, forecast := p.best(now, pool, request)
 	if best == nil {
 		return p.refuse(NoEngine, 0)
@@ -285,6 +295,29 @@
 	return chosen, chosenForecast
 }
 
+// shareFactor scales the bound by what a customer was granted against its
+// share. The further above it, the less of the engines' queue it may use, so
+// that customers above it come to the same level.
+func shareFactor(ratio float64) float64 {
+	switch {
+	case ratio < _shortRatio:
+		return _shortFactor
+	case ratio <= 1:
+		return 1
+	}
+	return max(_overFactor/math.Sqrt(ratio), _leastFactor)
+}
+
+// noteGoal follows the strictest objective; it rises slowly when that is not
+// asked for any more.
+func (p *pool) noteGoal(goal time.Duration) {
+	if p.goal == 0 || goal < p.goal {
+		p.goal = goal
+		return
+	}
+	p.goal += (goal - p.goal) / _goalMemory
+}
+
 func excluded(ids []string, id string) bool {
 	for _, other := range ids {
 		if other == id {
@@ -319,15 +352,14 @@
 	if !forecast.Fits {
 		return p.refuse(Full, forecast.First)
 	}
-	factor, reason := 1.0, Late
-	switch p.shares.Standing(now, request.Customer) {
-	case qlshare.Over:
-		factor, reason = _overFactor, OverShare
-	case qlshare.Short:
-		factor = _shortFactor
-	case qlshare.Fair:
+	ratio := p.shares.Ratio(now, request.Customer)
+	factor, reason := shareFactor(ratio), Late
+	if ratio > 1 {
+		reason = OverShare
 	}
-	allowed := time.Duration(float64(request.Goal) * min(pool.bound*factor, 1))
+	// All kinds wait in the same engines: were each admitted by its own
+	// objective, those with longer ones would leave the others no room.
+	allowed := time.Duration(float64(min(pool.goal, request.Goal)) * min(pool.bound*factor, 1))
 	// A long prompt takes its own time; it is not refused for more of it than
 	// the usual one has, or the longest would hardly ever be served.
 	expected := forecast.First - max(forecast.Read-pool.usualRead, 0)
@@ -435,6 +467,11 @@
 	return p.engines[id] != nil
 }
 
+// Shares returns the fair shares' window.
+func (p *Placer) Shares() *qlshare.Window {
+	return p.shares
+}
+
 // PoolState is one service's engines, for dumps.
 type PoolState struct {
 	Service string        `json:"service"`
--- a/internal/qlshare/qlshare.go
+++ b/internal/qlshare/qlshare.go
@@ -10,7 +10,7 @@
 //	window := qlshare.New(qlshare.Config{Span: 4 * time.Second})
 //	window.Asked(now, customer, cost)
 //	window.Granted(now, customer, cost)
-//	standing := window.Standing(now, customer)
+//	ratio := window.Ratio(now, customer) // above 1: more than its share
 package qlshare
 
 import (
@@ -18,23 +18,7 @@
 	"time"
 )
 
-const (
-	_buckets = 16
-	// _overSlack is how far above the level counts as over it.
-	_overSlack = 1.02
-	// _underShare is the part of the level below which a customer is short.
-	_underShare = 0.8
-)
-
-// Standing is a customer's place against its fair share.
-type Standing int
-
-// The standings.
-const (
-	Short Standing = iota + 1
-	Fair
-	Over
-)
+const _buckets = 16
 
 // Config configures a Window.
 type Config struct {
@@ -117,8 +101,9 @@
 	w.of(customer).granted[bucket] += cost
 }
 
-// Standing returns the customer's place against the level.
-func (w *Window) Standing(now time.Duration, customer string) Standing {
+// Ratio returns what the customer was granted against what it is due in the
+// window: its request or the level, whichever is less.
+func (w *Window) Ratio(now time.Duration, customer string) float64 {
 	w.advance(now)
 	if w.levelAt != w.current {
 		w.level = w.computeLevel()
@@ -126,16 +111,13 @@
 	}
 	u := w.customers[customer]
 	if u == nil {
-		return Short
+		return 0
 	}
-	granted := sum(&u.granted)
-	switch {
-	case granted > w.level*_overSlack:
-		return Over
-	case granted < _underShare*min(w.level, sum(&u.asked)):
-		return Short
+	due := min(w.level, sum(&u.asked))
+	if due <= 0 {
+		return 0
 	}
-	return Fair
+	return sum(&u.granted) / due
 }
 
 // Level returns the most that a customer is due in the window.
@@ -152,10 +134,9 @@
 		asked = append(asked, sum(&u.asked))
 		granted += sum(&u.granted)
 	}
-	// Engines may produce less than is stated: what was granted tells.
-	capacity := granted
-	if stated := w.config.Capacity * w.config.Span.Seconds(); stated > 0 {
-		capacity = min(capacity, stated)
+	capacity := w.config.Capacity * w.config.Span.Seconds()
+	if capacity == 0 {
+		capacity = granted
 	}
 	sort.Float64s(asked)
 	for i, demand := range asked {
@@ -170,3 +151,24 @@
 	}
 	return asked[len(asked)-1]
 }
+
+// CustomerState is one customer's window, for dumps.
+type CustomerState struct {
+	Customer string  `json:"customer"`
+	Asked    float64 `json:"asked"`
+	Granted  float64 `json:"granted"`
+}
+
+// State returns the customers that asked lately, sorted by name.
+func (w *Window) State() []CustomerState {
+	states := make([]CustomerState, 0, len(w.customers))
+	for name, u := range w.customers {
+		states = append(states, CustomerState{
+			Customer: name,
+			Asked:    sum(&u.asked),
+			Granted:  sum(&u.granted),
+		})
+	}
+	sort.Slice(states, func(i, j int) bool { return states[i].Customer < states[j].Customer })
+	return states
+}
