--- /dev/null
+++ b/internal/qledge/connection.go
@@ -0,0 +1,88 @@
+package qledge
+
+import (
+	"container/list"
+	"net"
+	"net/http"
+	"sync"
+)
+
+const (
+	// _crowdedPart is the part of the descriptors from which on callers are
+	// asked to close their connections after an answer.
+	_crowdedPart = 0.35
+	// _fullPart is the part from which on idle connections are closed, those
+	// that were idle for longest first.
+	_fullPart = 0.6
+)
+
+// callerConnections keeps callers' connections within the process's
+// descriptors. It answers storms of repeats, each of which comes on a
+// connection of its own and leaves it idle.
+type callerConnections struct {
+	crowded int
+	full    int
+
+	mu   sync.Mutex
+	open int
+	idle *list.List
+	// places holds each idle connection's place in the list.
+	places map[net.Conn]*list.Element
+	closed uint64
+}
+
+func newCallerConnections(descriptors int) *callerConnections {
+	return &callerConnections{
+		crowded: int(_crowdedPart * float64(descriptors)),
+		full:    int(_fullPart * float64(descriptors)),
+		idle:    list.New(),
+		places:  make(map[net.Conn]*list.Element),
+	}
+}
+
+// isCrowded reports whether callers should close their connections.
+func (c *callerConnections) isCrowded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open > c.crowded
+}
+
+// counts returns the open connections and how many idle ones were closed.
+func (c *callerConnections) counts() (open int, closed uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open, c.closed
+}
+
+// changed follows the states of the server's connections.
+func (c *callerConnections) changed(conn net.Conn, state http.ConnState) {
+	if victim := c.follow(conn, state); victim != nil {
+		// The server notices and reports the connection closed.
+		_ = victim.Close()
+	}
+}
+
+func (c *callerConnections) follow(conn net.Conn, state http.ConnState) (victim net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if place := c.places[conn]; place != nil {
+		c.idle.Remove(place)
+		delete(c.places, conn)
+	}
+	switch state {
+	case http.StateNew:
+		c.open++
+	case http.StateIdle:
+		c.places[conn] = c.idle.PushBack(conn)
+	case http.StateClosed, http.StateHijacked:
+		c.open--
+	case http.StateActive:
+	}
+	if c.open <= c.full || c.idle.Len() == 0 {
+		return nil
+	}
+	victim, _ = c.idle.Remove(c.idle.Front()).(net.Conn)
+	delete(c.places, victim)
+	c.closed++
+	return victim
+}
--- a/internal/qledge/operations.go
+++ b/internal/qledge/operations.go
@@ -59,6 +59,8 @@
 	packets, bytes := e.fleet.Traffic()
 	fmt.Fprintf(w, "{\n\"packets-sent\": %d,\n\"packet-bytes-sent\": %d,\n\"store-calls\": %d,\n\"requests-active\": %d,\n\"memory-held\": %d",
 		packets, bytes, e.config.Source.Calls(), e.forwarder.Active(), e.forwarder.Held())
+	open, closed := e.callers.counts()
+	fmt.Fprintf(w, ",\n\"caller-connections\": %d,\n\"idle-connections-closed\": %d", open, closed)
 	if e.config.Lines != nil {
 		fmt.Fprintf(w, ",\n\"log-lines-dropped\": %d,\n\"log-lines-sampled-out\": %d", e.config.Lines.Dropped(), e.config.Lines.Sampled())
 	}
--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -80,6 +80,7 @@
 	started   time.Time
 	fleet     *qlfleet.Fleet
 	forwarder *qlforward.Forwarder
+	callers   *callerConnections
 	known     atomic.Bool
 	stopping  atomic.Bool
 
@@ -106,6 +107,7 @@
 		started:  time.Now(),
 		catalog:  qlcatalog.New(),
 		random:   newRandom(),
+		callers:  newCallerConnections(settings.Descriptors),
 	}
 	runtime.GOMAXPROCS(settings.Processors)
 	debug.SetMemoryLimit(int64(_memoryPart * float64(settings.Memory) * _megabyte))
@@ -144,6 +146,7 @@
 			Allowance: settings.RetryAllowance,
 		},
 		Zone:       settings.Zone,
+		Crowded:    e.callers.isCrowded,
 		BodyMemory: int64(_bodyPart * float64(settings.Memory) * _megabyte),
 		Clock:      e.clock,
 		Random:     newRandom(),
@@ -239,6 +242,7 @@
 		ReadHeaderTimeout: _defaultHeaderTimeout,
 		IdleTimeout:       _defaultIdleTimeout,
 		ErrorLog:          zap.NewStdLog(e.log),
+		ConnState:         e.callers.changed,
 	}
 	e.fleet.Call(func(time.Duration) {
 		if e.table == nil {
--- a/internal/qlforward/header.go
+++ b/internal/qlforward/header.go
@@ -48,7 +48,7 @@
 	if _, ok := from["Content-Type"]; !ok {
 		to["Content-Type"] = nil
 	}
-	if f.closing.Load() {
+	if f.closesConnections() {
 		to.Set("Connection", "close")
 	}
 }
--- a/internal/qlforward/qlforward.go
+++ b/internal/qlforward/qlforward.go
@@ -68,6 +68,8 @@
 	// Budget bounds repeated sends to a service.
 	Budget qlbudget.Config
 	Zone   string
+	// Crowded reports whether callers should close their connections.
+	Crowded func() bool
 	// BodyMemory bounds the memory of all requests under way, in bytes.
 	BodyMemory int64
 	Clock      func() time.Duration
@@ -127,6 +129,11 @@
 	f.closing.Store(true)
 }
 
+// closesConnections reports whether callers should close theirs.
+func (f *Forwarder) closesConnections() bool {
+	return f.closing.Load() || f.config.Crowded()
+}
+
 // SetRefusing makes the router refuse all further requests: it stops, and
 // could not finish them.
 func (f *Forwarder) SetRefusing() {
@@ -194,7 +201,7 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	f.active.Add(1)
 	defer f.active.Add(-1)
-	if f.closing.Load() {
+	if f.closesConnections() {
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{
--- a/internal/qlsetting/edge.go
+++ b/internal/qlsetting/edge.go
@@ -30,6 +30,8 @@
 	Store string `json:"store"`
 	// Memory is what the process may use, in MB.
 	Memory int `json:"memory-mb"`
+	// Descriptors is how many the process may open.
+	Descriptors int `json:"descriptors"`
 	// Processors is how many the VM has.
 	Processors int `json:"processors"`
 	// StopDeadline bounds a planned stop.
@@ -113,6 +115,8 @@
 	switch {
 	case s.Memory < 1:
 		return "memory-mb", "write 1 or more"
+	case s.Descriptors < 1:
+		return "descriptors", "write 1 or more"
 	case s.Processors < 1:
 		return "processors", "write 1 or more"
 	case s.StopDeadline.Std() < time.Second:
