Owners hear of all ends; margin by quantile; contenders levelled; few readers

Ruled out: processor and descriptors. Change: each run keeps which routers count it, and every second each is told which go on; the admission reckons with a learned quantile of observed against predicted times, applied to the wait; who is above its share is levelled with the least of those that want more; three readers watch with short waits and the others hear from them.

--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -82,7 +82,9 @@
 	forwarder *qlforward.Forwarder
 	callers   *callerConnections
 	known     atomic.Bool
-	stopping  atomic.Bool
+	// reads is set on the few routers that read the store with short waits.
+	reads    atomic.Bool
+	stopping atomic.Bool
 
 	// What follows belongs to the control goroutine.
 	table    *qlroute.Table
@@ -190,6 +192,7 @@
 // tick runs in the control goroutine.
 func (e *Edge) tick(now time.Duration) {
 	e.refresh(now)
+	e.reads.Store(e.fleet.Core().Reads(_readers))
 	if now >= e.pruneAt {
 		e.pruneAt = now + _pruneInterval
 		e.forwarder.Prune()
@@ -320,7 +323,7 @@
 		}
 		e.log.Info("placement-state", zap.String("service", pool.Service), zap.Int("engines", len(pool.Engines)),
 			zap.Int("running", running), zap.Int("waiting", waiting), zap.Int("unread", unread),
-			zap.Float64("slowness", slowness), zap.Float64("bound", pool.Bound),
+			zap.Float64("slowness", slowness), zap.Float64("margin", pool.Margin),
 			zap.Uint64("in-time", pool.InTime), zap.Uint64("late", pool.Late),
 			zap.Uint64("decided-for-others", stats.ForOthers), zap.Int("routers", e.fleet.Core().Live()))
 	}
--- a/internal/qledge/reader.go
+++ b/internal/qledge/reader.go
@@ -9,11 +9,15 @@
 )
 
 const (
-	// _watchWait is how long a watch waits for a change. A connection that
-	// goes silent is found after it, or by keep-alive probes.
-	_watchWait = 5 * time.Second
+	// _readerWait is how long a watch of the few readers waits for a change,
+	// and _watchWait one of the others. A watch may go deaf without a sign:
+	// readers find out after their wait and tell the others.
+	_readerWait = 800 * time.Millisecond
+	_watchWait  = 8 * time.Second
 	// _replyTimeout bounds a call beside its wait.
-	_replyTimeout = 1500 * time.Millisecond
+	_replyTimeout = 700 * time.Millisecond
+	// _readers is how many routers read with short waits, in as many zones.
+	_readers = 3
 	// _retryFirst and _retryMost bound the pause after a failed call; it
 	// doubles from one to the other.
 	_retryFirst = 100 * time.Millisecond
@@ -76,11 +80,19 @@
 		defer cancel()
 		return d.read(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, _watchWait+_replyTimeout)
+	ctx, cancel := context.WithTimeout(ctx, e.watchWait()+_replyTimeout)
 	defer cancel()
 	return d.watch(ctx, revision)
 }
 
+// watchWait returns the wait of this router's watches.
+func (e *Edge) watchWait() time.Duration {
+	if e.reads.Load() {
+		return _readerWait
+	}
+	return _watchWait
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -104,7 +116,7 @@
 			return revision, nil
 		},
 		watch: func(ctx context.Context, after uint64) (uint64, error) {
-			items, revision, err := source.WatchConfiguration(ctx, after, _watchWait)
+			items, revision, err := source.WatchConfiguration(ctx, after, e.watchWait())
 			if err != nil {
 				return 0, errors.Trace(err)
 			}
@@ -139,7 +151,7 @@
 			return revision, nil
 		},
 		watch: func(ctx context.Context, after uint64) (uint64, error) {
-			items, revision, err := source.WatchUpstreams(ctx, after, _watchWait)
+			items, revision, err := source.WatchUpstreams(ctx, after, e.watchWait())
 			if err != nil {
 				return 0, errors.Trace(err)
 			}
--- a/internal/qlengine/qlengine.go
+++ b/internal/qlengine/qlengine.go
@@ -379,13 +379,22 @@
 	}
 }
 
-// Drop ends all runs that a router placed: it is gone, and so are they.
-func (e *Engine) Drop(now time.Duration, router string) {
-	for key := range e.runs {
-		if key.Router == router {
-			e.End(now, key, Abandoned)
-		}
+// Predicted returns the time to a run's first event that was predicted.
+func (e *Engine) Predicted(key Key) (predicted time.Duration, ok bool) {
+	r := e.runs[key]
+	if r == nil {
+		return 0, false
+	}
+	return r.predicted, true
+}
+
+// PlacedAt returns when a run was placed; ok is false when it is not known.
+func (e *Engine) PlacedAt(key Key) (at time.Duration, ok bool) {
+	r := e.runs[key]
+	if r == nil {
+		return 0, false
 	}
+	return r.placedAt, true
 }
 
 // Has reports whether the run is known.
--- a/internal/qlowner/packet.go
+++ b/internal/qlowner/packet.go
@@ -1,6 +1,7 @@
 package qlowner
 
 import (
+	"slices"
 	"time"
 
 	"github.com/quetzallane/quetzallane/internal/qlengine"
@@ -147,6 +148,33 @@
 	for _, note := range packet.GetNotes() {
 		c.receiveNote(now, from, note)
 	}
+	if running := packet.GetRunning(); running != nil {
+		c.placer.Retain(now, from, decodeRunning(running), _runSlack)
+	}
+}
+
+func encodeRunning(requests []uint64) *qlfleetwire.Running {
+	running := &qlfleetwire.Running{}
+	slices.Sort(requests)
+	for i, request := range requests {
+		if i == 0 {
+			running.First = request
+			continue
+		}
+		running.Steps = append(running.Steps, uint32(request-requests[i-1]))
+	}
+	return running
+}
+
+func decodeRunning(running *qlfleetwire.Running) map[uint64]bool {
+	requests := make(map[uint64]bool, len(running.GetSteps())+1)
+	last := running.GetFirst()
+	requests[last] = true
+	for _, step := range running.GetSteps() {
+		last += uint64(step)
+		requests[last] = true
+	}
+	return requests
 }
 
 func (c *Core) learn(now time.Duration, routers []*qlfleetwire.Router) {
--- a/internal/qlowner/qlowner.go
+++ b/internal/qlowner/qlowner.go
@@ -56,7 +56,12 @@
 	_suspicion     = time.Second
 	// _ownerKey names the engines in the routers' rendezvous order.
 	_ownerKey = "engines"
-	// _expireInterval is the time between searches for lost runs.
+	// _readerKey does so for the readers of the platform's store.
+	_readerKey = "readers"
+	// _expireInterval is the time between searches for lost runs, and between
+	// tellings of those that go on. _runSlack is how old a run must be to be
+	// taken for lost.
+	_runSlack       = 300 * time.Millisecond
 	_expireInterval = time.Second
 	// _fallbackLoad is how much of the others' load a router that decides by
 	// itself assumes, in parts of its own for each other router.
@@ -98,6 +103,8 @@
 	unread int
 	memory int
 	goal   time.Duration
+	// told are the routers that count the run.
+	told []string
 }
 
 type outbox struct {
@@ -123,11 +130,14 @@
 	runs         map[uint64]*own
 	outboxes     map[string]*outbox
 	distrusted   map[string]distrust
-	leaving      bool
-	introduceAt  time.Duration
-	expireAt     time.Duration
-	owner        string
-	stats        Stats
+	// counting are the routers that counted runs of this one lately.
+	counting    []string
+	leaving     bool
+	introduceAt time.Duration
+	expireAt    time.Duration
+	owner       string
+	now         time.Duration
+	stats       Stats
 }
 
 // Stats counts what was decided where.
@@ -165,7 +175,7 @@
 		Digest:        c.digest,
 		Heard:         c.heard,
 		Changed:       c.rank,
-		Died:          func(string) {},
+		Died:          func(id string) { c.placer.Drop(c.now, id) },
 	})
 	c.rank()
 	return c
@@ -277,7 +287,7 @@
 		return
 	}
 	for request, run := range c.runs {
-		c.note(now, request, run, 0)
+		c.tell(now, c.owner, request, run)
 	}
 }
 
@@ -305,9 +315,10 @@
 		}
 		c.runs[request.Key.Request] = run
 		if verdict.Decider != c.config.Self {
+			run.told = append(run.told, verdict.Decider)
 			c.placer.Place(now, request, verdict.Engine)
 		} else if c.owner != c.config.Self {
-			c.note(now, request.Key.Request, run, 0)
+			c.tell(now, c.owner, request.Key.Request, run)
 		}
 	}
 	c.config.Decide(request.Key.Request, verdict)
@@ -321,9 +332,7 @@
 	}
 	run.unread = 0
 	c.placer.First(now, c.key(request))
-	if c.owner != c.config.Self {
-		c.note(now, request, run, 0)
-	}
+	c.noteAll(now, request, run, 0)
 }
 
 // End takes the end of a run of this router's, or of a request that its
@@ -337,9 +346,7 @@
 	}
 	delete(c.runs, request)
 	c.placer.End(now, c.key(request), outcome)
-	if c.owner != c.config.Self {
-		c.note(now, request, run, outcome)
-	}
+	c.noteAll(now, request, run, outcome)
 }
 
 func (c *Core) key(request uint64) qlengine.Key {
@@ -349,9 +356,26 @@
 	}
 }
 
-// note tells the owner of a run.
-func (c *Core) note(now time.Duration, request uint64, run *own, outcome qlengine.Outcome) {
-	box := c.box(now, c.owner)
+// tell has another router count a run.
+func (c *Core) tell(now time.Duration, to string, request uint64, run *own) {
+	for _, told := range run.told {
+		if told == to {
+			return
+		}
+	}
+	run.told = append(run.told, to)
+	c.note(now, to, request, run, 0)
+}
+
+// noteAll tells all routers that count a run what became of it.
+func (c *Core) noteAll(now time.Duration, request uint64, run *own, outcome qlengine.Outcome) {
+	for _, to := range run.told {
+		c.note(now, to, request, run, outcome)
+	}
+}
+
+func (c *Core) note(now time.Duration, to string, request uint64, run *own, outcome qlengine.Outcome) {
+	box := c.box(now, to)
 	box.packet.Notes = append(box.packet.Notes, &qlfleetwire.Note{
 		Request: request,
 		Engine:  run.engine,
@@ -362,13 +386,37 @@
 	})
 }
 
+// sendRunning tells each router that counts runs of this one which go on.
+func (c *Core) sendRunning(now time.Duration) {
+	byRouter := make(map[string][]uint64)
+	for request, run := range c.runs {
+		for _, to := range run.told {
+			byRouter[to] = append(byRouter[to], request)
+		}
+	}
+	for _, to := range append(c.counting, c.owner) {
+		if _, ok := byRouter[to]; !ok && to != c.config.Self && to != "" {
+			byRouter[to] = nil
+		}
+	}
+	c.counting = c.counting[:0]
+	for to, requests := range byRouter {
+		c.box(now, to).packet.Running = encodeRunning(requests)
+		if len(requests) > 0 {
+			c.counting = append(c.counting, to)
+		}
+	}
+}
+
 // Tick does what time demands.
 func (c *Core) Tick(now time.Duration) {
+	c.now = now
 	c.members.Tick(now)
 	c.introduce(now)
 	if now >= c.expireAt {
 		c.expireAt = now + _expireInterval
 		c.placer.Tick(now)
+		c.sendRunning(now)
 	}
 }
 
@@ -402,3 +450,17 @@
 func (c *Core) SetSeeds(seeds []string) {
 	c.config.Seeds = seeds
 }
+
+// Reads reports whether this router is one of the few that read the platform's
+// store for the others.
+func (c *Core) Reads(readers int) bool {
+	if c.leaving {
+		return false
+	}
+	for _, node := range qlring.New(c.members.Live()).Spread(_readerKey, readers) {
+		if node.ID() == c.config.Self {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/qlplace/qlplace.go
+++ b/internal/qlplace/qlplace.go
@@ -31,22 +31,24 @@
 	// _rereadPrice is how much a token that is read again weighs against one
 	// that delays the request.
 	_rereadPrice = 3
-	// _startBound is the part of the objective that a prediction may take.
-	_startBound = 0.6
-	_minBound   = 0.35
-	_maxBound   = 0.9
-	// _boundRise and _boundFall are the steps after a first event in time and
-	// after a late one. Their ratio sets the share of late ones, about one in
-	// fifteen.
-	_boundRise = 0.001
-	_boundFall = 0.015
-	// _overFactor and _shortFactor scale the bound for customers just above
-	// their fair share, and for those with less than _shortRatio of it. It
-	// falls to _leastFactor.
+	// _quantile is the share of first events that are to come within what is
+	// reckoned for them.
+	_quantile = 0.9
+	// _startMargin is the reckoned time against the predicted one, until it is
+	// learned; it stays between _minMargin and _maxMargin.
+	_startMargin = 1.3
+	_minMargin   = 1.0
+	_maxMargin   = 2.5
+	// _marginStep is the weight of one observation, and _marginMemory the time
+	// in which two thirds of an excess over _startMargin are forgotten.
+	_marginStep   = 0.02
+	_marginMemory = 10 * time.Second
+	// _overFactor scales the wait that is allowed to customers above their
+	// fair share. It falls by _overPower of how far they are above the others
+	// that want more than theirs, to _leastFactor.
 	_overFactor  = 0.8
-	_shortFactor = 1.3
-	_shortRatio  = 0.8
-	_leastFactor = 0.2
+	_overPower   = 1.5
+	_leastFactor = 0.1
 	// _faultPrice is what a rate of failures of 1 weighs against the
 	// objective.
 	_faultPrice = 3.0
@@ -152,11 +154,12 @@
 
 type pool struct {
 	engines []*engine
-	bound   float64
+	margin  float64
 	// goal is the strictest objective that was asked for lately.
 	goal time.Duration
 	// usualRead is the mean time that prompts take to be read.
 	usualRead time.Duration
+	marginAt  time.Duration
 	late      uint64
 	inTime    uint64
 }
@@ -235,7 +238,7 @@
 	found := p.pools[service]
 	if found == nil {
 		found = &pool{
-			bound: _startBound,
+			margin: _startMargin,
 		}
 		p.pools[service] = found
 	}
@@ -295,17 +298,10 @@
 	return chosen, chosenForecast
 }
 
-// shareFactor scales the bound by what a customer was granted against its
-// share. The further above it, the less of the engines' queue it may use, so
-// that customers above it come to the same level.
-func shareFactor(ratio float64) float64 {
-	switch {
-	case ratio < _shortRatio:
-		return _shortFactor
-	case ratio <= 1:
-		return 1
-	}
-	return max(_overFactor/math.Sqrt(ratio), _leastFactor)
+// overFactor scales the wait allowed to a customer above its share, by how far
+// it is above the least served of those that want more than theirs.
+func overFactor(lead float64) float64 {
+	return max(_overFactor/math.Pow(max(lead, 1), _overPower), _leastFactor)
 }
 
 // noteGoal follows the strictest objective; it rises slowly when that is not
@@ -353,20 +349,22 @@
 		return p.refuse(Full, forecast.First)
 	}
 	ratio := p.shares.Ratio(now, request.Customer)
-	factor, reason := shareFactor(ratio), Late
+	factor, reason := 1.0, Late
 	if ratio > 1 {
-		reason = OverShare
+		factor, reason = overFactor(ratio/max(p.shares.Least(), 1)), OverShare
 	}
-	// All kinds wait in the same engines: were each admitted by its own
-	// objective, those with longer ones would leave the others no room.
-	allowed := time.Duration(float64(min(pool.goal, request.Goal)) * min(pool.bound*factor, 1))
 	// A long prompt takes its own time; it is not refused for more of it than
 	// the usual one has, or the longest would hardly ever be served.
-	expected := forecast.First - max(forecast.Read-pool.usualRead, 0)
 	pool.usualRead += time.Duration(_usualWeight * float64(forecast.Read-pool.usualRead))
-	if expected > allowed {
+	expected := forecast.First - max(forecast.Read-pool.usualRead, 0)
+	// All kinds wait in the same engines: were each admitted by its own
+	// objective, those with longer ones would leave the others no room.
+	goal := min(pool.goal, request.Goal)
+	least := expected - forecast.Wait
+	allowed := time.Duration(factor * max(float64(goal)/pool.margin-float64(least), 0))
+	if forecast.Wait > allowed {
 		refusal := p.refuse(reason, forecast.First)
-		refusal.RetryAfter += expected - allowed
+		refusal.RetryAfter += forecast.Wait - allowed
 		return refusal
 	}
 	return verdict
@@ -416,18 +414,33 @@
 	if !ok {
 		return
 	}
+	predicted, _ := run.engine.model.Predicted(key)
 	took, ok := run.engine.model.First(now, key)
 	if !ok || run.goal == 0 {
 		return
 	}
 	pool := p.pool(run.engine.info.Service)
+	pool.observe(now, float64(took)/float64(max(predicted, time.Millisecond)))
 	if took > run.goal {
 		pool.late++
-		pool.bound = max(pool.bound-_boundFall, _minBound)
 		return
 	}
 	pool.inTime++
-	pool.bound = min(pool.bound+_boundRise, _maxBound)
+}
+
+// observe follows the quantile of observed against predicted times.
+func (p *pool) observe(now time.Duration, ratio float64) {
+	faded := math.Exp(-float64(now-p.marginAt) / float64(_marginMemory))
+	if p.margin > _startMargin {
+		p.margin = _startMargin + (p.margin-_startMargin)*faded
+	}
+	p.marginAt = now
+	if ratio > p.margin {
+		p.margin += _marginStep * _quantile
+	} else {
+		p.margin -= _marginStep * (1 - _quantile)
+	}
+	p.margin = min(max(p.margin, _minMargin), _maxMargin)
 }
 
 // End takes a run's end.
@@ -450,6 +463,21 @@
 	}
 }
 
+// Retain forgets a router's runs that are not among those that go on, but for
+// the youngest, of which the router may not have known yet.
+func (p *Placer) Retain(now time.Duration, router string, requests map[uint64]bool, slack time.Duration) {
+	for key, run := range p.runs {
+		if key.Router != router || requests[key.Request] {
+			continue
+		}
+		if at, ok := run.engine.model.PlacedAt(key); ok && now-at < slack {
+			continue
+		}
+		delete(p.runs, key)
+		run.engine.model.End(now, key, qlengine.Abandoned)
+	}
+}
+
 // Tick forgets runs whose ends were lost.
 func (p *Placer) Tick(now time.Duration) {
 	for _, e := range p.engines {
@@ -475,7 +503,7 @@
 // PoolState is one service's engines, for dumps.
 type PoolState struct {
 	Service string        `json:"service"`
-	Bound   float64       `json:"bound"`
+	Margin  float64       `json:"margin"`
 	InTime  uint64        `json:"in-time"`
 	Late    uint64        `json:"late"`
 	Engines []EngineState `json:"engines"`
@@ -497,7 +525,7 @@
 	for service, pool := range p.pools {
 		state := PoolState{
 			Service: service,
-			Bound:   pool.bound,
+			Margin:  pool.margin,
 			InTime:  pool.inTime,
 			Late:    pool.late,
 		}
--- a/internal/qlshare/qlshare.go
+++ b/internal/qlshare/qlshare.go
@@ -18,7 +18,12 @@
 	"time"
 )
 
-const _buckets = 16
+const (
+	_buckets = 16
+	// _wantsMore is the part of its requests up to which a customer counts as
+	// wanting more.
+	_wantsMore = 0.9
+)
 
 // Config configures a Window.
 type Config struct {
@@ -39,6 +44,7 @@
 	customers map[string]*usage
 	current   int64
 	level     float64
+	least     float64
 	levelAt   int64
 }
 
@@ -108,11 +114,16 @@
 	if w.levelAt != w.current {
 		w.level = w.computeLevel()
 		w.levelAt = w.current
+		w.least = w.computeLeast()
 	}
 	u := w.customers[customer]
 	if u == nil {
 		return 0
 	}
+	return w.ratio(u)
+}
+
+func (w *Window) ratio(u *usage) float64 {
 	due := min(w.level, sum(&u.asked))
 	if due <= 0 {
 		return 0
@@ -120,6 +131,27 @@
 	return sum(&u.granted) / due
 }
 
+// Least returns the least ratio of the customers that ask for clearly more
+// than they get and have their share already.
+func (w *Window) Least() float64 {
+	return w.least
+}
+
+func (w *Window) computeLeast() float64 {
+	least := 0.0
+	for _, u := range w.customers {
+		asked := sum(&u.asked)
+		ratio := w.ratio(u)
+		if asked <= w.level || ratio < 1 || sum(&u.granted) > _wantsMore*asked {
+			continue
+		}
+		if least == 0 || ratio < least {
+			least = ratio
+		}
+	}
+	return least
+}
+
 // Level returns the most that a customer is due in the window.
 func (w *Window) Level() float64 {
 	return w.level
