Placement: parts read again, slots, learned speed; callers return soon

(3) the wait forgot what was placed once its reckoned end had passed, although a slow engine had not read it. (4) callers were sent away for 0.25 s and more, past the objective of most. Ruled out: lateness in the engines (1% of runs by the model's own count). Change: what another engine holds counts four times against the wait; slots come free in a learned time; the wait scales with the learned speed and never falls below what is known to be unread; a refused caller is told when the wait will have passed. The level divides what engines do, not only what is stated.

--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -324,7 +324,7 @@
 		e.log.Info("placement-state", zap.String("service", pool.Service), zap.Int("engines", len(pool.Engines)),
 			zap.Int("running", running), zap.Int("waiting", waiting), zap.Int("unread", unread),
 			zap.Float64("slowness", slowness), zap.Float64("margin", pool.Margin),
-			zap.Uint64("in-time", pool.InTime), zap.Uint64("late", pool.Late),
+			zap.Uint64("in-time", pool.InTime), zap.Uint64("late", pool.Late), zap.Uint64("tokens-read-again", pool.Reread),
 			zap.Uint64("decided-for-others", stats.ForOthers), zap.Int("routers", e.fleet.Core().Live()))
 	}
 }
--- a/internal/qlengine/qlengine.go
+++ b/internal/qlengine/qlengine.go
@@ -34,6 +34,10 @@
 	// running request adds.
 	_stepTime   = 4 * time.Millisecond
 	_stepPerRun = 100 * time.Microsecond
+	// _startDuration is how long a run takes, until it is learned, and
+	// _durationWeight the weight of one run in what is learned.
+	_startDuration  = 500 * time.Millisecond
+	_durationWeight = 0.05
 	// _chunk is how many prompt tokens an engine reads in one step, between the
 	// steps of what it generates.
 	_chunk = 4096
@@ -136,7 +140,11 @@
 	reserved int
 	// finishAt is when all that was placed will have been read.
 	finishAt time.Duration
-	cache    cache
+	// progressAt is when a first event was told last.
+	progressAt time.Duration
+	cache      cache
+	// usual is the mean time that runs take.
+	usual time.Duration
 	// load is the part of its time that the engine reads prompts.
 	load     float64
 	loadAt   time.Duration
@@ -153,6 +161,7 @@
 		runs:   make(map[Key]*run),
 		cache:  newCache(config.Memory),
 		ratio:  1,
+		usual:  _startDuration,
 	}
 }
 
@@ -166,7 +175,7 @@
 	First time.Duration
 	// Missing is how many tokens of shared parts have to be read again.
 	Missing int
-	// Fits is false when slots or memory are used up.
+	// Fits is false when memory is used up.
 	Fits bool
 }
 
@@ -174,18 +183,36 @@
 func (e *Engine) Forecast(now time.Duration, prompt *Prompt) Forecast {
 	missing := e.cache.missing(prompt.Parts)
 	ratio := e.slowness(now)
-	wait := max(e.finishAt-now, 0) + e.overdue(now)
+	wait := max(e.readWait(now, ratio), e.slotWait()) + e.overdue(now)
 	read := readTime(prompt.Own() + missing)
-	first := wait + read + e.decode(now)
 	return Forecast{
-		Wait:    time.Duration(float64(wait) * ratio),
+		Wait:    wait,
 		Read:    time.Duration(float64(read) * ratio),
-		First:   time.Duration(float64(first) * ratio),
+		First:   wait + time.Duration(float64(read+e.decode(now))*ratio),
 		Missing: missing,
-		Fits:    len(e.runs) < e.config.Slots && e.room(prompt, missing),
+		Fits:    e.room(prompt, missing),
 	}
 }
 
+// readWait is the time until what was placed is read: as it was reckoned at
+// placing, but no less than what is known to be unread takes. That is told
+// late by the time to a first event.
+func (e *Engine) readWait(now time.Duration, ratio float64) time.Duration {
+	unread := float64(readTime(e.unread)) * ratio
+	told := float64(e.decode(now))*ratio + float64(now-e.progressAt)
+	return max(e.finishAt-now, time.Duration(unread-told), 0)
+}
+
+// slotWait is the time until a slot is free: slots come free one after the
+// other in the usual time that a run takes.
+func (e *Engine) slotWait() time.Duration {
+	ahead := len(e.runs) - e.config.Slots + 1
+	if ahead <= 0 || e.config.Slots <= 0 {
+		return 0
+	}
+	return time.Duration(ahead) * e.usual / time.Duration(e.config.Slots)
+}
+
 // ReadTime returns how long an engine of the usual speed reads the tokens.
 func ReadTime(tokens int) time.Duration {
 	return readTime(tokens)
@@ -245,7 +272,7 @@
 	}
 	forecast := e.Forecast(now, prompt)
 	unread := prompt.Own() + forecast.Missing
-	e.finishAt = max(e.finishAt, now) + readTime(unread)
+	e.extend(now, unread)
 	e.addLoad(now, unread)
 	e.add(key, &run{
 		placedAt:  now,
@@ -261,7 +288,7 @@
 	if e.runs[key] != nil {
 		return
 	}
-	e.finishAt = max(e.finishAt, now) + readTime(unread)
+	e.extend(now, unread)
 	e.add(key, &run{
 		placedAt:  now,
 		predicted: e.finishAt - now + e.decode(now),
@@ -271,6 +298,18 @@
 	})
 }
 
+// extend adds tokens to what is to be read.
+func (e *Engine) extend(now time.Duration, unread int) {
+	if e.waiting == 0 {
+		e.progressAt = now
+	}
+	e.finishAt = max(e.finishAt, now) + e.scaled(now, unread)
+}
+
+func (e *Engine) scaled(now time.Duration, tokens int) time.Duration {
+	return time.Duration(float64(readTime(tokens)) * e.slowness(now))
+}
+
 func (e *Engine) add(key Key, r *run) {
 	e.runs[key] = r
 	e.reserved += r.memory
@@ -304,11 +343,8 @@
 	r.first = true
 	e.waiting--
 	e.unread -= r.unread
-	if e.waiting == 0 {
-		e.finishAt = min(e.finishAt, now)
-		return
-	}
-	e.finishAt = min(e.finishAt, now+readTime(e.unread))
+	e.progressAt = now
+	e.finishAt = min(e.finishAt, now+e.scaled(now, e.unread))
 }
 
 // End takes a run's end.
@@ -320,6 +356,9 @@
 	if !r.first {
 		e.markRead(now, r)
 	}
+	if outcome == Completed {
+		e.usual += time.Duration(_durationWeight * float64(now-r.placedAt-e.usual))
+	}
 	delete(e.runs, key)
 	e.reserved -= r.memory
 	e.note(now, outcome)
@@ -379,6 +418,11 @@
 	}
 }
 
+// Missing returns how many shared tokens of the prompt the engine lacks.
+func (e *Engine) Missing(prompt *Prompt) int {
+	return e.cache.missing(prompt.Parts)
+}
+
 // Predicted returns the time to a run's first event that was predicted.
 func (e *Engine) Predicted(key Key) (predicted time.Duration, ok bool) {
 	r := e.runs[key]
--- a/internal/qlforward/qlforward.go
+++ b/internal/qlforward/qlforward.go
@@ -47,8 +47,6 @@
 	_notReadyRetry = 500 * time.Millisecond
 	// _shedRetry is when callers return to a service that is full.
 	_shedRetry = 200 * time.Millisecond
-	// _retryJitter spreads the callers that return.
-	_retryJitter = 200 * time.Millisecond
 	// _dialTimeout bounds a connection's making; the longest path between
 	// zones of one region takes a tenth of it.
 	_dialTimeout = 300 * time.Millisecond
@@ -405,16 +403,9 @@
 	return budget
 }
 
-// jitter spreads callers that are told to return.
-func (f *Forwarder) jitter(wait time.Duration) time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return wait + time.Duration(f.config.Random.Int64N(int64(_retryJitter)))
-}
-
 // refuse answers a request that has certainly not run.
 func (f *Forwarder) refuse(x *exchange, code qlcode.Code, retryAfter time.Duration, cause string) {
-	x.w.Header().Set("Retry-After", strconv.FormatFloat(f.jitter(retryAfter).Seconds(), 'f', 2, 64))
+	x.w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	f.fail(x, code, cause)
 }
 
--- a/internal/qlplace/qlplace.go
+++ b/internal/qlplace/qlplace.go
@@ -30,7 +30,7 @@
 const (
 	// _rereadPrice is how much a token that is read again weighs against one
 	// that delays the request.
-	_rereadPrice = 3
+	_rereadPrice = 4
 	// _quantile is the share of first events that are to come within what is
 	// reckoned for them.
 	_quantile = 0.9
@@ -55,9 +55,14 @@
 	// _crossPrice is what a zone's border weighs: its transfer is priced, and
 	// it adds a round trip.
 	_crossPrice = 8 * time.Millisecond
-	// _minRetry and _retrySpread bound when callers are told to return.
-	_minRetry    = 250 * time.Millisecond
-	_retrySpread = 500 * time.Millisecond
+	// _leastRetry is the least time after which callers are told to return;
+	// _retrySpread keeps them from returning together.
+	_leastRetry  = 20 * time.Millisecond
+	_retrySpread = 100 * time.Millisecond
+	// _shareRetry and _fullRetry are the times for customers above their share
+	// and for engines that are full or not known.
+	_shareRetry = 100 * time.Millisecond
+	_fullRetry  = 200 * time.Millisecond
 	// _goalMemory is over how many requests the strictest objective is
 	// forgotten.
 	_goalMemory = 1000
@@ -162,6 +167,8 @@
 	marginAt  time.Duration
 	late      uint64
 	inTime    uint64
+	// reread counts the tokens of shared parts that placed requests lacked.
+	reread uint64
 }
 
 type placed struct {
@@ -251,51 +258,125 @@
 	p.shares.Asked(now, request.Customer, cost)
 	pool := p.pool(request.Service)
 	pool.noteGoal(request.Goal)
-	best, forecast := p.best(now, pool, request)
-	if best == nil {
-		return p.refuse(NoEngine, 0)
-	}
-	verdict := p.judge(now, pool, request, forecast)
-	if verdict.Reason != Admitted {
-		return verdict
+	terms := p.terms(now, pool, request)
+	best := p.best(now, pool, request, &terms)
+	if best.engine == nil {
+		return p.refuse(NoEngine, &best, &terms)
+	}
+	pool.usualRead += time.Duration(_usualWeight * float64(best.forecast.Read-pool.usualRead))
+	if !best.admissible && !request.Again {
+		reason := terms.reason
+		if !best.forecast.Fits {
+			reason = Full
+		}
+		return p.refuse(reason, &best, &terms)
 	}
 	p.shares.Granted(now, request.Customer, cost)
-	best.model.Place(now, request.Key, &request.Prompt)
-	p.runs[request.Key] = placed{
-		engine: best,
-		goal:   request.Goal,
+	pool.reread += uint64(best.forecast.Missing)
+	p.Place(now, request, best.engine.info.ID)
+	return Verdict{
+		Engine:    best.engine.info.ID,
+		Predicted: best.forecast.First,
+		Missing:   best.forecast.Missing,
 	}
-	verdict.Engine = best.info.ID
-	verdict.Missing = forecast.Missing
-	return verdict
+}
+
+// terms are what a request is admitted under.
+type terms struct {
+	// goal is what the first event is reckoned to take at most.
+	goal time.Duration
+	// factor scales the wait that is allowed.
+	factor float64
+	// usualRead is what a prompt usually takes to be read.
+	usualRead time.Duration
+	reason    Reason
+}
+
+func (p *Placer) terms(now time.Duration, pool *pool, request *Request) terms {
+	t := terms{
+		// All kinds wait in the same engines: were each admitted by its own
+		// objective, those with longer ones would leave the others no room.
+		goal:      time.Duration(float64(min(pool.goal, request.Goal)) / pool.margin),
+		factor:    1,
+		usualRead: pool.usualRead,
+		reason:    Late,
+	}
+	if ratio := p.shares.Ratio(now, request.Customer); ratio > 1 {
+		t.factor, t.reason = overFactor(ratio/max(p.shares.Least(), 1)), OverShare
+	}
+	return t
+}
+
+// allowed returns the wait under which a request is admitted. A long prompt
+// takes its own time; it is not refused for more of it than the usual one
+// has, or the longest would hardly ever be served.
+func (t *terms) allowed(forecast *qlengine.Forecast) time.Duration {
+	least := forecast.First - forecast.Wait - max(forecast.Read-t.usualRead, 0)
+	return time.Duration(t.factor * float64(max(t.goal-least, 0)))
 }
 
 func costOf(prompt *qlengine.Prompt) float64 {
 	return float64(prompt.Tokens + _outputWeight*prompt.Output)
 }
 
-// best returns the engine that harms least, one that fits before others.
-func (p *Placer) best(now time.Duration, pool *pool, request *Request) (*engine, qlengine.Forecast) {
-	var chosen *engine
-	var chosenForecast qlengine.Forecast
-	var chosenScore time.Duration
+// option is an engine that a request may be placed on.
+type option struct {
+	engine     *engine
+	forecast   qlengine.Forecast
+	admissible bool
+	score      time.Duration
+}
+
+// best returns the engine that harms least, among those that the request is
+// admitted to if there are any.
+func (p *Placer) best(now time.Duration, pool *pool, request *Request, terms *terms) option {
+	var chosen option
 	affinity, _ := request.Prompt.Affinity()
+	held := heldMissing(pool, request)
 	for _, e := range pool.engines {
 		if excluded(request.Excluded, e.info.ID) {
 			continue
 		}
-		forecast := e.model.Forecast(now, &request.Prompt)
-		p.scale(&forecast)
-		score := p.score(now, e, &forecast, request)
-		better := chosen == nil || forecast.Fits && !chosenForecast.Fits
-		if !better && forecast.Fits == chosenForecast.Fits {
-			better = score < chosenScore || score == chosenScore && e.hash.Beats(affinity, chosen.hash)
+		o := option{
+			engine:   e,
+			forecast: e.model.Forecast(now, &request.Prompt),
 		}
-		if better {
-			chosen, chosenForecast, chosenScore = e, forecast, score
+		p.scale(&o.forecast)
+		// Under load a part that is read again takes the room of other
+		// requests, so its price counts against the wait, too.
+		again := _rereadPrice * qlengine.ReadTime(o.forecast.Missing-held)
+		wait := o.forecast.Wait + again
+		o.admissible = o.forecast.Fits && wait <= terms.allowed(&o.forecast)
+		o.score = p.score(now, e, &o.forecast, request) + again
+		if chosen.engine == nil || o.before(&chosen, affinity) {
+			chosen = o
 		}
 	}
-	return chosen, chosenForecast
+	return chosen
+}
+
+// heldMissing returns how many shared tokens the engine lacks that holds most
+// of them. Only what is lacking beyond that is read again.
+func heldMissing(pool *pool, request *Request) int {
+	least := request.Prompt.Tokens
+	for _, e := range pool.engines {
+		if !excluded(request.Excluded, e.info.ID) {
+			least = min(least, e.model.Missing(&request.Prompt))
+		}
+	}
+	return least
+}
+
+func (o *option) before(other *option, affinity uint64) bool {
+	switch {
+	case o.admissible != other.admissible:
+		return o.admissible
+	case o.forecast.Fits != other.forecast.Fits:
+		return o.forecast.Fits
+	case o.score != other.score:
+		return o.score < other.score
+	}
+	return o.engine.hash.Beats(affinity, other.engine.hash)
 }
 
 // overFactor scales the wait allowed to a customer above its share, by how far
@@ -330,53 +411,29 @@
 }
 
 func (p *Placer) score(now time.Duration, e *engine, forecast *qlengine.Forecast, request *Request) time.Duration {
-	score := forecast.First + _rereadPrice*qlengine.ReadTime(forecast.Missing)
-	score += time.Duration(_faultPrice * e.model.Faults(now) * float64(request.Goal))
+	score := forecast.First + time.Duration(_faultPrice * e.model.Faults(now) * float64(request.Goal))
 	if e.info.Zone != request.Zone {
 		score += _crossPrice
 	}
 	return score
 }
 
-func (p *Placer) judge(now time.Duration, pool *pool, request *Request, forecast qlengine.Forecast) Verdict {
+func (p *Placer) refuse(reason Reason, best *option, terms *terms) Verdict {
 	verdict := Verdict{
-		Predicted: forecast.First,
-	}
-	if request.Again {
-		return verdict
-	}
-	if !forecast.Fits {
-		return p.refuse(Full, forecast.First)
-	}
-	ratio := p.shares.Ratio(now, request.Customer)
-	factor, reason := 1.0, Late
-	if ratio > 1 {
-		factor, reason = overFactor(ratio/max(p.shares.Least(), 1)), OverShare
-	}
-	// A long prompt takes its own time; it is not refused for more of it than
-	// the usual one has, or the longest would hardly ever be served.
-	pool.usualRead += time.Duration(_usualWeight * float64(forecast.Read-pool.usualRead))
-	expected := forecast.First - max(forecast.Read-pool.usualRead, 0)
-	// All kinds wait in the same engines: were each admitted by its own
-	// objective, those with longer ones would leave the others no room.
-	goal := min(pool.goal, request.Goal)
-	least := expected - forecast.Wait
-	allowed := time.Duration(factor * max(float64(goal)/pool.margin-float64(least), 0))
-	if forecast.Wait > allowed {
-		refusal := p.refuse(reason, forecast.First)
-		refusal.RetryAfter += forecast.Wait - allowed
-		return refusal
-	}
-	return verdict
-}
-
-func (p *Placer) refuse(reason Reason, predicted time.Duration) Verdict {
-	spread := time.Duration(p.config.Random.Int64N(int64(_retrySpread)))
-	return Verdict{
 		Reason:     reason,
-		Predicted:  predicted,
-		RetryAfter: _minRetry + spread,
+		Predicted:  best.forecast.First,
+		RetryAfter: time.Duration(p.config.Random.Int64N(int64(_retrySpread))),
+	}
+	switch reason {
+	case OverShare:
+		// Room comes when older grants have left the window.
+		verdict.RetryAfter += _shareRetry
+	case NoEngine, Full:
+		verdict.RetryAfter += _fullRetry
+	case Late, Admitted:
+		verdict.RetryAfter += max(best.forecast.Wait-terms.allowed(&best.forecast), _leastRetry)
 	}
+	return verdict
 }
 
 // Place counts a request that another router placed on the engine.
@@ -506,6 +563,7 @@
 	Margin  float64       `json:"margin"`
 	InTime  uint64        `json:"in-time"`
 	Late    uint64        `json:"late"`
+	Reread  uint64        `json:"tokens-read-again"`
 	Engines []EngineState `json:"engines"`
 }
 
@@ -528,6 +586,7 @@
 			Margin:  pool.margin,
 			InTime:  pool.inTime,
 			Late:    pool.late,
+			Reread:  pool.reread,
 		}
 		for _, e := range pool.engines {
 			state.Engines = append(state.Engines, EngineState{
--- a/internal/qlshare/qlshare.go
+++ b/internal/qlshare/qlshare.go
@@ -132,7 +132,7 @@
 }
 
 // Least returns the least ratio of the customers that ask for clearly more
-// than they get and have their share already.
+// than they get, 1 at least.
 func (w *Window) Least() float64 {
 	return w.least
 }
@@ -140,11 +140,10 @@
 func (w *Window) computeLeast() float64 {
 	least := 0.0
 	for _, u := range w.customers {
-		asked := sum(&u.asked)
-		ratio := w.ratio(u)
-		if asked <= w.level || ratio < 1 || sum(&u.granted) > _wantsMore*asked {
+		if sum(&u.granted) > _wantsMore*sum(&u.asked) {
 			continue
 		}
+		ratio := max(w.ratio(u), 1)
 		if least == 0 || ratio < least {
 			least = ratio
 		}
@@ -166,10 +165,9 @@
 		asked = append(asked, sum(&u.asked))
 		granted += sum(&u.granted)
 	}
-	capacity := w.config.Capacity * w.config.Span.Seconds()
-	if capacity == 0 {
-		capacity = granted
-	}
+	// Engines may do more than is stated, as when they hold most of what is
+	// asked for: what was granted tells.
+	capacity := max(w.config.Capacity*w.config.Span.Seconds(), granted)
 	sort.Float64s(asked)
 	for i, demand := range asked {
 		level := capacity / float64(len(asked)-i)
