Customers above their share leave engines room

Cause: engines that read prompts all the time make every stream slow (a step of generation waits for 4,096 tokens of others' prompts): long streams met their callers' deadlines, and customers within their share came late, while what filled the engines was asked beyond the stated throughput's shares. Ruled out: kinds of requests crowding each other out (tried: levelling the kinds' admissions moved neither class). Change: the level divides the stated throughput again; who is above its share uses engines up to half their reading time, less the further it leads the least served customer that wants more.

--- a/internal/qlengine/qlengine.go
+++ b/internal/qlengine/qlengine.go
@@ -173,6 +173,8 @@
 	// event.
 	Read  time.Duration
 	First time.Duration
+	// Load is the part of its time that the engine reads prompts.
+	Load float64
 	// Missing is how many tokens of shared parts have to be read again.
 	Missing int
 	// Fits is false when memory is used up.
@@ -189,6 +191,7 @@
 		Wait:    wait,
 		Read:    time.Duration(float64(read) * ratio),
 		First:   wait + time.Duration(float64(read+e.decode(now))*ratio),
+		Load:    e.loadNow(now) * ratio,
 		Missing: missing,
 		Fits:    e.room(prompt, missing),
 	}
--- a/internal/qlplace/qlplace.go
+++ b/internal/qlplace/qlplace.go
@@ -49,6 +49,9 @@
 	_overFactor  = 0.8
 	_overPower   = 1.5
 	_leastFactor = 0.1
+	// _overLoad is up to which load engines are used for them: beyond it the
+	// streams that run become too slow for their callers.
+	_overLoad = 0.5
 	// _faultPrice is what a rate of failures of 1 weighs against the
 	// objective.
 	_faultPrice = 3.0
@@ -287,6 +290,8 @@
 	goal time.Duration
 	// factor scales the wait that is allowed.
 	factor float64
+	// load is up to which load an engine may be used.
+	load float64
 	// usualRead is what a prompt usually takes to be read.
 	usualRead time.Duration
 	reason    Reason
@@ -298,11 +303,14 @@
 		// objective, those with longer ones would leave the others no room.
 		goal:      time.Duration(float64(min(pool.goal, request.Goal)) / pool.margin),
 		factor:    1,
+		load:      math.MaxFloat64,
 		usualRead: pool.usualRead,
 		reason:    Late,
 	}
 	if ratio := p.shares.Ratio(now, request.Customer); ratio > 1 {
-		t.factor, t.reason = overFactor(ratio/max(p.shares.Least(), 1)), OverShare
+		lead := max(ratio/max(p.shares.Least(), 1), 1)
+		t.load = _overLoad / lead
+		t.factor, t.reason = overFactor(lead), OverShare
 	}
 	return t
 }
@@ -346,7 +354,7 @@
 		// requests, so its price counts against the wait, too.
 		again := _rereadPrice * qlengine.ReadTime(o.forecast.Missing-held)
 		wait := o.forecast.Wait + again
-		o.admissible = o.forecast.Fits && wait <= terms.allowed(&o.forecast)
+		o.admissible = o.forecast.Fits && o.forecast.Load <= terms.load && wait <= terms.allowed(&o.forecast)
 		o.score = p.score(now, e, &o.forecast, request) + again
 		if chosen.engine == nil || o.before(&chosen, affinity) {
 			chosen = o
@@ -382,7 +390,7 @@
 // overFactor scales the wait allowed to a customer above its share, by how far
 // it is above the least served of those that want more than theirs.
 func overFactor(lead float64) float64 {
-	return max(_overFactor/math.Pow(max(lead, 1), _overPower), _leastFactor)
+	return max(_overFactor/math.Pow(lead, _overPower), _leastFactor)
 }
 
 // noteGoal follows the strictest objective; it rises slowly when that is not
@@ -411,7 +419,7 @@
 }
 
 func (p *Placer) score(now time.Duration, e *engine, forecast *qlengine.Forecast, request *Request) time.Duration {
-	score := forecast.First + time.Duration(_faultPrice * e.model.Faults(now) * float64(request.Goal))
+	score := forecast.First + time.Duration(_faultPrice*e.model.Faults(now)*float64(request.Goal))
 	if e.info.Zone != request.Zone {
 		score += _crossPrice
 	}
--- a/internal/qlshare/qlshare.go
+++ b/internal/qlshare/qlshare.go
@@ -165,9 +165,10 @@
 		asked = append(asked, sum(&u.asked))
 		granted += sum(&u.granted)
 	}
-	// Engines may do more than is stated, as when they hold most of what is
-	// asked for: what was granted tells.
-	capacity := max(w.config.Capacity*w.config.Span.Seconds(), granted)
+	capacity := w.config.Capacity * w.config.Span.Seconds()
+	if capacity == 0 {
+		capacity = granted
+	}
 	sort.Float64s(asked)
 	for i, demand := range asked {
 		level := capacity / float64(len(asked)-i)
