--- a/internal/qledge/operations.go
+++ b/internal/qledge/operations.go
@@ -1,6 +1,7 @@
 package qledge
 
 import (
+	"bytes"
 	"encoding/json"
 	"expvar"
 	"fmt"
@@ -53,24 +54,43 @@
 	}
 }
 
-// answerVars writes counters and histograms.
+// answerVars writes counters and histograms as one JSON object.
 func (e *Edge) answerVars(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "application/json; charset=utf-8")
-	packets, bytes := e.fleet.Traffic()
-	fmt.Fprintf(w, "{\n\"packets-sent\": %d,\n\"packet-bytes-sent\": %d,\n\"store-calls\": %d,\n\"requests-active\": %d,\n\"memory-held\": %d",
-		packets, bytes, e.config.Source.Calls(), e.forwarder.Active(), e.forwarder.Held())
+	packets, packetBytes := e.fleet.Traffic()
 	open, closed := e.callers.counts()
-	fmt.Fprintf(w, ",\n\"caller-connections\": %d,\n\"idle-connections-closed\": %d", open, closed)
+	numbers := []struct {
+		name  string
+		value int64
+	}{
+		{name: "packets-sent", value: packets},
+		{name: "packet-bytes-sent", value: packetBytes},
+		{name: "store-calls", value: e.config.Source.Calls()},
+		{name: "requests-active", value: e.forwarder.Active()},
+		{name: "memory-held", value: e.forwarder.Held()},
+		{name: "routers-live", value: int64(e.fleet.Live())},
+		{name: "caller-connections", value: int64(open)},
+		{name: "idle-connections-closed", value: int64(closed)},
+	}
 	if e.config.Lines != nil {
-		fmt.Fprintf(w, ",\n\"log-lines-dropped\": %d,\n\"log-lines-sampled-out\": %d", e.config.Lines.Dropped(), e.config.Lines.Sampled())
+		numbers = append(numbers, []struct {
+			name  string
+			value int64
+		}{
+			{name: "log-lines-dropped", value: e.config.Lines.Dropped()},
+			{name: "log-lines-sampled-out", value: e.config.Lines.Sampled()},
+		}...)
+	}
+	var text bytes.Buffer
+	for _, number := range numbers {
+		fmt.Fprintf(&text, ",\n%q: %d", number.name, number.value)
+	}
+	each := func(name string, value expvar.Var) { fmt.Fprintf(&text, ",\n%q: %s", name, value) }
+	e.forwarder.Metrics().Do(each)
+	expvar.Do(func(kv expvar.KeyValue) { each(kv.Key, kv.Value) })
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	if _, err := w.Write(append([]byte("{"), append(text.Bytes()[1:], "\n}\n"...)...)); err != nil {
+		e.log.Debug("metrics-not-written", zap.Error(err))
 	}
-	e.forwarder.Metrics().Do(func(name string, value expvar.Var) {
-		fmt.Fprintf(w, ",\n%q: %s", name, value)
-	})
-	expvar.Do(func(kv expvar.KeyValue) {
-		fmt.Fprintf(w, ",\n%q: %s", kv.Key, kv.Value)
-	})
-	fmt.Fprint(w, "\n}\n")
 }
 
 // answerState writes what this router believes.
--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -46,7 +46,7 @@
 	// first configuration before they are answered that there is none.
 	_firstView = 400 * time.Millisecond
 	// _stopMargin is how much earlier than the platform's SIGKILL a stop ends.
-	_stopMargin = 600 * time.Millisecond
+	_stopMargin = 250 * time.Millisecond
 	// _viewPoll is how often the first configuration is looked for.
 	_viewPoll = 10 * time.Millisecond
 	// _memoryPart is the part of the VM's memory that the runtime may use
--- a/internal/qlplace/qlplace.go
+++ b/internal/qlplace/qlplace.go
@@ -51,7 +51,7 @@
 	_leastFactor = 0.1
 	// _overLoad is up to which load engines are used for them: beyond it the
 	// streams that run become too slow for their callers.
-	_overLoad = 0.5
+	_overLoad = 0.6
 	// _faultPrice is what a rate of failures of 1 weighs against the
 	// objective.
 	_faultPrice = 3.0
