A router that becomes a reader begins its watches anew; tests of the edge

Cause: found by a new test: a router began with a long watch before it knew that it is a reader, and one that became a reader sat in a watch of 8 s; a watch that goes deaf meanwhile hides changes for that long. Change: routers begin as readers; becoming one ends the long watches. Before: TestDeafWatchIsFoundOut had no change within 4 s. After: six runs of the package with the race detector pass. (Two failures of TestLostHistoryIsReadWhole were the fake store's: the other document's watch used up its flag.)

--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -83,8 +83,9 @@
 	callers   *callerConnections
 	known     atomic.Bool
 	// reads is set on the few routers that read the store with short waits.
-	reads    atomic.Bool
-	stopping atomic.Bool
+	reads       atomic.Bool
+	longWatches watches
+	stopping    atomic.Bool
 
 	// What follows belongs to the control goroutine.
 	table    *qlroute.Table
@@ -111,6 +112,7 @@
 		random:   newRandom(),
 		callers:  newCallerConnections(settings.Descriptors),
 	}
+	e.reads.Store(true)
 	runtime.GOMAXPROCS(settings.Processors)
 	debug.SetMemoryLimit(int64(_memoryPart * float64(settings.Memory) * _megabyte))
 	fleet, err := qlfleet.New(qlfleet.Config{
@@ -192,7 +194,7 @@
 // tick runs in the control goroutine.
 func (e *Edge) tick(now time.Duration) {
 	e.refresh(now)
-	e.reads.Store(e.fleet.Core().Reads(_readers))
+	e.setReads(e.fleet.Core().Reads(_readers))
 	if now >= e.pruneAt {
 		e.pruneAt = now + _pruneInterval
 		e.forwarder.Prune()
--- /dev/null
+++ b/internal/qledge/qledge_test.go
@@ -0,0 +1,494 @@
+package qledge
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/quetzallane/quetzallane/internal/qlcatalog"
+	"github.com/quetzallane/quetzallane/internal/qlforward"
+	"github.com/quetzallane/quetzallane/internal/qlroute"
+	"github.com/quetzallane/quetzallane/internal/qlsetting"
+	"github.com/quetzallane/quetzallane/pkg/qljson"
+	"go.uber.org/zap"
+)
+
+// fakeStore is a platform's store: a configuration that is only a revision,
+// and upstreams that are ids.
+type fakeStore struct {
+	mu        sync.Mutex
+	revision  uint64
+	config    uint64
+	upstreams map[string]uint64
+	events    []Item
+	// down turns calls away; lost makes the next watch of upstreams say that
+	// history is gone.
+	down bool
+	lost bool
+	// deaf makes watches wait without an answer.
+	deaf bool
+	// reads counts whole reads.
+	reads int
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{
+		revision:  10,
+		config:    1,
+		upstreams: map[string]uint64{"u1": 5},
+	}
+}
+
+func (s *fakeStore) change(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	change()
+}
+
+func (s *fakeStore) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+func (s *fakeStore) put(id string) {
+	s.change(func() {
+		s.upstreams[id] = s.revision
+		s.events = append(s.events, Item{
+			ID:       id,
+			Value:    []byte(id),
+			Revision: s.revision,
+		})
+	})
+}
+
+func (s *fakeStore) remove(id string) {
+	s.change(func() {
+		delete(s.upstreams, id)
+		s.events = append(s.events, Item{
+			ID:       id,
+			Revision: s.revision,
+			Deleted:  true,
+		})
+	})
+}
+
+func (s *fakeStore) available() error {
+	if s.down {
+		return errors.New("store is down")
+	}
+	return nil
+}
+
+func (s *fakeStore) source() Source {
+	return Source{
+		ReadConfiguration: func(context.Context) (Item, uint64, error) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return s.configuration(), s.revision, s.available()
+		},
+		ReadUpstreams: func(context.Context) ([]Item, uint64, error) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.reads++
+			var items []Item
+			for id, revision := range s.upstreams {
+				items = append(items, Item{
+					ID:       id,
+					Value:    []byte(id),
+					Revision: revision,
+				})
+			}
+			return items, s.revision, s.available()
+		},
+		WatchConfiguration: s.watch(false, func(after uint64) []Item {
+			if item := s.configuration(); item.Revision > after {
+				return []Item{item}
+			}
+			return nil
+		}),
+		WatchUpstreams: s.watch(true, func(after uint64) []Item {
+			var items []Item
+			for _, item := range s.events {
+				if item.Revision > after {
+					items = append(items, item)
+				}
+			}
+			return items
+		}),
+		DecodeConfiguration: func(data []byte) (*qlroute.Document, error) {
+			document := &qlroute.Document{}
+			_, err := fmt.Sscan(string(data), &document.Revision)
+			return document, errors.Trace(err)
+		},
+		DecodeUpstream: func(id string, data []byte) (qlcatalog.Entry, error) {
+			if strings.HasPrefix(string(data), "bad") {
+				return qlcatalog.Entry{}, errors.NotValidf("entry %q", id)
+			}
+			return qlcatalog.Entry{
+				ID:    id,
+				State: qlcatalog.Ready,
+				Raw:   data,
+			}, nil
+		},
+		Calls: func() int64 { return 0 },
+	}
+}
+
+func (s *fakeStore) configuration() Item {
+	return Item{
+		Value:    []byte(fmt.Sprint(s.config)),
+		Revision: s.config,
+	}
+}
+
+func (s *fakeStore) watch(upstreams bool, changes func(after uint64) []Item) func(context.Context, uint64, time.Duration) ([]Item, uint64, error) {
+	return func(ctx context.Context, after uint64, wait time.Duration) ([]Item, uint64, error) {
+		for end := time.Now().Add(wait); ; {
+			s.mu.Lock()
+			err, deaf, lost, revision, items := s.available(), s.deaf, s.lost, s.revision, changes(after)
+			s.mu.Unlock()
+			switch {
+			case deaf:
+				<-ctx.Done()
+				return nil, 0, errors.Trace(ctx.Err())
+			case err != nil:
+				return nil, 0, err
+			case lost && upstreams:
+				s.set(func() { s.lost = false })
+				return nil, 0, errors.Trace(ErrHistoryLost)
+			case len(items) > 0 || time.Now().After(end):
+				return items, revision, nil
+			}
+			select {
+			case <-ctx.Done():
+				return nil, 0, errors.Trace(ctx.Err())
+			case <-time.After(5 * time.Millisecond):
+			}
+		}
+	}
+}
+
+// freePorts returns addresses on loopback that were free a moment ago.
+func freePorts(t *testing.T, count int) []string {
+	t.Helper()
+	var addresses []string
+	for range count {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = listener.Close() }()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses
+}
+
+// running is an edge that runs, and its addresses.
+type running struct {
+	edge    *Edge
+	callers string
+	ready   string
+	ops     string
+	peers   string
+	stop    func() error
+}
+
+// start runs an edge; its seeds are peer addresses, all with one port.
+func start(t *testing.T, id string, store *fakeStore, change func(settings *qlsetting.Edge)) *running {
+	t.Helper()
+	ports := freePorts(t, 4)
+	settings := &qlsetting.Edge{
+		ID:                id,
+		Zone:              "z1",
+		CallerAddress:     ports[0],
+		ReadyAddress:      ports[1],
+		OperationsAddress: ports[2],
+		PeerAddress:       ports[3],
+		Memory:            256,
+		Descriptors:       1000,
+		Processors:        1,
+		StopDeadline:      qljson.Duration(2 * time.Second),
+		BalancerNotice:    qljson.Duration(100 * time.Millisecond),
+		RetryRatio:        0.2,
+		RetryWindow:       qljson.Duration(time.Second),
+		Placement:         qlsetting.PlacementOwner,
+	}
+	if change != nil {
+		change(settings)
+	}
+	edge, err := New(Config{
+		Settings: settings,
+		Source:   store.source(),
+		Dialect: qlforward.Dialect{
+			ReadCaller:  func(http.Header) qlforward.Caller { return qlforward.Caller{} },
+			SetOutgoing: func(http.Header, qlforward.Outgoing) {},
+			ReadAnswer:  func(*http.Response) qlforward.Answer { return qlforward.Answer{} },
+		},
+		Log: zap.NewNop(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- edge.Run(ctx) }()
+	r := &running{
+		edge:    edge,
+		callers: ports[0],
+		ready:   ports[1],
+		ops:     ports[2],
+		peers:   ports[3],
+	}
+	r.stop = sync.OnceValue(func() error {
+		cancel()
+		select {
+		case err := <-ended:
+			return err
+		case <-time.After(5 * time.Second):
+			return errors.New("the stop takes more than 5 s")
+		}
+	})
+	t.Cleanup(func() { _ = r.stop() })
+	return r
+}
+
+// state returns what the edge has: its configuration's revision, then its
+// upstreams.
+func (r *running) state() string {
+	state := ""
+	r.edge.fleet.Call(func(time.Duration) {
+		configuration, _ := r.edge.revisions()
+		state = fmt.Sprint(configuration)
+		for _, entry := range r.edge.catalog.Entries() {
+			state += " " + entry.ID
+		}
+	})
+	return state
+}
+
+func (r *running) await(t *testing.T, want string) {
+	t.Helper()
+	got := ""
+	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if got = r.state(); got == want {
+			return
+		}
+	}
+	t.Fatalf("state: got %q, want %q within 4 s", got, want)
+}
+
+func status(t *testing.T, address, path string) int {
+	t.Helper()
+	response, err := http.Get("http://" + address + path)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+func TestDocumentsAreFollowed(t *testing.T) {
+	store := newFakeStore()
+	r := start(t, "r1", store, nil)
+	r.await(t, "1 u1")
+	store.put("u2")
+	store.change(func() { store.config = store.revision })
+	r.await(t, "12 u1 u2")
+	store.remove("u1")
+	r.await(t, "12 u2")
+}
+
+func TestConfigurationOnlyGoesForward(t *testing.T) {
+	store := newFakeStore()
+	store.config = 8
+	r := start(t, "r1", store, nil)
+	r.await(t, "8 u1")
+	r.edge.fleet.Call(func(time.Duration) {
+		r.edge.adoptConfiguration([]byte("7"), "test")
+		r.edge.adoptConfiguration([]byte("no number"), "test")
+	})
+	r.await(t, "8 u1")
+}
+
+func TestLostHistoryIsReadWhole(t *testing.T) {
+	store := newFakeStore()
+	r := start(t, "r1", store, nil)
+	r.await(t, "1 u1")
+	// The events are gone, so only a whole read can tell.
+	store.change(func() {
+		store.upstreams["u3"] = store.revision
+		store.lost = true
+	})
+	r.await(t, "1 u1 u3")
+}
+
+// TestDeafWatchIsFoundOut plays the fault by which a watch that got no answer
+// hid a change for more than six seconds.
+func TestDeafWatchIsFoundOut(t *testing.T) {
+	store := newFakeStore()
+	r := start(t, "r1", store, nil)
+	r.await(t, "1 u1")
+	store.set(func() { store.deaf = true })
+	time.Sleep(50 * time.Millisecond)
+	store.change(func() { store.config = store.revision })
+	time.Sleep(_readerWait)
+	store.set(func() { store.deaf = false })
+	began := time.Now()
+	r.await(t, "11 u1")
+	if took := time.Since(began); took > _replyTimeout+_retryMost+_readerWait {
+		t.Errorf("taken %v after the store answers again, want it sooner", took)
+	}
+}
+
+func TestEntryThatCannotBeReadNamesNoUpstream(t *testing.T) {
+	store := newFakeStore()
+	r := start(t, "r1", store, nil)
+	r.await(t, "1 u1")
+	store.change(func() {
+		store.events = append(store.events, Item{
+			ID:       "u9",
+			Value:    []byte("bad"),
+			Revision: store.revision,
+		})
+	})
+	store.put("u2")
+	r.await(t, "1 u1 u2")
+}
+
+func TestLapsedUpstreamsAreKeptThroughAnOutage(t *testing.T) {
+	store := newFakeStore()
+	r := start(t, "r1", store, nil)
+	r.await(t, "1 u1")
+	store.set(func() { store.down = true })
+	// The watch fails before the store returns.
+	for away := false; !away; time.Sleep(time.Millisecond) {
+		r.edge.fleet.Call(func(now time.Duration) { away = !r.edge.catalog.Settled(now) })
+	}
+	store.remove("u1")
+	store.set(func() { store.down = false })
+	time.Sleep(_retryMost * 2)
+	if got, want := r.state(), "1 u1"; got != want {
+		t.Errorf("just after the outage: got %q, want %q", got, want)
+	}
+	r.await(t, "1")
+}
+
+func TestRouterHearsFromAnother(t *testing.T) {
+	store := newFakeStore()
+	first := start(t, "r1", store, nil)
+	first.await(t, "1 u1")
+	away := newFakeStore()
+	away.down = true
+	_, port, err := net.SplitHostPort(first.peers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	second := start(t, "r2", away, func(settings *qlsetting.Edge) {
+		settings.PeerAddress = net.JoinHostPort("127.0.0.2", port)
+		settings.Seeds = []string{"127.0.0.1:1"}
+	})
+	second.await(t, "1 u1")
+	store.change(func() { store.config = store.revision })
+	store.put("u2")
+	second.await(t, "11 u1 u2")
+	store.remove("u1")
+	second.await(t, "11 u2")
+}
+
+func TestReadiness(t *testing.T) {
+	store := newFakeStore()
+	store.down = true
+	r := start(t, "r1", store, nil)
+	time.Sleep(_firstView + 200*time.Millisecond)
+	if got, want := status(t, r.ready, "/readyz"), 503; got != want {
+		t.Errorf("without documents: got %d, want %d", got, want)
+	}
+	if got, want := status(t, r.callers, "/x/"), 503; got != want {
+		t.Errorf("a request without documents: got %d, want %d", got, want)
+	}
+	store.set(func() { store.down = false })
+	r.await(t, "1 u1")
+	if got, want := status(t, r.ready, "/readyz"), 200; got != want {
+		t.Errorf("with documents: got %d, want %d", got, want)
+	}
+	if err := r.stop(); err != nil {
+		t.Errorf("stop: %v", err)
+	}
+}
+
+func TestStopTakesConnectionsUntilTheBalancerHasNoticed(t *testing.T) {
+	r := start(t, "r1", newFakeStore(), func(settings *qlsetting.Edge) {
+		settings.BalancerNotice = qljson.Duration(400 * time.Millisecond)
+	})
+	r.await(t, "1 u1")
+	stopped := make(chan error, 1)
+	go func() { stopped <- r.stop() }()
+	time.Sleep(100 * time.Millisecond)
+	if got, want := status(t, r.ready, "/readyz"), 503; got != want {
+		t.Errorf("readiness while stopping: got %d, want %d", got, want)
+	}
+	if got, want := status(t, r.callers, "/x/"), 404; got != want {
+		t.Errorf("a request while stopping: got %d, want %d", got, want)
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("stop: %v", err)
+	}
+	if got, want := status(t, r.callers, "/x/"), 0; got != want {
+		t.Errorf("a request after the stop: got %d, want no connection", got)
+	}
+}
+
+func TestDumpsAreJSON(t *testing.T) {
+	r := start(t, "r1", newFakeStore(), nil)
+	r.await(t, "1 u1")
+	for path, name := range map[string]string{"/debug/vars": "first-event", "/debug/state": "members"} {
+		response, err := http.Get("http://" + r.ops + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got map[string]any
+		if err := json.NewDecoder(response.Body).Decode(&got); err != nil {
+			t.Errorf("%s: %v", path, err)
+		}
+		_ = response.Body.Close()
+		if _, ok := got[name]; !ok {
+			t.Errorf("%s: got no %q", path, name)
+		}
+	}
+}
+
+func TestIdleConnectionsYield(t *testing.T) {
+	c := newCallerConnections(10)
+	var conns []net.Conn
+	for range 7 {
+		conn, _ := net.Pipe()
+		conns = append(conns, conn)
+		if victim := c.follow(conn, http.StateNew); victim != nil {
+			t.Fatal("a connection that is not idle was closed")
+		}
+	}
+	if !c.isCrowded() {
+		t.Error("7 connections of 10 descriptors are not taken for crowded")
+	}
+	c.follow(conns[3], http.StateActive)
+	victim := c.follow(conns[3], http.StateIdle)
+	if victim != conns[3] {
+		t.Error("the idle connection was not chosen")
+	}
+	c.follow(conns[3], http.StateClosed)
+	if got := c.follow(conns[4], http.StateIdle); got != nil {
+		t.Error("a connection was closed below the bound")
+	}
+	if open, closed := c.counts(); open != 6 || closed != 1 {
+		t.Errorf("counts: got %d open and %d closed, want 6 and 1", open, closed)
+	}
+}
--- a/internal/qledge/reader.go
+++ b/internal/qledge/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -80,9 +81,66 @@
 		defer cancel()
 		return d.read(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, e.watchWait()+_replyTimeout)
+	ctx, cancel := context.WithTimeoutCause(ctx, e.watchWait()+_replyTimeout, errNoReply)
 	defer cancel()
-	return d.watch(ctx, revision)
+	ctx, shorten := context.WithCancelCause(ctx)
+	defer shorten(nil)
+	defer e.longWatches.add(func() { shorten(errBecameReader) })()
+	next, err := d.watch(ctx, revision)
+	if err != nil && context.Cause(ctx) == errBecameReader {
+		return revision, nil
+	}
+	return next, err
+}
+
+const (
+	// errNoReply is the cause when a watch outlasts its wait.
+	errNoReply = errors.ConstError("no reply to a watch")
+	// errBecameReader is the cause when a watch is begun anew with a short
+	// wait.
+	errBecameReader = errors.ConstError("became a reader")
+)
+
+// watches are those under way, so that they can be ended when their waits are
+// too long.
+type watches struct {
+	mu     sync.Mutex
+	next   int
+	cancel map[int]func()
+}
+
+// add keeps a watch's end until the function that it returns is called.
+func (w *watches) add(cancel func()) (remove func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.cancel == nil {
+		w.cancel = make(map[int]func())
+	}
+	w.next++
+	key := w.next
+	w.cancel[key] = cancel
+	return func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		delete(w.cancel, key)
+	}
+}
+
+// end ends all watches under way.
+func (w *watches) end() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, cancel := range w.cancel {
+		cancel()
+	}
+}
+
+// setReads says whether this router is a reader. One that becomes a reader
+// begins its watches anew.
+func (e *Edge) setReads(reads bool) {
+	if !e.reads.Swap(reads) && reads {
+		e.longWatches.end()
+	}
 }
 
 // watchWait returns the wait of this router's watches.
