--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -32,6 +32,7 @@
 	"github.com/quetzallane/quetzallane/internal/qlforward"
 	"github.com/quetzallane/quetzallane/internal/qllog"
 	"github.com/quetzallane/quetzallane/internal/qlowner"
+	"github.com/quetzallane/quetzallane/internal/qlplace"
 	"github.com/quetzallane/quetzallane/internal/qlroute"
 	"github.com/quetzallane/quetzallane/internal/qlsetting"
 	"go.uber.org/zap"
@@ -125,7 +126,8 @@
 			Seeds:       peerAddresses(settings),
 			Revisions:   e.revisions,
 			Behind:      e.behind,
-			Local:       settings.Placement == qlsetting.PlacementLocal,
+			Local:       settings.Placement != qlsetting.PlacementOwner,
+			Policy:      policyOf(settings.Placement),
 		},
 		Fetch: e.answerFetch,
 		Tick:  e.tick,
@@ -159,6 +161,17 @@
 	return e, nil
 }
 
+// policyOf returns the policy of a placement setting.
+func policyOf(placement string) qlplace.Policy {
+	switch placement {
+	case qlsetting.PlacementAffinity:
+		return qlplace.Affinity
+	case qlsetting.PlacementLoad:
+		return qlplace.LeastRuns
+	}
+	return qlplace.Predict
+}
+
 func newRandom() *rand.Rand {
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 }
--- a/internal/qlowner/qlowner.go
+++ b/internal/qlowner/qlowner.go
@@ -89,6 +89,8 @@
 	Changed func(live int)
 	// Local makes this router decide all requests by itself.
 	Local bool
+	// Policy is how it decides.
+	Policy qlplace.Policy
 }
 
 type question struct {
@@ -156,6 +158,7 @@
 		config: config,
 		placer: qlplace.New(qlplace.Config{
 			Random: config.Random,
+			Policy: config.Policy,
 		}),
 		routers:    make(map[string]*qlfleetwire.Router),
 		questions:  make(map[uint64]question),
--- a/internal/qlplace/qlplace.go
+++ b/internal/qlplace/qlplace.go
@@ -182,6 +182,7 @@
 // Config configures a Placer.
 type Config struct {
 	Random *rand.Rand
+	Policy Policy
 }
 
 // Placer decides for the engines it knows. It is not safe for several
@@ -261,6 +262,9 @@
 	p.shares.Asked(now, request.Customer, cost)
 	pool := p.pool(request.Service)
 	pool.noteGoal(request.Goal)
+	if p.config.Policy != Predict {
+		return p.askBaseline(now, pool, request)
+	}
 	terms := p.terms(now, pool, request)
 	best := p.best(now, pool, request, &terms)
 	if best.engine == nil {
--- a/internal/qlplace/qlplace_test.go
+++ b/internal/qlplace/qlplace_test.go
@@ -198,3 +198,25 @@
 		n++
 	}
 }
+
+func TestBaselinesRefuseNothing(t *testing.T) {
+	for _, policy := range []Policy{Affinity, LeastRuns} {
+		p := New(Config{
+			Random: rand.New(rand.NewPCG(3, 4)),
+			Policy: policy,
+		})
+		p.SetEngines(engineInfos(4))
+		used := map[string]bool{}
+		for n := range uint64(200) {
+			verdict := p.Ask(0, request(n, "c", 7, 5000))
+			if verdict.Engine == "" {
+				t.Fatalf("%s: request %d was refused", policy, n)
+			}
+			used[verdict.Engine] = true
+		}
+		want := map[Policy]int{Affinity: 1, LeastRuns: 4}[policy]
+		if got := len(used); got != want {
+			t.Errorf("%s: engines used for one prefix: got %d, want %d", policy, got, want)
+		}
+	}
+}
--- a/internal/qlsetting/edge.go
+++ b/internal/qlsetting/edge.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"reflect"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -44,7 +45,8 @@
 	RetryRatio     float64         `json:"retry-ratio"`
 	RetryWindow    qljson.Duration `json:"retry-window"`
 	RetryAllowance float64         `json:"retry-allowance"`
-	// Placement is owner, or local for routers that decide each by itself.
+	// Placement is owner; local for routers that decide each by itself, and
+	// affinity or load for simpler ways to measure against.
 	Placement string `json:"placement"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `json:"log-level"`
@@ -52,8 +54,10 @@
 
 // The ways of placement.
 const (
-	PlacementOwner = "owner"
-	PlacementLocal = "local"
+	PlacementOwner    = "owner"
+	PlacementLocal    = "local"
+	PlacementAffinity = "affinity"
+	PlacementLoad     = "load"
 )
 
 // LoadEdge reads and checks the settings of a router in front of a platform's
@@ -129,8 +133,8 @@
 		return "retry-window", "write at least 1ms"
 	case s.RetryAllowance < 0:
 		return "retry-allowance", "write 0 or more"
-	case s.Placement != PlacementOwner && s.Placement != PlacementLocal:
-		return "placement", "write owner or local"
+	case !slices.Contains([]string{PlacementOwner, PlacementLocal, PlacementAffinity, PlacementLoad}, s.Placement):
+		return "placement", "write owner, local, affinity or load"
 	}
 	if _, err := zapcore.ParseLevel(s.LogLevel); err != nil {
 		return "log-level", "write debug, info, warn or error"
--- a/internal/qlsetting/qlsetting_test.go
+++ b/internal/qlsetting/qlsetting_test.go
@@ -78,3 +78,52 @@
 		}
 	})
 }
+
+// TestEdgeRefusals compares what changed settings of an edge are refused with.
+func TestEdgeRefusals(t *testing.T) {
+	example, err := os.ReadFile("../../docs/examples/edge.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := qlsetting.ParseEdge("edge.json", example); err != nil {
+		t.Fatalf("the example was refused: %v", err)
+	}
+	var got strings.Builder
+	for _, test := range []struct {
+		old string
+		new string
+	}{
+		{old: `"seeds"`, new: `"seed"`},
+		{old: `"zone": "zone-1",`, new: ``},
+		{old: `"0.0.0.0:8080"`, new: `"8080"`},
+		{old: `"descriptors": 4100`, new: `"descriptors": 0`},
+		{old: `"8s"`, new: `"8"`},
+		{old: `"2500ms"`, new: `"9s"`},
+		{old: `"retry-ratio": 0.2`, new: `"retry-ratio": -1`},
+		{old: `"owner"`, new: `"nobody"`},
+		{old: `"info"`, new: `"loud"`},
+	} {
+		text := strings.Replace(string(example), test.old, test.new, 1)
+		if text == string(example) {
+			t.Fatalf("the example has no %s", test.old)
+		}
+		if _, err := qlsetting.ParseEdge("edge.json", []byte(text)); err != nil {
+			got.WriteString(err.Error() + "\n")
+			continue
+		}
+		t.Errorf("settings with %s were taken", test.new)
+	}
+	path := filepath.Join("testdata", "edge.golden")
+	if *_update {
+		if err := os.WriteFile(path, []byte(got.String()), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.String() != string(want) {
+		t.Errorf("refusals: got\n%s\nwant\n%s", got.String(), want)
+	}
+}
