Each decision has its log line; a request's story from several logs

Change: placements, failed attempts and ends are logged with what decided them and its revision; changes of owner and live routers too; successes have event names of their own, so that sampling leaves failures first. quetzallane explain puts a request's lines, and what its routers believed, in order of time.

--- a/cmd/quetzallane/main.go
+++ b/cmd/quetzallane/main.go
@@ -5,6 +5,7 @@
 //	quetzallane check templates.json customers.json
 //	quetzallane render --customer depot templates.json customers.json
 //	quetzallane state 10.0.0.5:9100
+//	quetzallane explain 9c41d07be2a35f68 router-1.log router-2.log
 //	quetzallane codes
 //
 // It only reads. The exit status is 0 when what was asked for holds, 1 else.
@@ -19,6 +20,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/quetzallane/quetzallane/internal/qlexplain"
 	"github.com/quetzallane/quetzallane/pkg/qlcode"
 	"github.com/quetzallane/quetzallane/pkg/qlconfig"
 	"github.com/spf13/cobra"
@@ -40,7 +42,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	command.AddCommand(newCheck(), newRender(), newState(), newCodes(), newHash())
+	command.AddCommand(newCheck(), newRender(), newState(), newExplain(), newCodes(), newHash())
 	return command
 }
 
@@ -142,6 +144,32 @@
 	}
 }
 
+func newExplain() *cobra.Command {
+	return &cobra.Command{
+		Use:   "explain ID FILE...",
+		Short: "Tell one request's story from routers' logs, in order of time",
+		Args:  cobra.MinimumNArgs(2),
+		RunE: func(command *cobra.Command, args []string) error {
+			story := qlexplain.New(args[0])
+			for _, path := range args[1:] {
+				if err := readLog(story, path); err != nil {
+					return err
+				}
+			}
+			return story.Write(command.OutOrStdout())
+		},
+	}
+}
+
+func readLog(story *qlexplain.Story, path string) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer func() { _ = file.Close() }()
+	return story.Read(path, file)
+}
+
 func newCodes() *cobra.Command {
 	var markdown bool
 	command := &cobra.Command{
--- a/internal/qledge/state.go
+++ b/internal/qledge/state.go
@@ -101,7 +101,7 @@
 		return
 	}
 	entries := e.catalog.Entries()
-	e.forwarder.SetView(qlforward.NewView(e.table, entries))
+	e.forwarder.SetView(qlforward.NewView(e.table, entries, e.catalog.Revision()))
 	e.fleet.Core().Placer().SetEngines(e.engines(entries))
 	if e.catalog.Known() {
 		e.known.Store(true)
--- a/internal/qlfleet/qlfleet.go
+++ b/internal/qlfleet/qlfleet.go
@@ -46,8 +46,8 @@
 
 // Config configures a Fleet.
 type Config struct {
-	// Core configures the decision code; Send, Decide and Changed are set
-	// here.
+	// Core configures the decision code; Send, Decide, Changed and
+	// OwnerChanged are set here.
 	Core qlowner.Config
 	// Fetch answers another router's request for documents. It is called in
 	// the control goroutine.
@@ -95,7 +95,14 @@
 	core := config.Core
 	core.Send = f.send
 	core.Decide = f.decide
-	core.Changed = func(live int) { f.live.Store(int64(live)) }
+	core.Changed = func(live int) {
+		if before := f.live.Swap(int64(live)); before != int64(live) {
+			f.config.Log.Info("routers-changed", zap.Int("live", live), zap.Int64("before", before))
+		}
+	}
+	core.OwnerChanged = func(from, to string) {
+		f.config.Log.Info("owner-changed", zap.String("from", from), zap.String("to", to), zap.Int("live", f.Live()))
+	}
 	f.core = qlowner.New(core)
 	return f, nil
 }
--- a/internal/qlforward/engine.go
+++ b/internal/qlforward/engine.go
@@ -49,6 +49,21 @@
 	attemptBroken
 )
 
+// String returns the result's name for logs.
+func (r attemptResult) String() string {
+	switch r {
+	case attemptDone:
+		return "done"
+	case attemptNotSent:
+		return "not-sent"
+	case attemptNotRun:
+		return "not-run"
+	case attemptBroken:
+		return "broken"
+	}
+	return "invalid"
+}
+
 // serveEngine forwards a request to a model engine.
 func (f *Forwarder) serveEngine(x *exchange) {
 	f.countRequest(x)
@@ -73,6 +88,9 @@
 			x.view = f.view.Load()
 		}
 		x.excluded = append(x.excluded, verdict.Engine)
+		if result != attemptDone {
+			f.attempted(x, verdict.Engine, result.String(), err)
+		}
 		switch result {
 		case attemptDone:
 			return
--- /dev/null
+++ b/internal/qlforward/log_test.go
@@ -0,0 +1,69 @@
+package qlforward
+
+import (
+	"bytes"
+	"flag"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"testing"
+
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+var _update = flag.Bool("update", false, "write the golden files anew")
+
+// _varying are parts of lines that differ from run to run.
+var _varying = regexp.MustCompile(`(took|first-event|left|decided-in|predicted)=[0-9][^ ]*|127\.0\.0\.1:[0-9]+`)
+
+// TestLogLines compares the lines of requests that end in different ways.
+func TestLogLines(t *testing.T) {
+	broken := func(net.Conn, *http.Request) {}
+	whole := say(200, "Signature: s\r\n", "ok")
+	for _, c := range []struct {
+		name      string
+		path      string
+		header    map[string]string
+		upstreams []func(net.Conn, *http.Request)
+	}{
+		{name: "answered", path: "/order/x", upstreams: []func(net.Conn, *http.Request){whole}},
+		{name: "no-route", path: "/none/x"},
+		{name: "unknown-outcome", path: "/order/x", upstreams: []func(net.Conn, *http.Request){broken}},
+		{name: "repeated", path: "/look/x", upstreams: []func(net.Conn, *http.Request){broken, broken}},
+		{name: "refused-engine", path: "/chat/x", header: chat()},
+		{name: "resumed-stream", path: "/resume/x", header: chat(), upstreams: []func(net.Conn, *http.Request){stream(1, 2, false), stream(2, 3, true)}},
+		{name: "broken-stream", path: "/chat/x", header: chat(), upstreams: []func(net.Conn, *http.Request){stream(1, 2, false)}},
+	} {
+		var got bytes.Buffer
+		config := zap.NewProductionEncoderConfig()
+		config.TimeKey, config.LevelKey, config.MessageKey = "", "", "event"
+		config.EncodeDuration = zapcore.StringDurationEncoder
+		core := zapcore.NewCore(zaplogfmt.NewEncoder(config), zapcore.Lock(zapcore.AddSync(&got)), zapcore.InfoLevel)
+		var upstreams []*standIn
+		for i, reply := range c.upstreams {
+			upstreams = append(upstreams, newStandIn(t, string(rune('a'+i)), reply))
+		}
+		b := newBench(t, upstreams...)
+		b.forwarder.config.Log = zap.New(core)
+		b.send(t, "POST", c.path, c.header, "body")
+		b.server.Close()
+		text := _varying.ReplaceAllString(got.String(), "${1}=~")
+		path := filepath.Join("testdata", c.name+".golden")
+		if *_update {
+			if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+				t.Fatal(err)
+			}
+		}
+		want, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if text != string(want) {
+			t.Errorf("%s: got\n%s\nwant\n%s", c.name, text, want)
+		}
+	}
+}
--- a/internal/qlforward/metrics.go
+++ b/internal/qlforward/metrics.go
@@ -2,9 +2,11 @@
 
 import (
 	"expvar"
+	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/quetzallane/quetzallane/internal/qlplace"
 	"github.com/quetzallane/quetzallane/pkg/qlcode"
 	"go.uber.org/zap"
@@ -91,14 +93,20 @@
 	return text + "}"
 }
 
-// placed logs a decision on an engine.
+// placed logs a decision on an engine. Events that end well have names of
+// their own, since the volume of each name is bounded.
 func (f *Forwarder) placed(x *exchange, verdict *qlplace.Verdict) {
+	x.decider, x.predicted = verdict.Decider, verdict.Predicted
 	f.metrics.reasons.Add(verdict.Reason.String(), 1)
 	f.metrics.prediction.Observe(verdict.Predicted)
-	if verdict.Reason == qlplace.Admitted && !x.sent {
-		return
+	event := "placement"
+	if verdict.Reason == qlplace.Admitted {
+		event = "placement-admitted"
 	}
-	f.config.Log.Info("placement",
+	if x.sent {
+		event = "placement-repeated"
+	}
+	f.config.Log.Info(event,
 		zap.String("request", x.caller.ID),
 		zap.String("customer", x.customer),
 		zap.String("engine", verdict.Engine),
@@ -106,11 +114,29 @@
 		zap.Duration("predicted", verdict.Predicted),
 		zap.Duration("retry-after", verdict.RetryAfter),
 		zap.String("decided-by", verdict.Decider),
+		zap.Duration("decided-in", time.Since(x.start)),
 		zap.Int("attempts", x.attempts))
 }
 
 func (f *Forwarder) firstEvent(x *exchange) {
-	f.metrics.firstEvent.Observe(time.Since(x.start))
+	x.first = time.Since(x.start)
+	f.metrics.firstEvent.Observe(x.first)
+}
+
+// attempted logs an attempt that did not answer the request.
+func (f *Forwarder) attempted(x *exchange, upstream, outcome string, err error) {
+	cause := ""
+	if err != nil {
+		cause = errors.Cause(err).Error()
+	}
+	f.config.Log.Info("attempt-failed",
+		zap.String("request", x.caller.ID),
+		zap.String("upstream", upstream),
+		zap.String("outcome", outcome),
+		zap.Int("attempts", x.attempts),
+		zap.Int64("last-event", x.last),
+		zap.Duration("left", x.left()),
+		zap.String("cause", cause))
 }
 
 // ended counts and logs a request's end.
@@ -118,31 +144,36 @@
 	took := time.Since(x.start)
 	f.metrics.results.Add(code.Name(), 1)
 	f.metrics.whole.Observe(took)
-	route := ""
+	route, kind := "", ""
 	if x.route != nil {
-		route = x.route.Name()
+		route, kind = x.route.Name(), x.route.Kind().String()
 		f.metrics.byRoute.Add(route+"/"+code.Name(), 1)
 		f.metrics.byCustomer.Add(x.customer+"/"+code.Name(), 1)
 		f.metrics.byUpstream.Add(x.upstream+"/"+code.Name(), 1)
 	}
-	revision := uint64(0)
+	revision, list := uint64(0), uint64(0)
 	if x.view != nil {
-		revision = x.view.table.Revision()
+		revision, list = x.view.table.Revision(), x.view.list
 	}
-	log := f.config.Log.Info
-	if code == qlcode.Answered && status < 500 {
-		log = f.config.Log.Debug
+	event := "request-ended"
+	if code == qlcode.Answered && status < http.StatusInternalServerError {
+		event = "request-answered"
 	}
-	log("request-ended",
+	f.config.Log.Info(event,
 		zap.String("request", x.caller.ID),
 		zap.String("route", route),
-		zap.Uint64("revision", revision),
+		zap.String("kind", kind),
 		zap.String("customer", x.customer),
 		zap.String("upstream", x.upstream),
 		zap.Int("code", int(code)),
 		zap.Int("status", status),
 		zap.Int("attempts", x.attempts),
 		zap.Duration("took", took),
+		zap.Duration("first-event", x.first),
+		zap.Duration("predicted", x.predicted),
+		zap.String("decided-by", x.decider),
+		zap.Uint64("revision", revision),
+		zap.Uint64("list-revision", list),
 		zap.Int64("last-event", x.last),
 		zap.String("cause", x.cause))
 }
--- a/internal/qlforward/plain.go
+++ b/internal/qlforward/plain.go
@@ -50,6 +50,7 @@
 		x.excluded = append(x.excluded, entry.ID)
 		switch {
 		case errors.Is(err, qlconn.ErrNotSent):
+			f.attempted(x, entry.ID, attemptNotSent.String(), err)
 			unreached++
 			if unreached >= _maxUnreached || x.left() <= 0 {
 				f.refuseUnsent(x, qlcode.UpstreamUnreached, errors.Cause(err).Error())
@@ -57,6 +58,7 @@
 			}
 			continue
 		case f.repeats(x, got, err):
+			f.attempted(x, entry.ID, resultOf(got, err).String(), err)
 			continue
 		}
 		f.endPlain(x, got, err)
@@ -74,6 +76,13 @@
 	return failed && x.route.Repeatable() && f.mayRepeat(x)
 }
 
+func resultOf(got *reply, err error) attemptResult {
+	if err == nil && got.answer.NotRun {
+		return attemptNotRun
+	}
+	return attemptBroken
+}
+
 func (f *Forwarder) endPlain(x *exchange, got *reply, err error) {
 	switch {
 	case err != nil:
--- a/internal/qlforward/qlforward.go
+++ b/internal/qlforward/qlforward.go
@@ -11,7 +11,7 @@
 // # Usage
 //
 //	forwarder := qlforward.New(qlforward.Config{Dialect: dialect, Placement: placement, Log: log})
-//	forwarder.SetView(qlforward.NewView(table, entries))
+//	forwarder.SetView(qlforward.NewView(table, entries, revision))
 //	server := &http.Server{Handler: forwarder}
 package qlforward
 
@@ -193,6 +193,11 @@
 	last    int64
 	hasLast bool
 	cause   string
+	// decider and predicted are those of the last placement; first is the
+	// time to the first event that was passed on.
+	decider   string
+	predicted time.Duration
+	first     time.Duration
 }
 
 // ServeHTTP serves one request.
--- a/internal/qlforward/qlforward_test.go
+++ b/internal/qlforward/qlforward_test.go
@@ -189,7 +189,7 @@
 			})
 		}
 	}
-	b.forwarder.SetView(NewView(testTable(t), entries))
+	b.forwarder.SetView(NewView(testTable(t), entries, 30))
 	b.server = httptest.NewServer(b.forwarder)
 	t.Cleanup(b.server.Close)
 	return b
--- a/internal/qlforward/types.go
+++ b/internal/qlforward/types.go
@@ -78,12 +78,15 @@
 	table    *qlroute.Table
 	services map[string][]qlcatalog.Entry
 	byID     map[string]qlcatalog.Entry
+	// list is the revision of the upstreams.
+	list uint64
 }
 
-// NewView returns the view of a table and the upstreams.
-func NewView(table *qlroute.Table, entries []qlcatalog.Entry) *View {
+// NewView returns the view of a table and the upstreams under their revision.
+func NewView(table *qlroute.Table, entries []qlcatalog.Entry, list uint64) *View {
 	view := &View{
 		table:    table,
+		list:     list,
 		services: make(map[string][]qlcatalog.Entry),
 		byID:     make(map[string]qlcatalog.Entry, len(entries)),
 	}
--- a/internal/qlowner/qlowner.go
+++ b/internal/qlowner/qlowner.go
@@ -87,6 +87,8 @@
 	Behind func(address string, configuration, list uint64)
 	// Changed is called when the set of live routers changed.
 	Changed func(live int)
+	// OwnerChanged is called when this router turns to another owner.
+	OwnerChanged func(from, to string)
 	// Local makes this router decide all requests by itself.
 	Local bool
 	// Policy is how it decides.
@@ -278,6 +280,7 @@
 		}
 	}
 	if owner != c.owner {
+		c.config.OwnerChanged(c.owner, owner)
 		c.owner = owner
 		c.tellAll(now)
 	}
--- a/internal/qlowner/qlowner_test.go
+++ b/internal/qlowner/qlowner_test.go
@@ -88,9 +88,10 @@
 		Decide: func(request uint64, verdict qlplace.Verdict) {
 			n.verdicts[id][request] = verdict
 		},
-		Revisions: func() (uint64, uint64) { return 0, 0 },
-		Behind:    func(string, uint64, uint64) {},
-		Changed:   func(int) {},
+		OwnerChanged: func(string, string) {},
+		Revisions:    func() (uint64, uint64) { return 0, 0 },
+		Behind:       func(string, uint64, uint64) {},
+		Changed:      func(int) {},
 	})
 	core.Placer().SetEngines(testEngines())
 	return core
