--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -50,6 +50,10 @@
 	_stopMargin = 250 * time.Millisecond
 	// _viewPoll is how often the first configuration is looked for.
 	_viewPoll = 10 * time.Millisecond
+	// _collectPercent is how much garbage the runtime gathers against what is in
+	// use: the heap is small against the VM's memory, and collections cost
+	// processor time.
+	_collectPercent = 200
 	// _memoryPart is the part of the VM's memory that the runtime may use
 	// before it collects harder; _bodyPart is what requests may hold.
 	_memoryPart = 0.7
@@ -115,6 +119,7 @@
 	}
 	e.reads.Store(true)
 	runtime.GOMAXPROCS(settings.Processors)
+	debug.SetGCPercent(_collectPercent)
 	debug.SetMemoryLimit(int64(_memoryPart * float64(settings.Memory) * _megabyte))
 	fleet, err := qlfleet.New(qlfleet.Config{
 		Core: qlowner.Config{
--- a/internal/qlengine/qlengine.go
+++ b/internal/qlengine/qlengine.go
@@ -10,7 +10,7 @@
 // # Usage
 //
 //	engine := qlengine.New(qlengine.Config{Slots: 128, Memory: 460000, TokensPerEvent: 5})
-//	forecast := engine.Forecast(now, prompt)
+//	forecast := engine.Forecast(now, prompt, engine.Missing(prompt))
 //	engine.Place(now, key, prompt)
 //	engine.First(now, key)
 //	engine.End(now, key, qlengine.Completed)
@@ -22,11 +22,9 @@
 )
 
 const (
-	// _startRate is in prompt tokens a second, until it is learned.
-	_startRate = 100_000
-	// _minRate and _maxRate bound what is learned, in tokens a second.
-	_minRate = 5_000
-	_maxRate = 1_000_000
+	// _tokenTime is what an engine takes to read a token of a prompt, until its
+	// speed is learned.
+	_tokenTime = 10 * time.Microsecond
 	// _startLatency is the first event's time on an idle engine, until it is
 	// learned.
 	_startLatency = 50 * time.Millisecond
@@ -43,6 +41,8 @@
 	_chunk = 4096
 	// _loadMemory is the span over which an engine's load is averaged.
 	_loadMemory = 500 * time.Millisecond
+	// _currentFor is how long a computed load and slowness are used.
+	_currentFor = 5 * time.Millisecond
 	// _overdueSlack is how much later than predicted a first event may come
 	// before the engine is taken for slow: events are told late.
 	_overdueSlack = 200 * time.Millisecond
@@ -134,7 +134,7 @@
 // Engine is the model. It is not safe for several goroutines.
 type Engine struct {
 	config   Config
-	runs     map[Key]*run
+	runs     map[Key]run
 	waiting  int
 	unread   int
 	reserved int
@@ -155,13 +155,18 @@
 	ratioAt  time.Duration
 	faults   float64
 	faultsAt time.Duration
+	// The last answer of current, and when it was computed.
+	currentLoad  float64
+	currentRatio float64
+	currentAt    time.Duration
+	currentKnown bool
 }
 
 // New returns an idle engine that holds nothing.
 func New(config Config) *Engine {
 	return &Engine{
 		config: config,
-		runs:   make(map[Key]*run),
+		runs:   make(map[Key]run),
 		cache:  newCache(config.Memory),
 		ratio:  1,
 		usual:  _startDuration,
@@ -184,23 +189,34 @@
 	Fits bool
 }
 
-// Forecast predicts what placing the prompt now would mean.
-func (e *Engine) Forecast(now time.Duration, prompt *Prompt) Forecast {
-	missing := e.cache.missing(prompt.Parts)
-	ratio := e.slowness(now)
-	decode := float64(e.decode(now)) * ratio
+// Forecast predicts what placing the prompt now would mean, where the engine
+// lacks so many of its shared tokens.
+func (e *Engine) Forecast(now time.Duration, prompt *Prompt, missing int) Forecast {
+	load, ratio := e.current(now)
+	decode := float64(e.decode(load)) * ratio
 	wait := max(e.readWait(now, ratio, decode), e.slotWait()) + e.overdue(now)
 	read := float64(readTime(prompt.Own()+missing)) * ratio
 	return Forecast{
 		Wait:    wait,
 		Read:    time.Duration(read),
 		First:   wait + time.Duration(read+decode),
-		Load:    e.loadNow(now) * ratio,
+		Load:    load * ratio,
 		Missing: missing,
 		Fits:    e.room(prompt, missing),
 	}
 }
 
+// current returns load and slowness, computed anew every few milliseconds:
+// they fade over hundreds.
+func (e *Engine) current(now time.Duration) (load, ratio float64) {
+	if now-e.currentAt >= _currentFor || !e.currentKnown {
+		e.currentLoad, e.currentRatio = e.loadNow(now), e.slowness(now)
+		e.currentAt = now
+		e.currentKnown = true
+	}
+	return e.currentLoad, e.currentRatio
+}
+
 // readWait is the time until what was placed is read: as it was reckoned at
 // placing, but no less than what is known to be unread takes. That is told
 // late by the time to a first event.
@@ -226,24 +242,27 @@
 }
 
 func readTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / _startRate * float64(time.Second))
+	return time.Duration(tokens) * _tokenTime
 }
 
 // decode is the time from a prompt's end to its first event: each of its
 // tokens takes a step, in which others' prompts are read, too.
-func (e *Engine) decode(now time.Duration) time.Duration {
+func (e *Engine) decode(load float64) time.Duration {
 	step := _stepTime + time.Duration(len(e.runs))*_stepPerRun
-	step += time.Duration(min(e.loadNow(now), 1) * float64(readTime(_chunk)))
+	step += time.Duration(min(load, 1) * float64(readTime(_chunk)))
 	return _startLatency + time.Duration(e.config.TokensPerEvent)*step
 }
 
 // loadNow is the load as it has faded since the last placing.
 func (e *Engine) loadNow(now time.Duration) float64 {
-	return e.load * math.Exp(-float64(now-e.loadAt)/float64(_loadMemory))
+	// Close to an exponential decay, which costs more than all else here.
+	x := float64(now-e.loadAt) / float64(_loadMemory)
+	return e.load / (1 + x + x*x/2)
 }
 
 // addLoad counts tokens that were placed.
 func (e *Engine) addLoad(now time.Duration, tokens int) {
+	e.currentKnown = false
 	e.load = e.loadNow(now) + float64(readTime(tokens))/float64(_loadMemory)
 	e.loadAt = now
 }
@@ -280,14 +299,14 @@
 
 // Place takes a run that was placed now.
 func (e *Engine) Place(now time.Duration, key Key, prompt *Prompt) {
-	if e.runs[key] != nil {
+	if e.Has(key) {
 		return
 	}
-	forecast := e.Forecast(now, prompt)
+	forecast := e.Forecast(now, prompt, e.Missing(prompt))
 	unread := prompt.Own() + forecast.Missing
 	e.extend(now, unread)
 	e.addLoad(now, unread)
-	e.add(key, &run{
+	e.add(key, run{
 		placedAt:  now,
 		predicted: forecast.First,
 		unread:    unread,
@@ -298,13 +317,13 @@
 
 // Adopt takes a run that another router placed.
 func (e *Engine) Adopt(now time.Duration, key Key, unread, memory int) {
-	if e.runs[key] != nil {
+	if e.Has(key) {
 		return
 	}
 	e.extend(now, unread)
-	e.add(key, &run{
+	e.add(key, run{
 		placedAt:  now,
-		predicted: e.finishAt - now + e.decode(now),
+		predicted: e.finishAt - now + e.decode(e.loadNow(now)),
 		unread:    unread,
 		memory:    memory,
 		first:     unread == 0,
@@ -323,7 +342,7 @@
 	return time.Duration(float64(readTime(tokens)) * e.slowness(now))
 }
 
-func (e *Engine) add(key Key, r *run) {
+func (e *Engine) add(key Key, r run) {
 	e.runs[key] = r
 	e.reserved += r.memory
 	if !r.first {
@@ -336,40 +355,42 @@
 // First takes a run's first event and returns the time from its placing, and
 // whether the run was waiting for it.
 func (e *Engine) First(now time.Duration, key Key) (took time.Duration, ok bool) {
-	r := e.runs[key]
-	if r == nil || r.first {
+	r, ok := e.runs[key]
+	if !ok || r.first {
 		return 0, false
 	}
 	took = now - r.placedAt
 	e.observe(now, float64(took)/float64(max(r.predicted, time.Millisecond)))
-	e.markRead(now, r)
+	e.markRead(now, r.unread)
+	r.first = true
+	e.runs[key] = r
 	return took, true
 }
 
 func (e *Engine) observe(now time.Duration, ratio float64) {
 	current := e.slowness(now)
 	ratio = min(max(ratio*current, _minRatio), _maxRatio)
+	e.currentKnown = false
 	e.ratio = current + _correction*(ratio-current)
 	e.ratioAt = now
 }
 
-func (e *Engine) markRead(now time.Duration, r *run) {
-	r.first = true
+func (e *Engine) markRead(now time.Duration, unread int) {
 	e.dueKnown = false
 	e.waiting--
-	e.unread -= r.unread
+	e.unread -= unread
 	e.progressAt = now
 	e.finishAt = min(e.finishAt, now+e.scaled(now, e.unread))
 }
 
 // End takes a run's end.
 func (e *Engine) End(now time.Duration, key Key, outcome Outcome) {
-	r := e.runs[key]
-	if r == nil {
+	r, ok := e.runs[key]
+	if !ok {
 		return
 	}
 	if !r.first {
-		e.markRead(now, r)
+		e.markRead(now, r.unread)
 	}
 	if outcome == Completed {
 		e.usual += time.Duration(_durationWeight * float64(now-r.placedAt-e.usual))
@@ -400,6 +421,9 @@
 
 // Faults returns the rate of failed runs, which fades with time.
 func (e *Engine) Faults(now time.Duration) float64 {
+	if e.faults == 0 {
+		return 0
+	}
 	fade := min(float64(now-e.faultsAt)/float64(_faultMemory), 1)
 	return e.faults * (1 - fade)
 }
@@ -440,23 +464,18 @@
 
 // Predicted returns the time to a run's first event that was predicted.
 func (e *Engine) Predicted(key Key) (predicted time.Duration, ok bool) {
-	r := e.runs[key]
-	if r == nil {
-		return 0, false
-	}
-	return r.predicted, true
+	r, ok := e.runs[key]
+	return r.predicted, ok
 }
 
 // PlacedAt returns when a run was placed; ok is false when it is not known.
 func (e *Engine) PlacedAt(key Key) (at time.Duration, ok bool) {
-	r := e.runs[key]
-	if r == nil {
-		return 0, false
-	}
-	return r.placedAt, true
+	r, ok := e.runs[key]
+	return r.placedAt, ok
 }
 
 // Has reports whether the run is known.
 func (e *Engine) Has(key Key) bool {
-	return e.runs[key] != nil
+	_, ok := e.runs[key]
+	return ok
 }
--- a/internal/qlengine/qlengine_test.go
+++ b/internal/qlengine/qlengine_test.go
@@ -30,6 +30,10 @@
 	}
 }
 
+func forecast(e *Engine, now time.Duration, p *Prompt) Forecast {
+	return e.Forecast(now, p, e.Missing(p))
+}
+
 func key(n uint64) Key {
 	return Key{
 		Router:  "r1",
@@ -72,18 +76,18 @@
 
 func TestWaitGrowsWithWhatIsUnread(t *testing.T) {
 	e := newEngine()
-	if got := e.Forecast(0, prompt(7, 500)).Wait; got != 0 {
+	if got := forecast(e, 0, prompt(7, 500)).Wait; got != 0 {
 		t.Errorf("wait on an idle engine: got %v, want none", got)
 	}
 	e.Place(0, key(1), prompt(7, 7000))
-	if got, want := e.Forecast(0, prompt(7, 500)).Wait, ReadTime(10_000); got != want {
+	if got, want := forecast(e, 0, prompt(7, 500)).Wait, ReadTime(10_000); got != want {
 		t.Errorf("wait behind 10,000 tokens: got %v, want %v", got, want)
 	}
-	if got, want := e.Forecast(40*time.Millisecond, prompt(7, 500)).Wait, 60*time.Millisecond; got != want {
+	if got, want := forecast(e, 40*time.Millisecond, prompt(7, 500)).Wait, 60*time.Millisecond; got != want {
 		t.Errorf("wait 40 ms later: got %v, want %v", got, want)
 	}
 	e.First(60*time.Millisecond, key(1))
-	if got := e.Forecast(60*time.Millisecond, prompt(7, 500)).Wait; got != 0 {
+	if got := forecast(e, 60*time.Millisecond, prompt(7, 500)).Wait; got != 0 {
 		t.Errorf("wait after the first event: got %v, want none", got)
 	}
 }
@@ -105,7 +109,7 @@
 		}
 	}
 	unread := e.Unread()
-	if got, least := e.Forecast(now, prompt(7, 500)).Wait, ReadTime(unread)/2; got < least {
+	if got, least := forecast(e, now, prompt(7, 500)).Wait, ReadTime(unread)/2; got < least {
 		t.Errorf("wait with %d tokens unread: got %v, want %v at least", unread, got, least)
 	}
 	if got := e.Slowness(now); got <= 1 {
@@ -116,8 +120,8 @@
 func TestSilentEngineLooksEverSlower(t *testing.T) {
 	e := newEngine()
 	e.Place(0, key(1), prompt(7, 500))
-	early := e.Forecast(100*time.Millisecond, prompt(8, 500)).Wait
-	late := e.Forecast(2*time.Second, prompt(8, 500)).Wait
+	early := forecast(e, 100*time.Millisecond, prompt(8, 500)).Wait
+	late := forecast(e, 2*time.Second, prompt(8, 500)).Wait
 	if late < early+time.Second {
 		t.Errorf("wait at a silent engine: got %v then %v, want it to grow with the silence", early, late)
 	}
@@ -130,12 +134,12 @@
 		e.First(10*time.Millisecond, key(n))
 	}
 	now := 20 * time.Millisecond
-	first := e.Forecast(now, prompt(7, 100)).Wait
+	first := forecast(e, now, prompt(7, 100)).Wait
 	if first <= 0 {
 		t.Fatalf("wait with all slots used: got %v, want some", first)
 	}
 	e.Place(now, key(9), prompt(7, 100))
-	if second := e.Forecast(now, prompt(7, 100)).Wait; second <= first {
+	if second := forecast(e, now, prompt(7, 100)).Wait; second <= first {
 		t.Errorf("wait behind one that waits: got %v, want more than %v", second, first)
 	}
 }
@@ -143,11 +147,11 @@
 func TestMemoryIsKept(t *testing.T) {
 	e := newEngine()
 	e.Place(0, key(1), prompt(7, 60_000))
-	if e.Forecast(0, prompt(7, 60_000)).Fits {
+	if forecast(e, 0, prompt(7, 60_000)).Fits {
 		t.Error("two requests of 60,000 tokens fit into 100,000")
 	}
 	e.End(time.Second, key(1), Completed)
-	if !e.Forecast(time.Second, prompt(7, 60_000)).Fits {
+	if !forecast(e, time.Second, prompt(7, 60_000)).Fits {
 		t.Error("the memory of an ended request is not free")
 	}
 }
@@ -197,6 +201,6 @@
 	e.Place(0, key(1), p)
 	b.ReportAllocs()
 	for b.Loop() {
-		e.Forecast(time.Millisecond, p)
+		forecast(e, time.Millisecond, p)
 	}
 }
--- a/internal/qlplace/qlplace.go
+++ b/internal/qlplace/qlplace.go
@@ -196,6 +196,8 @@
 	// others scales the load that is known up to what all routers place,
 	// while this one hears only of its own.
 	others float64
+	// missing is used within one decision.
+	missing []int
 }
 
 // New returns a placer without engines.
@@ -347,14 +349,14 @@
 func (p *Placer) best(now time.Duration, pool *pool, request *Request, terms *terms) option {
 	var chosen option
 	affinity, _ := request.Prompt.Affinity()
-	held := heldMissing(pool, request)
-	for _, e := range pool.engines {
+	held := p.lookUp(pool, request)
+	for i, e := range pool.engines {
 		if excluded(request.Excluded, e.info.ID) {
 			continue
 		}
 		o := option{
 			engine:   e,
-			forecast: e.model.Forecast(now, &request.Prompt),
+			forecast: e.model.Forecast(now, &request.Prompt, p.missing[i]),
 		}
 		p.scale(&o.forecast)
 		// Under load a part that is read again takes the room of other
@@ -370,13 +372,17 @@
 	return chosen
 }
 
-// heldMissing returns how many shared tokens the engine lacks that holds most
-// of them. Only what is lacking beyond that is read again.
-func heldMissing(pool *pool, request *Request) int {
+// lookUp notes how many shared tokens each engine lacks, and returns how many
+// the one lacks that holds most of them. Only what is lacking beyond that is
+// read again.
+func (p *Placer) lookUp(pool *pool, request *Request) int {
+	p.missing = p.missing[:0]
 	least := request.Prompt.Tokens
 	for _, e := range pool.engines {
+		missing := e.model.Missing(&request.Prompt)
+		p.missing = append(p.missing, missing)
 		if !excluded(request.Excluded, e.info.ID) {
-			least = min(least, e.model.Missing(&request.Prompt))
+			least = min(least, missing)
 		}
 	}
 	return least
@@ -420,6 +426,9 @@
 }
 
 func (p *Placer) scale(forecast *qlengine.Forecast) {
+	if p.others == 1 {
+		return
+	}
 	extra := time.Duration(float64(forecast.Wait) * (p.others - 1))
 	forecast.Wait += extra
 	forecast.First += extra
