The load limit follows the engines' mean

Change: the limit of one engine rises by as much as the mean is below 0.6, and falls by as much as it is above.

--- a/internal/qlplace/qlplace.go
+++ b/internal/qlplace/qlplace.go
@@ -50,8 +50,11 @@
 	_overPower   = 1.5
 	_leastFactor = 0.1
 	// _overLoad is up to which load engines are used for them: beyond it the
-	// streams that run become too slow for their callers.
-	_overLoad = 0.6
+	// streams that run become too slow for their callers. While the engines'
+	// mean is below it, single engines may be above it by as much, and the
+	// other way round, down to _leastOverLoad.
+	_overLoad      = 0.6
+	_leastOverLoad = 0.4
 	// _faultPrice is what a rate of failures of 1 weighs against the
 	// objective.
 	_faultPrice = 3.0
@@ -168,8 +171,10 @@
 	// usualRead is the mean time that prompts take to be read.
 	usualRead time.Duration
 	marginAt  time.Duration
-	late      uint64
-	inTime    uint64
+	// meanLoad is the engines' load at the last decision.
+	meanLoad float64
+	late     uint64
+	inTime   uint64
 	// reread counts the tokens of shared parts that placed requests lacked.
 	reread uint64
 }
@@ -318,7 +323,7 @@
 		if least := p.shares.Least(); least > 0 {
 			lead = max(ratio/least, 1)
 		}
-		t.load = _overLoad / lead
+		t.load = min(max(2*_overLoad-pool.meanLoad, _leastOverLoad), 1) / lead
 		t.factor, t.reason = overFactor(lead), OverShare
 	}
 	return t
@@ -350,6 +355,7 @@
 	var chosen option
 	affinity, _ := request.Prompt.Affinity()
 	held := p.lookUp(pool, request)
+	load := 0.0
 	for i, e := range pool.engines {
 		if excluded(request.Excluded, e.info.ID) {
 			continue
@@ -358,6 +364,7 @@
 			engine:   e,
 			forecast: e.model.Forecast(now, &request.Prompt, p.missing[i]),
 		}
+		load += o.forecast.Load
 		p.scale(&o.forecast)
 		// Under load a part that is read again takes the room of other
 		// requests, so its price counts against the wait, too.
@@ -369,6 +376,7 @@
 			chosen = o
 		}
 	}
+	pool.meanLoad = load / float64(max(len(pool.engines), 1))
 	return chosen
 }
 
