A request that reached no engine is refused as not run

Change: refusals are 429 or 503, whatever status the code has elsewhere. Before: TestUnreachedEnginesAreARefusal got 502. After: 503 with Retry-After.

--- a/internal/qlforward/qlforward.go
+++ b/internal/qlforward/qlforward.go
@@ -408,23 +408,32 @@
 	return budget
 }
 
-// refuse answers a request that has certainly not run.
+// refuse answers a request that has certainly not run, with a status that says
+// so.
 func (f *Forwarder) refuse(x *exchange, code qlcode.Code, retryAfter time.Duration, cause string) {
+	status := http.StatusServiceUnavailable
+	if code.HTTPStatus() == http.StatusTooManyRequests {
+		status = http.StatusTooManyRequests
+	}
 	x.w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
-	f.fail(x, code, cause)
+	f.answerCode(x, code, status, cause)
 }
 
 // fail answers with an error of the router's own.
 func (f *Forwarder) fail(x *exchange, code qlcode.Code, cause string) {
+	f.answerCode(x, code, code.HTTPStatus(), cause)
+}
+
+func (f *Forwarder) answerCode(x *exchange, code qlcode.Code, status int, cause string) {
 	x.cause = cause
-	f.ended(x, code, code.HTTPStatus())
+	f.ended(x, code, status)
 	if x.callerGone() {
 		return
 	}
 	header := x.w.Header()
 	header.Set(_resultHeader, strconv.Itoa(int(code)))
 	header.Set("Content-Type", "text/plain; charset=utf-8")
-	x.w.WriteHeader(code.HTTPStatus())
+	x.w.WriteHeader(status)
 	if _, err := io.WriteString(x.w, code.Title()+"\n"); err != nil {
 		f.config.Log.Debug("answer-not-written", zap.String("request", x.caller.ID), zap.Error(err))
 	}
--- a/internal/qlforward/qlforward_test.go
+++ b/internal/qlforward/qlforward_test.go
@@ -507,6 +507,21 @@
 	}
 }
 
+// TestUnreachedEnginesAreARefusal plays the fault by which a request that
+// reached no engine was answered 502, which promises nothing.
+func TestUnreachedEnginesAreARefusal(t *testing.T) {
+	var gone []*standIn
+	for _, id := range []string{"a", "b", "c", "d"} {
+		u := newStandIn(t, id, nil)
+		u.address = "127.0.0.1:1"
+		gone = append(gone, u)
+	}
+	got := newBench(t, gone...).send(t, "POST", "/chat/x", chat(), "prompt")
+	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+		t.Errorf("got %d, Retry-After %q, want 503 with a time", got.status, got.header.Get("Retry-After"))
+	}
+}
+
 func TestStoppingRouterRefusesAndCloses(t *testing.T) {
 	u := newStandIn(t, "u1", say(200, "Signature: s\r\n", "ok"))
 	b := newBench(t, u)
