--- a/internal/qlowner/packet.go
+++ b/internal/qlowner/packet.go
@@ -81,7 +81,10 @@
 	if now < c.introduceAt {
 		return
 	}
-	wait := _introduceLater
+	wait, count := _introduceLater, _introducedAgain
+	if !c.settled(now) {
+		wait, count = _introduceSoon, _introduced
+	}
 	targets := c.config.Seeds
 	if len(c.routers) == 0 {
 		wait = _introduceFirst
@@ -96,13 +99,18 @@
 	for _, address := range targets {
 		if address != c.config.Address {
 			packet := c.newPacket()
-			packet.Introduction = c.introduction(true)
+			packet.Introduction = c.introduction(true, count)
 			c.send(address, packet)
 		}
 	}
 }
 
-func (c *Core) introduction(wantsReply bool) *qlfleetwire.Introduction {
+// settled reports whether no router was learned of for a while.
+func (c *Core) settled(now time.Duration) bool {
+	return len(c.routers) > 0 && now-c.learnedAt > _settledAfter
+}
+
+func (c *Core) introduction(wantsReply bool, count int) *qlfleetwire.Introduction {
 	introduction := &qlfleetwire.Introduction{
 		WantsReply: wantsReply,
 		Routers: []*qlfleetwire.Router{{
@@ -113,7 +121,7 @@
 		}},
 	}
 	for _, i := range c.config.Random.Perm(len(c.members.IDs())) {
-		if len(introduction.Routers) == _introduced {
+		if len(introduction.Routers) >= count {
 			break
 		}
 		introduction.Routers = append(introduction.Routers, c.routers[c.members.IDs()[i]])
@@ -128,10 +136,14 @@
 		return
 	}
 	if introduction := packet.GetIntroduction(); introduction != nil {
+		count := _introducedAgain
+		if c.routers[from] == nil || !c.settled(now) {
+			count = _introduced
+		}
 		c.learn(now, introduction.GetRouters())
 		if introduction.GetWantsReply() {
 			reply := c.newPacket()
-			reply.Introduction = c.introduction(false)
+			reply.Introduction = c.introduction(false, count)
 			c.send(source, reply)
 		}
 	}
@@ -191,6 +203,7 @@
 	if !changed {
 		return
 	}
+	c.learnedAt = now
 	list := make([]qlmember.Listed, 0, len(c.routers))
 	for _, router := range c.routers {
 		list = append(list, qlmember.Listed{
--- a/internal/qlowner/qlowner.go
+++ b/internal/qlowner/qlowner.go
@@ -43,12 +43,19 @@
 	_missPause = 1500 * time.Millisecond
 	// _noteDelay lets notes share a datagram.
 	_noteDelay = 10 * time.Millisecond
-	// _introduceFirst and _introduceLater are the time between introductions
-	// before another router is known, and after.
+	// _introduceFirst, _introduceSoon and _introduceLater are the time between
+	// introductions: before another router is known, while more are learned of,
+	// and after.
 	_introduceFirst = 250 * time.Millisecond
-	_introduceLater = 3 * time.Second
-	// _introduced bounds the routers of one introduction.
-	_introduced = 40
+	_introduceSoon  = 500 * time.Millisecond
+	_introduceLater = 5 * time.Second
+	// _settledAfter is how long no router must have been learned of for
+	// introductions to become rare and short.
+	_settledAfter = 3 * time.Second
+	// _introduced bounds the routers of an introduction to one that is new,
+	// _introducedAgain those to one that is known.
+	_introduced      = 40
+	_introducedAgain = 5
 	// _probeInterval and _suspicion find a router that is gone within about
 	// two seconds in a fleet of ten.
 	_probeInterval = 300 * time.Millisecond
@@ -138,6 +145,7 @@
 	counting    []string
 	leaving     bool
 	introduceAt time.Duration
+	learnedAt   time.Duration
 	expireAt    time.Duration
 	owner       string
 	now         time.Duration
--- a/internal/qlowner/qlowner_test.go
+++ b/internal/qlowner/qlowner_test.go
@@ -381,3 +381,15 @@
 		}
 	}
 }
+
+func TestRoutersFindEachOtherThroughSeeds(t *testing.T) {
+	for _, routers := range []int{2, 9, 62} {
+		n := newNetwork(t, routers)
+		n.run(8 * time.Second)
+		for i, core := range n.cores {
+			if got := core.Live(); got != routers {
+				t.Errorf("router %d of %d sees %d", i, routers, got)
+			}
+		}
+	}
+}
