--- a/internal/qlengine/cache.go
+++ b/internal/qlengine/cache.go
@@ -9,10 +9,16 @@
 	held     int
 	order    *list.List
 	parts    map[uint64]*list.Element
+	// changed is told of each shared part that comes or goes.
+	changed func(id uint64, held bool)
 }
 
-func newCache(capacity int) cache {
+func newCache(capacity int, changed func(id uint64, held bool)) cache {
+	if changed == nil {
+		changed = func(uint64, bool) {}
+	}
 	return cache{
+		changed:  changed,
 		capacity: capacity,
 		order:    list.New(),
 		parts:    make(map[uint64]*list.Element),
@@ -33,6 +39,9 @@
 
 func (c *cache) use(parts []Part) {
 	for i := len(parts) - 1; i >= 0; i-- {
+		if i < len(parts)-1 {
+			c.changed(parts[i].ID, true)
+		}
 		if element := c.parts[parts[i].ID]; element != nil {
 			c.order.MoveToBack(element)
 			continue
@@ -44,6 +53,7 @@
 		oldest := c.order.Front()
 		part, _ := c.order.Remove(oldest).(Part)
 		delete(c.parts, part.ID)
+		c.changed(part.ID, false)
 		c.held -= part.Tokens
 	}
 }
--- a/internal/qlengine/qlengine.go
+++ b/internal/qlengine/qlengine.go
@@ -167,7 +167,7 @@
 	return &Engine{
 		config: config,
 		runs:   make(map[Key]run),
-		cache:  newCache(config.Memory),
+		cache:  newCache(config.Memory, nil),
 		ratio:  1,
 		usual:  _startDuration,
 	}
@@ -419,6 +419,12 @@
 // _faultWeight is the weight of one run's end in the rate of failures.
 const _faultWeight = 0.2
 
+// Load returns the part of its time that the engine reads prompts.
+func (e *Engine) Load(now time.Duration) float64 {
+	load, ratio := e.current(now)
+	return load * ratio
+}
+
 // Faults returns the rate of failed runs, which fades with time.
 func (e *Engine) Faults(now time.Duration) float64 {
 	if e.faults == 0 {
@@ -474,6 +480,15 @@
 	return r.placedAt, ok
 }
 
+// OnParts sets who is told of each shared part that the engine comes to hold
+// or lets go, beginning with those that it holds.
+func (e *Engine) OnParts(changed func(id uint64, held bool)) {
+	e.cache.changed = changed
+	for id := range e.cache.parts {
+		changed(id, true)
+	}
+}
+
 // Has reports whether the run is known.
 func (e *Engine) Has(key Key) bool {
 	_, ok := e.runs[key]
--- /dev/null
+++ b/internal/qlforward/standin_test.go
@@ -0,0 +1,312 @@
+package qlforward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/quetzallane/quetzallane/internal/qlbudget"
+	"github.com/quetzallane/quetzallane/internal/qlcatalog"
+	"github.com/quetzallane/quetzallane/internal/qlengine"
+	"github.com/quetzallane/quetzallane/internal/qlplace"
+	"github.com/quetzallane/quetzallane/internal/qlroute"
+	"go.uber.org/zap"
+)
+
+// testDialect is a dialect of plain names.
+func testDialect() Dialect {
+	return Dialect{
+		ReadCaller: func(header http.Header) Caller {
+			caller := Caller{
+				ID:    header.Get("Id"),
+				Key:   header.Get("Key"),
+				After: -1,
+			}
+			if ms, err := strconv.Atoi(header.Get("Wait")); err == nil {
+				caller.Wait = time.Duration(ms) * time.Millisecond
+			}
+			if header.Get("Prompt") != "" {
+				caller.Prompt = &qlengine.Prompt{
+					Tokens: 100,
+				}
+			}
+			return caller
+		},
+		SetOutgoing: func(header http.Header, outgoing Outgoing) {
+			header.Del("Customer")
+			header.Set("Left", strconv.FormatInt(outgoing.Left.Milliseconds(), 10))
+			header.Set("Expect-Id", outgoing.Upstream)
+			if outgoing.Customer != "" {
+				header.Set("Customer", outgoing.Customer)
+			}
+			if outgoing.HideKey {
+				header.Del("Key")
+			}
+			if outgoing.After >= 0 {
+				header.Set("After", strconv.FormatInt(outgoing.After, 10))
+			}
+		},
+		ReadAnswer: func(response *http.Response) Answer {
+			return Answer{
+				NotRun: response.Header.Get("Not-Run") != "",
+				Signed: response.Header.Get("Signature") != "",
+			}
+		},
+	}
+}
+
+// standIn is an upstream that answers by a script and keeps what it was sent.
+type standIn struct {
+	id      string
+	address string
+
+	mu       sync.Mutex
+	requests []*http.Request
+	bodies   []string
+}
+
+func (s *standIn) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.requests)
+}
+
+func newStandIn(t *testing.T, id string, reply func(conn net.Conn, request *http.Request)) *standIn {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	s := &standIn{
+		id:      id,
+		address: listener.Addr().String(),
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn, reply)
+		}
+	}()
+	return s
+}
+
+func (s *standIn) serve(conn net.Conn, reply func(conn net.Conn, request *http.Request)) {
+	defer func() { _ = conn.Close() }()
+	request, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	body, _ := io.ReadAll(request.Body)
+	s.mu.Lock()
+	s.requests = append(s.requests, request)
+	s.bodies = append(s.bodies, string(body))
+	s.mu.Unlock()
+	reply(conn, request)
+}
+
+// say writes a whole answer.
+func say(status int, header, body string) func(net.Conn, *http.Request) {
+	return func(conn net.Conn, request *http.Request) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d Status\r\nId: %s\r\nConnection: close\r\n%sContent-Length: %d\r\n\r\n%s",
+			status, request.Header.Get("Id"), header, len(body), body)
+	}
+}
+
+// stream writes events from one to the other number, and the end if whole.
+func stream(from, to int, whole bool) func(net.Conn, *http.Request) {
+	return func(conn net.Conn, request *http.Request) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+			request.Header.Get("Id"))
+		for n := from; n <= to; n++ {
+			event := fmt.Sprintf("id: %d\ndata: x\n\n", n)
+			_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event)
+		}
+		if whole {
+			_, _ = io.WriteString(conn, "0\r\n\r\n")
+			return
+		}
+		_, _ = io.WriteString(conn, "9\r\nid: 99\nda\r\n")
+	}
+}
+
+// bench is a forwarder with stand-ins.
+type bench struct {
+	forwarder *Forwarder
+	server    *httptest.Server
+	engines   []string
+
+	mu       sync.Mutex
+	asked    []qlplace.Request
+	outcomes []qlengine.Outcome
+}
+
+func newBench(t *testing.T, upstreams ...*standIn) *bench {
+	t.Helper()
+	b := &bench{}
+	b.forwarder = New(Config{
+		Dialect: testDialect(),
+		Placement: Placement{
+			Ask:     b.ask,
+			First:   func(uint64) {},
+			End:     b.end,
+			Routers: func() int { return 1 },
+		},
+		Budget: qlbudget.Config{
+			Ratio:     1,
+			Window:    time.Second,
+			Allowance: 100,
+		},
+		Crowded:    func() bool { return false },
+		BodyMemory: 1 << 20,
+		Clock:      func() time.Duration { return 0 },
+		Random:     rand.New(rand.NewPCG(1, 2)),
+		Log:        zap.NewNop(),
+	})
+	entries := make([]qlcatalog.Entry, 0, len(upstreams))
+	for _, u := range upstreams {
+		b.engines = append(b.engines, u.id)
+		for _, service := range []string{"plain", "engines"} {
+			entries = append(entries, qlcatalog.Entry{
+				ID:      u.id,
+				Service: service,
+				Address: u.address,
+				Slots:   4,
+				State:   qlcatalog.Ready,
+			})
+		}
+	}
+	b.forwarder.SetView(NewView(testTable(t), entries, 30))
+	b.server = httptest.NewServer(b.forwarder)
+	t.Cleanup(b.server.Close)
+	return b
+}
+
+func testTable(t *testing.T) *qlroute.Table {
+	t.Helper()
+	route := func(prefix, service string, kind qlroute.Kind, attempts int, resumable bool) qlroute.RouteConfig {
+		return qlroute.RouteConfig{
+			Name:    strings.Trim(prefix, "/"),
+			Host:    "127.0.0.1",
+			Prefix:  prefix,
+			Kind:    kind,
+			Timeout: 2 * time.Second,
+			Goal:    100 * time.Millisecond,
+			Targets: []qlroute.Target{{
+				Service: service,
+				Weight:  1,
+			}},
+			MaxAttempts: attempts,
+			Resumable:   resumable,
+		}
+	}
+	table, err := qlroute.Build(&qlroute.Document{
+		Revision: 1,
+		Routes: []qlroute.RouteConfig{
+			route("/look/", "plain", qlroute.Idempotent, 2, false),
+			route("/order/", "plain", qlroute.NonIdempotent, 2, false),
+			route("/chat/", "engines", qlroute.Streaming, 2, false),
+			route("/resume/", "engines", qlroute.Streaming, 2, true),
+		},
+		Services: []qlroute.ServiceConfig{
+			{
+				Name: "plain",
+			},
+			{
+				Name:   "engines",
+				Engine: &qlroute.EngineConfig{},
+			},
+		},
+		Customers: []qlroute.CustomerConfig{{
+			Name: "depot",
+			Keys: []string{"k1"},
+		}},
+		Limits: qlroute.Limits{
+			BodyBytes: 1000,
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return table
+}
+
+// ask places on the first engine that was not tried.
+func (b *bench) ask(_ context.Context, request *qlplace.Request) qlplace.Verdict {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.asked = append(b.asked, *request)
+	for _, id := range b.engines {
+		tried := false
+		for _, other := range request.Excluded {
+			tried = tried || other == id
+		}
+		if !tried {
+			return qlplace.Verdict{
+				Engine: id,
+			}
+		}
+	}
+	return qlplace.Verdict{
+		Reason:     qlplace.Late,
+		RetryAfter: 250 * time.Millisecond,
+	}
+}
+
+func (b *bench) end(_ uint64, outcome qlengine.Outcome) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.outcomes = append(b.outcomes, outcome)
+}
+
+// result is what a caller got.
+type result struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+	// closed is set when the caller was asked to close its connection.
+	closed bool
+}
+
+func (b *bench) send(t *testing.T, method, path string, header map[string]string, body string) result {
+	t.Helper()
+	request, err := http.NewRequest(method, b.server.URL+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Id", "i1")
+	request.Header.Set("Key", "k1")
+	request.Header.Set("Wait", "1500")
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		return result{
+			err: err,
+		}
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return result{
+		status: response.StatusCode,
+		header: response.Header,
+		body:   string(data),
+		err:    err,
+		closed: response.Close,
+	}
+}
--- a/internal/qlplace/qlplace.go
+++ b/internal/qlplace/qlplace.go
@@ -55,6 +55,8 @@
 	// other way round, down to _leastOverLoad.
 	_overLoad      = 0.6
 	_leastOverLoad = 0.4
+	// _meanLoadFor is how long a computed mean is used.
+	_meanLoadFor = 10 * time.Millisecond
 	// _faultPrice is what a rate of failures of 1 weighs against the
 	// objective.
 	_faultPrice = 3.0
@@ -165,16 +167,18 @@
 
 type pool struct {
 	engines []*engine
+	holders *holders
 	margin  float64
 	// goal is the strictest objective that was asked for lately.
 	goal time.Duration
 	// usualRead is the mean time that prompts take to be read.
 	usualRead time.Duration
 	marginAt  time.Duration
-	// meanLoad is the engines' load at the last decision.
-	meanLoad float64
-	late     uint64
-	inTime   uint64
+	// meanLoad is the engines' mean load, computed at meanLoadAt.
+	meanLoad   float64
+	meanLoadAt time.Duration
+	late       uint64
+	inTime     uint64
 	// reread counts the tokens of shared parts that placed requests lacked.
 	reread uint64
 }
@@ -250,13 +254,26 @@
 		pool.engines = append(pool.engines, e)
 	}
 	p.engines = known
+	for _, pool := range p.pools {
+		pool.index()
+	}
+}
+
+// index notes anew which engines hold which parts.
+func (p *pool) index() {
+	index := newHolders(len(p.engines))
+	p.holders = index
+	for i, e := range p.engines {
+		e.model.OnParts(func(part uint64, held bool) { index.set(part, i, held) })
+	}
 }
 
 func (p *Placer) pool(service string) *pool {
 	found := p.pools[service]
 	if found == nil {
 		found = &pool{
-			margin: _startMargin,
+			holders: newHolders(0),
+			margin:  _startMargin,
 		}
 		p.pools[service] = found
 	}
@@ -269,6 +286,7 @@
 	p.shares.Asked(now, request.Customer, cost)
 	pool := p.pool(request.Service)
 	pool.noteGoal(request.Goal)
+	pool.refreshLoad(now)
 	if p.config.Policy != Predict {
 		return p.askBaseline(now, pool, request)
 	}
@@ -295,179 +313,10 @@
 	}
 }
 
-// terms are what a request is admitted under.
-type terms struct {
-	// goal is what the first event is reckoned to take at most.
-	goal time.Duration
-	// factor scales the wait that is allowed.
-	factor float64
-	// load is up to which load the engines may be used.
-	load float64
-	// usualRead is what a prompt usually takes to be read.
-	usualRead time.Duration
-	reason    Reason
-}
-
-func (p *Placer) terms(now time.Duration, pool *pool, request *Request) terms {
-	t := terms{
-		// All kinds wait in the same engines: were each admitted by its own
-		// objective, those with longer ones would leave the others no room.
-		goal:      time.Duration(float64(min(pool.goal, request.Goal)) / pool.margin),
-		factor:    1,
-		load:      math.MaxFloat64,
-		usualRead: pool.usualRead,
-		reason:    Late,
-	}
-	if ratio := p.shares.Ratio(now, request.Customer); ratio > 1 {
-		lead := 1.0
-		if least := p.shares.Least(); least > 0 {
-			lead = max(ratio/least, 1)
-		}
-		t.load = min(max(2*_overLoad-pool.meanLoad, _leastOverLoad), 1) / lead
-		t.factor, t.reason = overFactor(lead), OverShare
-	}
-	return t
-}
-
-// allowed returns the wait under which a request is admitted. A long prompt
-// takes its own time; it is not refused for more of it than the usual one
-// has, or the longest would hardly ever be served.
-func (t *terms) allowed(forecast *qlengine.Forecast) time.Duration {
-	least := forecast.First - forecast.Wait - max(forecast.Read-t.usualRead, 0)
-	return time.Duration(t.factor * float64(max(t.goal-least, 0)))
-}
-
 func costOf(prompt *qlengine.Prompt) float64 {
 	return float64(prompt.Tokens + _outputWeight*prompt.Output)
 }
 
-// option is an engine that a request may be placed on.
-type option struct {
-	engine     *engine
-	forecast   qlengine.Forecast
-	admissible bool
-	score      time.Duration
-}
-
-// best returns the engine that harms least, among those that the request is
-// admitted to if there are any.
-func (p *Placer) best(now time.Duration, pool *pool, request *Request, terms *terms) option {
-	var chosen option
-	affinity, _ := request.Prompt.Affinity()
-	held := p.lookUp(pool, request)
-	load := 0.0
-	for i, e := range pool.engines {
-		if excluded(request.Excluded, e.info.ID) {
-			continue
-		}
-		o := option{
-			engine:   e,
-			forecast: e.model.Forecast(now, &request.Prompt, p.missing[i]),
-		}
-		load += o.forecast.Load
-		p.scale(&o.forecast)
-		// Under load a part that is read again takes the room of other
-		// requests, so its price counts against the wait, too.
-		again := _rereadPrice * qlengine.ReadTime(o.forecast.Missing-held)
-		wait := o.forecast.Wait + again
-		o.admissible = o.forecast.Fits && o.forecast.Load <= terms.load && wait <= terms.allowed(&o.forecast)
-		o.score = p.score(now, e, &o.forecast, request) + again
-		if chosen.engine == nil || o.before(&chosen, affinity) {
-			chosen = o
-		}
-	}
-	pool.meanLoad = load / float64(max(len(pool.engines), 1))
-	return chosen
-}
-
-// lookUp notes how many shared tokens each engine lacks, and returns how many
-// the one lacks that holds most of them. Only what is lacking beyond that is
-// read again.
-func (p *Placer) lookUp(pool *pool, request *Request) int {
-	p.missing = p.missing[:0]
-	least := request.Prompt.Tokens
-	for _, e := range pool.engines {
-		missing := e.model.Missing(&request.Prompt)
-		p.missing = append(p.missing, missing)
-		if !excluded(request.Excluded, e.info.ID) {
-			least = min(least, missing)
-		}
-	}
-	return least
-}
-
-func (o *option) before(other *option, affinity uint64) bool {
-	switch {
-	case o.admissible != other.admissible:
-		return o.admissible
-	case o.forecast.Fits != other.forecast.Fits:
-		return o.forecast.Fits
-	case o.score != other.score:
-		return o.score < other.score
-	}
-	return o.engine.hash.Beats(affinity, other.engine.hash)
-}
-
-// overFactor scales the wait allowed to a customer above its share, by how far
-// it is above the least served of those that want more than theirs.
-func overFactor(lead float64) float64 {
-	return max(_overFactor/math.Pow(lead, _overPower), _leastFactor)
-}
-
-// noteGoal follows the strictest objective; it rises slowly when that is not
-// asked for any more.
-func (p *pool) noteGoal(goal time.Duration) {
-	if p.goal == 0 || goal < p.goal {
-		p.goal = goal
-		return
-	}
-	p.goal += (goal - p.goal) / _goalMemory
-}
-
-func excluded(ids []string, id string) bool {
-	for _, other := range ids {
-		if other == id {
-			return true
-		}
-	}
-	return false
-}
-
-func (p *Placer) scale(forecast *qlengine.Forecast) {
-	if p.others == 1 {
-		return
-	}
-	extra := time.Duration(float64(forecast.Wait) * (p.others - 1))
-	forecast.Wait += extra
-	forecast.First += extra
-}
-
-func (p *Placer) score(now time.Duration, e *engine, forecast *qlengine.Forecast, request *Request) time.Duration {
-	score := forecast.First + time.Duration(_faultPrice*e.model.Faults(now)*float64(request.Goal))
-	if e.info.Zone != request.Zone {
-		score += _crossPrice
-	}
-	return score
-}
-
-func (p *Placer) refuse(reason Reason, best *option, terms *terms) Verdict {
-	verdict := Verdict{
-		Reason:     reason,
-		Predicted:  best.forecast.First,
-		RetryAfter: time.Duration(p.config.Random.Int64N(int64(_retrySpread))),
-	}
-	switch reason {
-	case OverShare:
-		// Room comes when older grants have left the window.
-		verdict.RetryAfter += _shareRetry
-	case NoEngine, Full:
-		verdict.RetryAfter += _fullRetry
-	case Late, Admitted:
-		verdict.RetryAfter += max(best.forecast.Wait-terms.allowed(&best.forecast), _leastRetry)
-	}
-	return verdict
-}
-
 // Place counts a request that another router placed on the engine.
 func (p *Placer) Place(now time.Duration, request *Request, id string) {
 	e := p.engines[id]
@@ -583,54 +432,3 @@
 func (p *Placer) Has(id string) bool {
 	return p.engines[id] != nil
 }
-
-// Shares returns the fair shares' window.
-func (p *Placer) Shares() *qlshare.Window {
-	return p.shares
-}
-
-// PoolState is one service's engines, for dumps.
-type PoolState struct {
-	Service string        `json:"service"`
-	Margin  float64       `json:"margin"`
-	InTime  uint64        `json:"in-time"`
-	Late    uint64        `json:"late"`
-	Reread  uint64        `json:"tokens-read-again"`
-	Engines []EngineState `json:"engines"`
-}
-
-// EngineState is one engine, for dumps.
-type EngineState struct {
-	ID       string  `json:"id"`
-	Running  int     `json:"running"`
-	Waiting  int     `json:"waiting"`
-	Unread   int     `json:"unread-tokens"`
-	Slowness float64 `json:"slowness"`
-	Faults   float64 `json:"faults"`
-}
-
-// State returns what is believed of the engines.
-func (p *Placer) State(now time.Duration) []PoolState {
-	var states []PoolState
-	for service, pool := range p.pools {
-		state := PoolState{
-			Service: service,
-			Margin:  pool.margin,
-			InTime:  pool.inTime,
-			Late:    pool.late,
-			Reread:  pool.reread,
-		}
-		for _, e := range pool.engines {
-			state.Engines = append(state.Engines, EngineState{
-				ID:       e.info.ID,
-				Running:  e.model.Running(),
-				Waiting:  e.model.Waiting(),
-				Unread:   e.model.Unread(),
-				Slowness: e.model.Slowness(now),
-				Faults:   e.model.Faults(now),
-			})
-		}
-		states = append(states, state)
-	}
-	return states
-}
--- a/internal/qlplace/qlplace_test.go
+++ b/internal/qlplace/qlplace_test.go
@@ -220,3 +220,30 @@
 		}
 	}
 }
+
+// TestIndexAgreesWithTheEngines compares the pool's index of parts with what
+// each engine says, while parts come and go.
+func TestIndexAgreesWithTheEngines(t *testing.T) {
+	p := newPlacer(70)
+	for n := range uint64(3000) {
+		r := request(n, "c", 10+n*7919%400, 2000)
+		r.Again = true
+		now := time.Duration(n) * 20 * time.Millisecond
+		p.Ask(now, r)
+		p.First(now, r.Key)
+		p.End(now, r.Key, qlengine.Completed)
+		if n%500 == 0 {
+			p.SetEngines(engineInfos(70 - int(n/500)))
+		}
+	}
+	pool := p.pools[_service]
+	for shared := range uint64(400) {
+		r := request(1, "c", 10+shared, 100)
+		p.lookUp(pool, r)
+		for i, e := range pool.engines {
+			if got, want := p.missing[i], e.model.Missing(&r.Prompt); got != want {
+				t.Fatalf("part %d at engine %d: got %d missing, want %d", shared, i, got, want)
+			}
+		}
+	}
+}
--- a/internal/qlsetting/edge.go
+++ b/internal/qlsetting/edge.go
@@ -1,14 +1,10 @@
 package qlsetting
 
 import (
-	"fmt"
 	"net"
-	"os"
-	"reflect"
 	"slices"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/quetzallane/quetzallane/pkg/qljson"
 	"go.uber.org/zap/zapcore"
 )
@@ -63,27 +59,12 @@
 // LoadEdge reads and checks the settings of a router in front of a platform's
 // upstreams.
 func LoadEdge(path string) (*Edge, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return nil, errors.Annotate(err, "settings")
-	}
-	return ParseEdge(path, data)
+	return load(path, (*Edge).fault)
 }
 
 // ParseEdge checks settings whose text was read from a source.
 func ParseEdge(source string, data []byte) (*Edge, error) {
-	settings := &Edge{}
-	if err := qljson.Decode(source, data, settings); err != nil {
-		return nil, errors.Trace(err)
-	}
-	if err := checkGiven(source, data, reflect.TypeFor[Edge]()); err != nil {
-		return nil, errors.Trace(err)
-	}
-	if name, reason := settings.fault(); name != "" {
-		position := qljson.Position(source, data, qljson.FindName(data, name))
-		return nil, errors.NewNotValid(nil, fmt.Sprintf("%s: %q: %s", position, name, reason))
-	}
-	return settings, nil
+	return parse(source, data, (*Edge).fault)
 }
 
 func (s *Edge) fault() (name, reason string) {
--- a/internal/qlsetting/qlsetting.go
+++ b/internal/qlsetting/qlsetting.go
@@ -58,23 +58,33 @@
 
 // LoadRouter reads and checks a router's settings.
 func LoadRouter(path string) (*Router, error) {
+	return load(path, (*Router).fault)
+}
+
+// ParseRouter checks settings whose text was read from a source.
+func ParseRouter(source string, data []byte) (*Router, error) {
+	return parse(source, data, (*Router).fault)
+}
+
+func load[T any](path string, fault func(*T) (name, reason string)) (*T, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, errors.Annotate(err, "settings")
 	}
-	return ParseRouter(path, data)
+	return parse(path, data, fault)
 }
 
-// ParseRouter checks settings whose text was read from a source.
-func ParseRouter(source string, data []byte) (*Router, error) {
-	settings := &Router{}
+// parse decodes settings, in which every field must be given; fault names the
+// first field that is wrong, if any.
+func parse[T any](source string, data []byte, fault func(*T) (name, reason string)) (*T, error) {
+	settings := new(T)
 	if err := qljson.Decode(source, data, settings); err != nil {
 		return nil, errors.Trace(err)
 	}
-	if err := checkGiven(source, data, reflect.TypeFor[Router]()); err != nil {
+	if err := checkGiven(source, data, reflect.TypeFor[T]()); err != nil {
 		return nil, errors.Trace(err)
 	}
-	if name, reason := settings.fault(); name != "" {
+	if name, reason := fault(settings); name != "" {
 		position := qljson.Position(source, data, qljson.FindName(data, name))
 		return nil, errors.NewNotValid(nil, fmt.Sprintf("%s: %q: %s", position, name, reason))
 	}
