Comments say what the code does; a test of fleets on loopback

Change: comments only, and a test file: three routers find each other and ask one, a question ends with its context, a document is fetched.

--- a/internal/qlengine/qlengine.go
+++ b/internal/qlengine/qlengine.go
@@ -21,6 +21,8 @@
 	"time"
 )
 
+// Figures that are learned begin at the speed of the engines on the users'
+// sheets; the others come from the runs in docs/PLACEMENT.md.
 const (
 	// _tokenTime is what an engine takes to read a token of a prompt, until its
 	// speed is learned.
@@ -51,10 +53,10 @@
 	// _minRatio and _maxRatio bound observed time against predicted time.
 	_minRatio = 0.4
 	_maxRatio = 8
-	// _ratioMemory is after how long a ratio that is not observed any more
-	// has lost two thirds of its distance from 1.
+	// _ratioMemory is after how long a ratio that is not observed any more is
+	// back at 1.
 	_ratioMemory = 5 * time.Second
-	// _faultMemory is the same for observed failures.
+	// _faultMemory is after how long observed failures are forgotten.
 	_faultMemory = 3 * time.Second
 )
 
--- /dev/null
+++ b/internal/qlfleet/qlfleet_test.go
@@ -0,0 +1,135 @@
+package qlfleet
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/quetzallane/quetzallane/internal/qlengine"
+	"github.com/quetzallane/quetzallane/internal/qlfleetwire"
+	"github.com/quetzallane/quetzallane/internal/qlowner"
+	"github.com/quetzallane/quetzallane/internal/qlplace"
+	"go.uber.org/zap"
+)
+
+// newFleets starts routers on loopback addresses that share a port.
+func newFleets(t *testing.T, count int) []*Fleet {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, port, err := net.SplitHostPort(listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = listener.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	var fleets []*Fleet
+	began := time.Now()
+	for i := range count {
+		f, err := New(Config{
+			Core: qlowner.Config{
+				Self:        fmt.Sprintf("r%d", i),
+				Zone:        "z1",
+				Address:     fmt.Sprintf("127.0.0.%d:%s", i+1, port),
+				Incarnation: 1,
+				Random:      rand.New(rand.NewPCG(1, uint64(i))),
+				Seeds:       []string{"127.0.0.1:" + port},
+				Revisions:   func() (uint64, uint64) { return 0, 0 },
+				Behind:      func(string, uint64, uint64) {},
+			},
+			Fetch: func(request *qlfleetwire.FetchRequest) *qlfleetwire.FetchReply {
+				return &qlfleetwire.FetchReply{
+					ConfigurationRevision: request.GetConfigurationRevision() + 1,
+					Configuration:         []byte("document"),
+				}
+			},
+			Tick:  func(time.Duration) {},
+			Clock: func() time.Duration { return time.Since(began) },
+			Log:   zap.NewNop(),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.Core().Placer().SetEngines([]qlplace.EngineInfo{{
+			ID:      "e1",
+			Service: "models",
+			Config: qlengine.Config{
+				Slots: 8,
+			},
+		}})
+		go f.Run(ctx)
+		fleets = append(fleets, f)
+	}
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		all := true
+		for _, f := range fleets {
+			all = all && f.Live() == count
+		}
+		if all {
+			return fleets
+		}
+		if time.Now().After(end) {
+			t.Fatal("routers have not found each other within 5 s")
+		}
+	}
+}
+
+func TestAllAskOneRouter(t *testing.T) {
+	fleets := newFleets(t, 3)
+	deciders := map[string]bool{}
+	for i, f := range fleets {
+		verdict := f.Ask(context.Background(), &qlplace.Request{
+			Key: qlengine.Key{
+				Request: uint64(i),
+			},
+			Service: "models",
+			Goal:    time.Second,
+		})
+		if verdict.Engine != "e1" {
+			t.Errorf("router %d: got %+v, want engine e1", i, verdict)
+		}
+		deciders[verdict.Decider] = true
+		f.First(uint64(i))
+		f.End(uint64(i), qlengine.Completed)
+	}
+	if len(deciders) != 1 {
+		t.Errorf("deciders: got %v, want one", deciders)
+	}
+}
+
+func TestAskEndsWithItsContext(t *testing.T) {
+	f := newFleets(t, 1)[0]
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	done := make(chan struct{})
+	go func() {
+		f.Ask(ctx, &qlplace.Request{
+			Service: "none",
+		})
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(time.Second):
+		t.Error("the question goes on after its context has ended")
+	}
+}
+
+func TestFetch(t *testing.T) {
+	fleets := newFleets(t, 2)
+	reply, err := fleets[1].Fetch(context.Background(), fleets[0].config.Core.Address, &qlfleetwire.FetchRequest{
+		ConfigurationRevision: 6,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if reply.GetConfigurationRevision() != 7 || string(reply.GetConfiguration()) != "document" {
+		t.Errorf("reply: got %v, want the document under revision 7", reply)
+	}
+}
--- a/internal/qlforward/qlforward.go
+++ b/internal/qlforward/qlforward.go
@@ -53,7 +53,7 @@
 	// _upstreamIdle is how long unused connections are kept where the
 	// upstream states no time.
 	_upstreamIdle = 20 * time.Second
-	// _bodyCost is the memory of a request beside its body.
+	// _requestMemory is the memory of a request beside its body, in bytes.
 	_requestMemory = 16 << 10
 	// _resultHeader carries the result code of answers of the router's own.
 	_resultHeader = "Quetzallane-Result"
--- a/internal/qlplace/qlplace.go
+++ b/internal/qlplace/qlplace.go
@@ -3,15 +3,16 @@
 // It answers the heaviest load: more prompts than the engines can read within
 // the latency objective. A request goes where its first event is predicted
 // soonest, counting the price of reading shared parts again. It is admitted
-// when the prediction is well within its objective; how well follows from how
-// many admitted requests met theirs. Who has had more than its fair share
-// needs a better prediction than the others. Everything else is refused at
-// once, with the time after which there should be room.
+// when its wait leaves time for the rest within the objective; the reckoned
+// time is the predicted one times a margin that follows from what was observed.
+// Customers above their fair share may wait less and use only engines that
+// have time left. Everything else is refused at once, with the time after which
+// there should be room.
 //
 // # Usage
 //
 //	placer := qlplace.New(qlplace.Config{Random: random})
-//	placer.SetEngines(now, engines)
+//	placer.SetEngines(engines)
 //	verdict := placer.Ask(now, request)
 //	placer.First(now, key)
 //	placer.End(now, key, outcome)
@@ -27,6 +28,7 @@
 	"github.com/quetzallane/quetzallane/internal/qlshare"
 )
 
+// Figures without another source come from the runs in docs/PLACEMENT.md.
 const (
 	// _rereadPrice is how much a token that is read again weighs against one
 	// that delays the request.
@@ -78,9 +80,10 @@
 	_usualWeight = 0.01
 	// _runAge is when a run whose end was never told is forgotten.
 	_runAge = 30 * time.Second
-	// _shareSpan is the window of fair shares.
+	// _shareSpan is the window of fair shares, as the users' sheets state it.
 	_shareSpan = 4 * time.Second
-	// _outputWeight is the cost of a generated token against a read one.
+	// _outputWeight is the cost of a generated token against a read one, as the
+	// users' pages reckon the stated throughput.
 	_outputWeight = 2
 )
 
@@ -102,7 +105,7 @@
 	// Zone is that of the router that will send the request.
 	Zone   string
 	Prompt qlengine.Prompt
-	// Goal is the objective for the first event, as far as it is left.
+	// Goal is the route's objective for the first event.
 	Goal time.Duration
 	// Excluded engines were tried already.
 	Excluded []string
@@ -123,7 +126,7 @@
 	Late
 	// OverShare: it would come too late for one above its fair share.
 	OverShare
-	// Full: no engine has a slot and memory.
+	// Full: no engine has memory for the request.
 	Full
 )
 
