Dropped errors get a log line; checks of settings stand once

Cause: found on the last reading of the diff: what a caller's or an upstream's header held in place of a number counted as 0 without a word, a membership message that could not be encoded or decoded and a seed that is no address were skipped in silence, and the checks of empty texts and addresses stood in both settings files. Ruled out: refusing such requests: the headers are hints, and what cannot be read is taken for not given.

--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -128,7 +128,7 @@
 			Address:     settings.PeerAddress,
 			Incarnation: uint64(e.started.UnixMilli()),
 			Random:      newRandom(),
-			Seeds:       peerAddresses(settings),
+			Seeds:       peerAddresses(settings, e.log),
 			Revisions:   e.revisions,
 			Behind:      e.behind,
 			Local:       settings.Placement != qlsetting.PlacementOwner,
@@ -183,16 +183,20 @@
 
 // peerAddresses are where the seeds' routers are reached: ports are the same
 // on all VMs.
-func peerAddresses(settings *qlsetting.Edge) []string {
+func peerAddresses(settings *qlsetting.Edge, log *zap.Logger) []string {
 	_, port, err := net.SplitHostPort(settings.PeerAddress)
 	if err != nil {
+		log.Error("peer-address-invalid", zap.String("address", settings.PeerAddress), zap.Error(err))
 		return nil
 	}
 	var addresses []string
 	for _, seed := range settings.Seeds {
-		if host, _, err := net.SplitHostPort(seed); err == nil {
-			addresses = append(addresses, net.JoinHostPort(host, port))
+		host, _, err := net.SplitHostPort(seed)
+		if err != nil {
+			log.Warn("seed-invalid", zap.String("seed", seed), zap.Error(err))
+			continue
 		}
+		addresses = append(addresses, net.JoinHostPort(host, port))
 	}
 	return addresses
 }
@@ -312,7 +316,7 @@
 // runs: the seeds. All others hold from the next start on.
 func (e *Edge) Reload(settings *qlsetting.Edge) {
 	e.log.Info("settings-reloaded", zap.Strings("seeds", settings.Seeds))
-	e.fleet.Post(func(time.Duration) { e.fleet.Core().SetSeeds(peerAddresses(settings)) })
+	e.fleet.Post(func(time.Duration) { e.fleet.Core().SetSeeds(peerAddresses(settings, e.log)) })
 }
 
 // logPlacement writes a line for each service of engines that this router
--- a/internal/qledge/qledge_test.go
+++ b/internal/qledge/qledge_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -18,6 +19,7 @@
 	"github.com/quetzallane/quetzallane/internal/qlsetting"
 	"github.com/quetzallane/quetzallane/pkg/qljson"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 )
 
 // fakeStore is a platform's store: a configuration that is only a revision,
@@ -492,3 +494,17 @@
 		t.Errorf("counts: got %d open and %d closed, want 6 and 1", open, closed)
 	}
 }
+
+func TestSeedsThatAreNoAddressesAreLogged(t *testing.T) {
+	core, logs := observer.New(zap.WarnLevel)
+	got := peerAddresses(&qlsetting.Edge{
+		PeerAddress: "10.0.0.1:7400",
+		Seeds:       []string{"10.0.0.2:8785", "no address", "10.0.0.3:8785"},
+	}, zap.New(core))
+	if want := []string{"10.0.0.2:7400", "10.0.0.3:7400"}; !slices.Equal(got, want) {
+		t.Errorf("addresses: got %v, want %v", got, want)
+	}
+	if got, want := logs.FilterMessage("seed-invalid").Len(), 1; got != want {
+		t.Errorf("lines about seeds: got %d, want %d", got, want)
+	}
+}
--- a/internal/qlfleet/qlfleet.go
+++ b/internal/qlfleet/qlfleet.go
@@ -46,8 +46,8 @@
 
 // Config configures a Fleet.
 type Config struct {
-	// Core configures the decision code; Send, Decide, Changed and
-	// OwnerChanged are set here.
+	// Core configures the decision code; Send, Decide, Changed, OwnerChanged
+	// and Faulty are set here.
 	Core qlowner.Config
 	// Fetch answers another router's request for documents. It is called in
 	// the control goroutine.
@@ -103,6 +103,9 @@
 	core.OwnerChanged = func(from, to string) {
 		f.config.Log.Info("owner-changed", zap.String("from", from), zap.String("to", to), zap.Int("live", f.Live()))
 	}
+	core.Faulty = func(router string, err error) {
+		f.config.Log.Warn("message-faulty", zap.String("other", router), zap.Error(err))
+	}
 	f.core = qlowner.New(core)
 	return f, nil
 }
--- a/internal/qlforward/engine.go
+++ b/internal/qlforward/engine.go
@@ -205,7 +205,7 @@
 		return attemptBroken, err
 	}
 	defer e.Close()
-	answer := f.config.Dialect.ReadAnswer(e.Response())
+	answer := f.readAnswer(x, e.Response())
 	switch {
 	case answer.NotRun:
 		outcome = qlengine.Shed
@@ -213,7 +213,7 @@
 	case !answer.Signed:
 		return attemptBroken, errors.Errorf("answer without signature, status %d", e.Response().StatusCode)
 	case e.Response().StatusCode != http.StatusOK:
-		return f.passFailure(x, e)
+		return f.passFailure(x, e, answer)
 	}
 	result, err = f.passStream(x, e, run)
 	if err == nil {
@@ -233,8 +233,8 @@
 
 // passFailure passes an engine's own failure on, unless the request may be
 // tried again.
-func (f *Forwarder) passFailure(x *exchange, e *qlconn.Exchange) (attemptResult, error) {
-	got, err := f.readWhole(e)
+func (f *Forwarder) passFailure(x *exchange, e *qlconn.Exchange, answer Answer) (attemptResult, error) {
+	got, err := f.readWhole(e, answer)
 	if err != nil {
 		return attemptBroken, err
 	}
--- a/internal/qlforward/plain.go
+++ b/internal/qlforward/plain.go
@@ -165,7 +165,7 @@
 		return nil, err
 	}
 	defer e.Close()
-	got, err = f.readWhole(e)
+	got, err = f.readWhole(e, f.readAnswer(x, e.Response()))
 	if err == nil {
 		outcome = outcomeOf(got)
 	}
@@ -195,11 +195,11 @@
 
 // readWhole reads an answer; what is longer than _wholeAnswer is an error, as
 // is one without a signature that does not say that it was not run.
-func (f *Forwarder) readWhole(e *qlconn.Exchange) (*reply, error) {
+func (f *Forwarder) readWhole(e *qlconn.Exchange, answer Answer) (*reply, error) {
 	response := e.Response()
 	got := &reply{
 		response: response,
-		answer:   f.config.Dialect.ReadAnswer(response),
+		answer:   answer,
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, _wholeAnswer+1))
 	if err != nil {
--- a/internal/qlforward/qlforward.go
+++ b/internal/qlforward/qlforward.go
@@ -213,6 +213,10 @@
 		start:   time.Now(),
 		caller:  f.config.Dialect.ReadCaller(request.Header),
 	}
+	if x.caller.Unreadable != nil {
+		f.config.Log.Info("header-unreadable", zap.String("id", x.caller.ID), zap.String("from", "caller"),
+			zap.Error(x.caller.Unreadable))
+	}
 	if f.refusing.Load() {
 		f.refuse(x, qlcode.Stopping, 0, "the router stops")
 		return
@@ -235,6 +239,16 @@
 	f.servePlain(x)
 }
 
+// readAnswer reads what an upstream's response says beside status and body.
+func (f *Forwarder) readAnswer(x *exchange, response *http.Response) Answer {
+	answer := f.config.Dialect.ReadAnswer(response)
+	if answer.Unreadable != nil {
+		f.config.Log.Info("header-unreadable", zap.String("id", x.caller.ID), zap.String("from", "upstream"),
+			zap.Error(answer.Unreadable))
+	}
+	return answer
+}
+
 // readBody reads the whole body, which must not exceed the limit of the
 // configuration in force.
 func (f *Forwarder) readBody(x *exchange) bool {
--- a/internal/qlforward/types.go
+++ b/internal/qlforward/types.go
@@ -23,6 +23,9 @@
 	Prompt *qlengine.Prompt
 	// After is the last event that the caller has of a stream, or -1.
 	After int64
+	// Unreadable is the first of the headers' errors; what cannot be read is
+	// taken for not given.
+	Unreadable error
 }
 
 // Outgoing is what the router tells an upstream beside the caller's headers.
@@ -50,6 +53,8 @@
 	HasLoad bool
 	Running int
 	Waiting int
+	// Unreadable tells why the load cannot be read.
+	Unreadable error
 }
 
 // Dialect translates between the callers' and upstreams' headers and the
--- a/internal/qlowner/packet.go
+++ b/internal/qlowner/packet.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/quetzallane/quetzallane/internal/qlengine"
 	"github.com/quetzallane/quetzallane/internal/qlfleetwire"
 	"github.com/quetzallane/quetzallane/internal/qlmember"
@@ -67,7 +68,7 @@
 	}
 	body, err := proto.Marshal(message)
 	if err != nil {
-		// Only invalid UTF-8 fails, and ids were checked with the settings.
+		c.config.Faulty(to, errors.Annotate(err, "membership not encoded"))
 		return
 	}
 	packet := c.newPacket()
@@ -218,7 +219,12 @@
 
 func (c *Core) receiveMembership(now time.Duration, from string, body []byte) {
 	message := &qlwire.Message{}
-	if proto.Unmarshal(body, message) != nil || c.routers[from] == nil {
+	if err := proto.Unmarshal(body, message); err != nil {
+		c.config.Faulty(from, errors.Annotate(err, "membership not decoded"))
+		return
+	}
+	if c.routers[from] == nil {
+		// It introduces itself before its probes count.
 		return
 	}
 	switch {
--- a/internal/qlowner/qlowner.go
+++ b/internal/qlowner/qlowner.go
@@ -96,6 +96,9 @@
 	Changed func(live int)
 	// OwnerChanged is called when this router turns to another owner.
 	OwnerChanged func(from, to string)
+	// Faulty is told of messages to and from a router that cannot be encoded
+	// or decoded.
+	Faulty func(router string, err error)
 	// Local makes this router decide all requests by itself.
 	Local bool
 	// Policy is how it decides.
--- a/internal/qlowner/qlowner_test.go
+++ b/internal/qlowner/qlowner_test.go
@@ -89,6 +89,7 @@
 			n.verdicts[id][request] = verdict
 		},
 		OwnerChanged: func(string, string) {},
+		Faulty:       func(router string, err error) { panic(router + ": " + err.Error()) },
 		Revisions:    func() (uint64, uint64) { return 0, 0 },
 		Behind:       func(string, uint64, uint64) {},
 		Changed:      func(int) {},
@@ -393,3 +394,20 @@
 		}
 	}
 }
+
+func TestMembershipThatCannotBeReadIsReported(t *testing.T) {
+	faults := 0
+	core := New(Config{
+		Self:    "r1",
+		Random:  rand.New(rand.NewPCG(1, 1)),
+		Changed: func(int) {},
+		Faulty:  func(string, error) { faults++ },
+	})
+	core.Receive(0, "10.0.0.2:7400", &qlfleetwire.Packet{
+		From:       "r2",
+		Membership: []byte{0xff},
+	})
+	if got, want := faults, 1; got != want {
+		t.Errorf("faults reported: got %d, want %d", got, want)
+	}
+}
--- a/internal/qlsetting/edge.go
+++ b/internal/qlsetting/edge.go
@@ -1,12 +1,10 @@
 package qlsetting
 
 import (
-	"net"
 	"slices"
 	"time"
 
 	"github.com/quetzallane/quetzallane/pkg/qljson"
-	"go.uber.org/zap/zapcore"
 )
 
 // Edge holds the settings of a router in front of a platform's upstreams.
@@ -68,30 +66,22 @@
 }
 
 func (s *Edge) fault() (name, reason string) {
-	for _, text := range []struct {
-		name  string
-		value string
-	}{
+	name, reason = textFault([]text{
 		{name: "id", value: s.ID},
 		{name: "zone", value: s.Zone},
-	} {
-		if text.value == "" {
-			return text.name, "is empty"
-		}
+	})
+	if name != "" {
+		return name, reason
 	}
-	for _, address := range []struct {
-		name  string
-		value string
-	}{
+	name, reason = addressFault([]text{
 		{name: "caller-address", value: s.CallerAddress},
 		{name: "ready-address", value: s.ReadyAddress},
 		{name: "operations-address", value: s.OperationsAddress},
 		{name: "peer-address", value: s.PeerAddress},
 		{name: "store", value: s.Store},
-	} {
-		if _, _, err := net.SplitHostPort(address.value); err != nil {
-			return address.name, "write it as host:port"
-		}
+	})
+	if name != "" {
+		return name, reason
 	}
 	return s.numberFault()
 }
@@ -117,8 +107,5 @@
 	case !slices.Contains([]string{PlacementOwner, PlacementLocal, PlacementAffinity, PlacementLoad}, s.Placement):
 		return "placement", "write owner, local, affinity or load"
 	}
-	if _, err := zapcore.ParseLevel(s.LogLevel); err != nil {
-		return "log-level", "write debug, info, warn or error"
-	}
-	return "", ""
+	return levelFault(s.LogLevel)
 }
--- a/internal/qlsetting/qlsetting.go
+++ b/internal/qlsetting/qlsetting.go
@@ -13,7 +13,6 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/url"
 	"os"
 	"reflect"
@@ -23,7 +22,6 @@
 	"github.com/juju/errors"
 	"github.com/quetzallane/quetzallane/pkg/qljson"
 	"github.com/tailscale/hujson"
-	"go.uber.org/zap/zapcore"
 )
 
 // Router holds the settings of quetzallaned.
@@ -112,28 +110,20 @@
 }
 
 func (s *Router) fault() (name, reason string) {
-	for _, text := range []struct {
-		name  string
-		value string
-	}{
+	name, reason = textFault([]text{
 		{name: "id", value: s.ID},
 		{name: "zone", value: s.Zone},
-	} {
-		if text.value == "" {
-			return text.name, "is empty"
-		}
+	})
+	if name != "" {
+		return name, reason
 	}
-	for _, address := range []struct {
-		name  string
-		value string
-	}{
+	name, reason = addressFault([]text{
 		{name: "caller-address", value: s.CallerAddress},
 		{name: "peer-address", value: s.PeerAddress},
 		{name: "operations-address", value: s.OperationsAddress},
-	} {
-		if _, _, err := net.SplitHostPort(address.value); err != nil {
-			return address.name, "write it as host:port"
-		}
+	})
+	if name != "" {
+		return name, reason
 	}
 	for _, duration := range []struct {
 		name  string
@@ -159,8 +149,5 @@
 	if platform, err := url.Parse(s.Platform); err != nil || platform.Host == "" {
 		return "platform", "write it as http://host:port"
 	}
-	if _, err := zapcore.ParseLevel(s.LogLevel); err != nil {
-		return "log-level", "write debug, info, warn or error"
-	}
-	return "", ""
+	return levelFault(s.LogLevel)
 }
