--- a/internal/qlcatalog/qlcatalog.go
+++ b/internal/qlcatalog/qlcatalog.go
@@ -113,6 +113,12 @@
 	}
 }
 
+// Settle says that a router which has the list as the store has it keeps no
+// lapsed entries.
+func (c *Catalog) Settle() {
+	c.away, c.wasAway = false, false
+}
+
 // Put takes an entry unless a newer one, or its removal, is known.
 func (c *Catalog) Put(entry Entry) {
 	if old, ok := c.entries[entry.ID]; ok && old.Revision > entry.Revision {
--- /dev/null
+++ b/internal/qledge/news.go
@@ -0,0 +1,210 @@
+package qledge
+
+import (
+	"context"
+	"time"
+
+	"github.com/quetzallane/quetzallane/internal/qlfleetwire"
+	"go.uber.org/zap"
+)
+
+const (
+	// _fetchDelay lets a reader's news come before a router is asked that only
+	// a probe told to be ahead.
+	_fetchDelay = 200 * time.Millisecond
+	// _newsBytes bounds the documents in one datagram; what does not fit is
+	// fetched.
+	_newsBytes = 1200
+)
+
+// tell sends what the store said to those that this router reads for. The
+// items are all changes between the two revisions.
+func (e *Edge) tell(now time.Duration, items []Item, after, revision uint64) {
+	if !e.feed.Reads() {
+		return
+	}
+	e.send(e.feed.Audience(), e.news(now, items, after, revision))
+}
+
+func (e *Edge) send(routers []string, packets []*qlfleetwire.News) {
+	for _, to := range routers {
+		for _, news := range packets {
+			e.fleet.Core().Tell(to, news)
+		}
+	}
+}
+
+// news puts changes into as many messages as they need: each begins where the
+// one before ends, and a receiver that lacks one fetches the documents.
+func (e *Edge) news(now time.Duration, items []Item, after, revision uint64) []*qlfleetwire.News {
+	message := func(after, revision uint64) *qlfleetwire.News {
+		return &qlfleetwire.News{
+			After:    after,
+			Revision: revision,
+			AgeMs:    uint32(e.feed.Age(now).Milliseconds()),
+			Settled:  e.catalog.Settled(now),
+		}
+	}
+	last := message(after, revision)
+	packets := []*qlfleetwire.News{last}
+	size := 0
+	for _, item := range items {
+		if len(item.Value) > _newsBytes {
+			return []*qlfleetwire.News{message(revision, revision)}
+		}
+		if size += len(item.Value); size > _newsBytes {
+			last.Revision = last.GetItems()[len(last.GetItems())-1].GetRevision()
+			last = message(last.GetRevision(), revision)
+			packets = append(packets, last)
+			size = len(item.Value)
+		}
+		last.Items = append(last.Items, encodeItem(item))
+	}
+	return packets
+}
+
+func encodeItem(item Item) *qlfleetwire.Item {
+	return &qlfleetwire.Item{
+		Id:            item.ID,
+		Value:         item.Value,
+		Revision:      item.Revision,
+		Deleted:       item.Deleted,
+		Configuration: item.Configuration,
+	}
+}
+
+func decodeItems(items []*qlfleetwire.Item) []Item {
+	decoded := make([]Item, 0, len(items))
+	for _, item := range items {
+		decoded = append(decoded, Item{
+			ID:            item.GetId(),
+			Configuration: item.GetConfiguration(),
+			Value:         item.GetValue(),
+			Revision:      item.GetRevision(),
+			Deleted:       item.GetDeleted(),
+		})
+	}
+	return decoded
+}
+
+// takeNews takes what a reader tells. It runs in the control goroutine.
+func (e *Edge) takeNews(now time.Duration, from string, news *qlfleetwire.News) {
+	known := e.catalog.Revision()
+	switch {
+	case news.GetRevision() < known:
+		// The sender is behind this router.
+		return
+	case news.GetAfter() > known || !e.catalog.Known():
+		e.fetch(from, 0)
+		return
+	}
+	e.heard(now, news.GetAgeMs(), news.GetSettled())
+	e.apply(now, decodeItems(news.GetItems()), from)
+	e.catalog.Advance(news.GetRevision())
+	e.refresh(now)
+	if e.feed.Reads() && e.feed.Away() {
+		e.send(e.feed.Members(), []*qlfleetwire.News{news})
+	}
+}
+
+// heard notes that a reader has the documents as the store had them so long
+// ago, and whether it keeps upstreams whose entries lapsed.
+func (e *Edge) heard(now time.Duration, ageMs uint32, settled bool) {
+	e.feed.Told(now, time.Duration(ageMs)*time.Millisecond)
+	switch {
+	case !e.feed.Fresh(now):
+	case settled:
+		e.catalog.Settle()
+	default:
+		if e.catalog.Settled(now) {
+			// The store was away without this router's noticing.
+			e.catalog.Away()
+		}
+		e.catalog.Back(now)
+	}
+}
+
+// behind is told by a probe that a router has newer documents.
+func (e *Edge) behind(address string, _, _ uint64) {
+	e.fetch(address, _fetchDelay)
+}
+
+// fetch asks the router at the address for what is lacking after the delay.
+func (e *Edge) fetch(address string, delay time.Duration) {
+	if e.fetching || address == "" {
+		return
+	}
+	e.fetching = true
+	go func() {
+		time.Sleep(delay)
+		e.fetchFrom(address)
+		e.fleet.Post(func(time.Duration) { e.fetching = false })
+	}()
+}
+
+func (e *Edge) fetchFrom(address string) {
+	request := &qlfleetwire.FetchRequest{}
+	e.fleet.Call(func(time.Duration) {
+		request.ConfigurationRevision, _ = e.revisions()
+		if e.catalog.Known() {
+			request.ListRevision = e.catalog.Revision()
+		}
+	})
+	reply, err := e.fleet.Fetch(context.Background(), address, request)
+	if err != nil {
+		e.log.Info("fetch-failed", zap.String("from", address), zap.Error(err))
+		e.fleet.Post(func(time.Duration) {
+			e.feed.Expire()
+			e.callStore()
+		})
+		return
+	}
+	e.fleet.Post(func(now time.Duration) { e.takeReply(now, address, reply) })
+}
+
+// takeReply takes what another router sent. A reply that is complete stands
+// for the store's: what its list lacks is gone.
+func (e *Edge) takeReply(now time.Duration, from string, reply *qlfleetwire.FetchReply) {
+	if len(reply.GetConfiguration()) > 0 {
+		e.adoptConfiguration(reply.GetConfiguration(), from)
+	}
+	entries := e.decodeUpstreams(decodeItems(reply.GetItems()))
+	if reply.GetComplete() == 0 {
+		e.catalog.Merge(entries, reply.GetListRevision(), reply.GetSettled())
+		e.refresh(now)
+		return
+	}
+	e.heard(now, reply.GetAgeMs(), reply.GetSettled())
+	if len(reply.GetItems()) > 0 {
+		e.catalog.Replace(now, entries, reply.GetComplete())
+	}
+	e.catalog.Advance(reply.GetComplete())
+	e.refresh(now)
+}
+
+// answerFetch returns what another router lacks. It runs in the control
+// goroutine.
+func (e *Edge) answerFetch(request *qlfleetwire.FetchRequest) *qlfleetwire.FetchReply {
+	now := e.clock()
+	reply := &qlfleetwire.FetchReply{
+		Settled: e.catalog.Settled(now),
+	}
+	if e.catalog.Known() && e.feed.Fresh(now) {
+		reply.Complete = e.catalog.Revision()
+		reply.AgeMs = uint32(e.feed.Age(now).Milliseconds())
+	}
+	reply.ConfigurationRevision, reply.ListRevision = e.revisions()
+	if reply.GetConfigurationRevision() > request.GetConfigurationRevision() {
+		reply.Configuration = e.rawTable
+	}
+	if reply.GetListRevision() > request.GetListRevision() {
+		for _, entry := range e.catalog.Listed() {
+			reply.Items = append(reply.Items, encodeItem(Item{
+				ID:       entry.ID,
+				Value:    entry.Raw,
+				Revision: entry.Revision,
+			}))
+		}
+	}
+	return reply
+}
--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -3,8 +3,8 @@
 // # Who owns what
 //
 // One control goroutine, that of the fleet, owns the documents and all
-// decision code about engines. One goroutine follows each document of the
-// platform's store and hands what it reads to control. Callers' requests have
+// decision code about engines. One goroutine calls the platform's store when
+// it is this router's turn and hands what it reads to control. Callers' requests have
 // a goroutine each; they read an immutable view of configuration and
 // upstreams, and ask control by a channel.
 //
@@ -28,6 +28,7 @@
 	"github.com/juju/errors"
 	"github.com/quetzallane/quetzallane/internal/qlbudget"
 	"github.com/quetzallane/quetzallane/internal/qlcatalog"
+	"github.com/quetzallane/quetzallane/internal/qlfeed"
 	"github.com/quetzallane/quetzallane/internal/qlfleet"
 	"github.com/quetzallane/quetzallane/internal/qlforward"
 	"github.com/quetzallane/quetzallane/internal/qllog"
@@ -39,8 +40,6 @@
 )
 
 const (
-	// _fetchDelay lets the store deliver a document before a router is asked.
-	_fetchDelay = 200 * time.Millisecond
 	// _pruneInterval is the time between searches for unused connections.
 	_pruneInterval = time.Second
 	// _firstView is how long callers' connections wait in the kernel for the
@@ -59,6 +58,8 @@
 	_memoryPart = 0.7
 	_bodyPart   = 0.25
 	_megabyte   = 1 << 20
+	// _milli is how many parts of a core a VM's capacity is told in.
+	_milli = 1000
 	// _defaultHeaderTimeout and _defaultIdleTimeout hold where no
 	// configuration is known when callers are first accepted.
 	_defaultHeaderTimeout = 5 * time.Second
@@ -87,15 +88,15 @@
 	forwarder *qlforward.Forwarder
 	callers   *callerConnections
 	known     atomic.Bool
-	// reads is set on the few routers that read the store with short waits.
-	reads       atomic.Bool
-	longWatches watches
-	stopping    atomic.Bool
+	// wake ends a rest between calls to the store.
+	wake     chan struct{}
+	stopping atomic.Bool
 
 	// What follows belongs to the control goroutine.
 	table    *qlroute.Table
 	rawTable []byte
 	catalog  *qlcatalog.Catalog
+	feed     *qlfeed.Feed
 	fetching bool
 	pruneAt  time.Duration
 	// decided is how many decisions for others were logged.
@@ -114,10 +115,11 @@
 		log:      config.Log.With(zap.String("router", settings.ID)),
 		started:  time.Now(),
 		catalog:  qlcatalog.New(),
+		feed:     qlfeed.New(settings.ID, settings.Zone),
+		wake:     make(chan struct{}, 1),
 		random:   newRandom(),
 		callers:  newCallerConnections(settings.Descriptors),
 	}
-	e.reads.Store(true)
 	runtime.GOMAXPROCS(settings.Processors)
 	debug.SetGCPercent(_collectPercent)
 	debug.SetMemoryLimit(int64(_memoryPart * float64(settings.Memory) * _megabyte))
@@ -127,10 +129,13 @@
 			Zone:        settings.Zone,
 			Address:     settings.PeerAddress,
 			Incarnation: uint64(e.started.UnixMilli()),
+			Capacity:    uint32(_milli * settings.ProcessorPart * float64(settings.Processors)),
 			Random:      newRandom(),
 			Seeds:       peerAddresses(settings, e.log),
 			Revisions:   e.revisions,
 			Behind:      e.behind,
+			News:        e.takeNews,
+			Changed:     e.setRouters,
 			Local:       settings.Placement != qlsetting.PlacementOwner,
 			Policy:      policyOf(settings.Placement),
 		},
@@ -215,8 +220,8 @@
 
 // tick runs in the control goroutine.
 func (e *Edge) tick(now time.Duration) {
+	e.checkStore(now)
 	e.refresh(now)
-	e.setReads(e.fleet.Core().Reads(_readers))
 	if now >= e.pruneAt {
 		e.pruneAt = now + _pruneInterval
 		e.forwarder.Prune()
@@ -238,8 +243,7 @@
 		defer close(ended)
 		e.fleet.Run(background)
 	}()
-	go e.follow(background, e.configurationDocument())
-	go e.follow(background, e.upstreamsDocument())
+	go e.follow(background)
 	if err := e.serveOperations(); err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/qledge/qledge_test.go
+++ b/internal/qledge/qledge_test.go
@@ -14,6 +14,8 @@
 
 	"github.com/juju/errors"
 	"github.com/quetzallane/quetzallane/internal/qlcatalog"
+	"github.com/quetzallane/quetzallane/internal/qlfeed"
+	"github.com/quetzallane/quetzallane/internal/qlfleetwire"
 	"github.com/quetzallane/quetzallane/internal/qlforward"
 	"github.com/quetzallane/quetzallane/internal/qlroute"
 	"github.com/quetzallane/quetzallane/internal/qlsetting"
@@ -22,6 +24,9 @@
 	"go.uber.org/zap/zaptest/observer"
 )
 
+// _mostPause is a reader's longest pause between calls that fail.
+const _mostPause = 600 * time.Millisecond
+
 // fakeStore is a platform's store: a configuration that is only a revision,
 // and upstreams that are ids.
 type fakeStore struct {
@@ -36,8 +41,9 @@
 	lost bool
 	// deaf makes watches wait without an answer.
 	deaf bool
-	// reads counts whole reads.
-	reads int
+	// reads counts whole reads, watches the other calls.
+	reads   int
+	watches int
 }
 
 func newFakeStore() *fakeStore {
@@ -92,16 +98,11 @@
 
 func (s *fakeStore) source() Source {
 	return Source{
-		ReadConfiguration: func(context.Context) (Item, uint64, error) {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			return s.configuration(), s.revision, s.available()
-		},
-		ReadUpstreams: func(context.Context) ([]Item, uint64, error) {
+		Read: func(context.Context) ([]Item, uint64, error) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.reads++
-			var items []Item
+			items := []Item{s.configuration()}
 			for id, revision := range s.upstreams {
 				items = append(items, Item{
 					ID:       id,
@@ -111,21 +112,7 @@
 			}
 			return items, s.revision, s.available()
 		},
-		WatchConfiguration: s.watch(false, func(after uint64) []Item {
-			if item := s.configuration(); item.Revision > after {
-				return []Item{item}
-			}
-			return nil
-		}),
-		WatchUpstreams: s.watch(true, func(after uint64) []Item {
-			var items []Item
-			for _, item := range s.events {
-				if item.Revision > after {
-					items = append(items, item)
-				}
-			}
-			return items
-		}),
+		Watch: s.watch,
 		DecodeConfiguration: func(data []byte) (*qlroute.Document, error) {
 			document := &qlroute.Document{}
 			_, err := fmt.Sscan(string(data), &document.Revision)
@@ -147,34 +134,48 @@
 
 func (s *fakeStore) configuration() Item {
 	return Item{
-		Value:    []byte(fmt.Sprint(s.config)),
-		Revision: s.config,
+		Configuration: true,
+		Value:         []byte(fmt.Sprint(s.config)),
+		Revision:      s.config,
 	}
 }
 
-func (s *fakeStore) watch(upstreams bool, changes func(after uint64) []Item) func(context.Context, uint64, time.Duration) ([]Item, uint64, error) {
-	return func(ctx context.Context, after uint64, wait time.Duration) ([]Item, uint64, error) {
-		for end := time.Now().Add(wait); ; {
-			s.mu.Lock()
-			err, deaf, lost, revision, items := s.available(), s.deaf, s.lost, s.revision, changes(after)
-			s.mu.Unlock()
-			switch {
-			case deaf:
-				<-ctx.Done()
-				return nil, 0, errors.Trace(ctx.Err())
-			case err != nil:
-				return nil, 0, err
-			case lost && upstreams:
-				s.set(func() { s.lost = false })
-				return nil, 0, errors.Trace(ErrHistoryLost)
-			case len(items) > 0 || time.Now().After(end):
-				return items, revision, nil
-			}
-			select {
-			case <-ctx.Done():
-				return nil, 0, errors.Trace(ctx.Err())
-			case <-time.After(5 * time.Millisecond):
-			}
+// changes returns what changed after the revision.
+func (s *fakeStore) changes(after uint64) []Item {
+	var items []Item
+	if item := s.configuration(); item.Revision > after {
+		items = append(items, item)
+	}
+	for _, item := range s.events {
+		if item.Revision > after {
+			items = append(items, item)
+		}
+	}
+	return items
+}
+
+func (s *fakeStore) watch(ctx context.Context, after uint64, wait time.Duration) ([]Item, uint64, error) {
+	s.set(func() { s.watches++ })
+	for end := time.Now().Add(wait); ; {
+		s.mu.Lock()
+		err, deaf, lost, revision, items := s.available(), s.deaf, s.lost, s.revision, s.changes(after)
+		s.mu.Unlock()
+		switch {
+		case deaf:
+			<-ctx.Done()
+			return nil, 0, errors.Trace(ctx.Err())
+		case err != nil:
+			return nil, 0, err
+		case lost:
+			s.set(func() { s.lost = false })
+			return nil, 0, errors.Trace(ErrHistoryLost)
+		case len(items) > 0 || time.Now().After(end):
+			return items, revision, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, 0, errors.Trace(ctx.Err())
+		case <-time.After(5 * time.Millisecond):
 		}
 	}
 }
@@ -342,11 +343,11 @@
 	store.set(func() { store.deaf = true })
 	time.Sleep(50 * time.Millisecond)
 	store.change(func() { store.config = store.revision })
-	time.Sleep(_readerWait)
+	time.Sleep(qlfeed.WatchWait)
 	store.set(func() { store.deaf = false })
 	began := time.Now()
 	r.await(t, "11 u1")
-	if took := time.Since(began); took > _replyTimeout+_retryMost+_readerWait {
+	if took := time.Since(began); took > _replyTimeout+_mostPause+qlfeed.WatchWait {
 		t.Errorf("taken %v after the store answers again, want it sooner", took)
 	}
 }
@@ -377,7 +378,7 @@
 	}
 	store.remove("u1")
 	store.set(func() { store.down = false })
-	time.Sleep(_retryMost * 2)
+	time.Sleep(2 * _mostPause)
 	if got, want := r.state(), "1 u1"; got != want {
 		t.Errorf("just after the outage: got %q, want %q", got, want)
 	}
@@ -406,6 +407,160 @@
 	second.await(t, "11 u2")
 }
 
+// startFleet runs routers of one zone on one store each, on addresses of
+// loopback with the same port; the first is the largest, and so the reader.
+func startFleet(t *testing.T, stores ...*fakeStore) []*running {
+	t.Helper()
+	_, port, err := net.SplitHostPort(freePorts(t, 1)[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	var fleet []*running
+	for i, store := range stores {
+		fleet = append(fleet, start(t, fmt.Sprintf("r%d", i+1), store, func(settings *qlsetting.Edge) {
+			settings.PeerAddress = net.JoinHostPort(fmt.Sprintf("127.0.0.%d", i+1), port)
+			settings.Seeds = []string{"127.0.0.1:1"}
+			settings.ProcessorPart = 1 / float64(i+1)
+		}))
+	}
+	for end := time.Now().Add(4 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		ready := 0
+		for _, r := range fleet {
+			r.edge.fleet.Call(func(now time.Duration) {
+				if r.edge.feed.Reads() == (r == fleet[0]) && (r == fleet[0] || r.edge.feed.Wait(now) > 0) {
+					ready++
+				}
+			})
+		}
+		if ready == len(fleet) {
+			return fleet
+		}
+		if time.Now().After(end) {
+			t.Fatalf("routers that know who reads: got %d, want %d within 4 s", ready, len(fleet))
+		}
+	}
+}
+
+// TestFewCallsToTheStore counts the calls of routers that a reader tells.
+func TestFewCallsToTheStore(t *testing.T) {
+	store, other := newFakeStore(), newFakeStore()
+	fleet := startFleet(t, store, other, other, other)
+	time.Sleep(qlfeed.WatchWait)
+	before := 0
+	other.set(func() { before = other.watches + other.reads })
+	for i := range 5 {
+		store.put(fmt.Sprintf("u%d", i+2))
+		time.Sleep(300 * time.Millisecond)
+	}
+	store.change(func() { store.config = store.revision })
+	store.remove("u3")
+	for _, r := range fleet {
+		r.await(t, "16 u1 u2 u4 u5 u6")
+	}
+	other.set(func() {
+		if got := other.watches + other.reads - before; got != 0 {
+			t.Errorf("calls by routers that are told: got %d, want none", got)
+		}
+	})
+}
+
+// TestSilentReaderIsMadeUpFor has a reader stop telling: the others call the
+// store themselves before a change is due.
+func TestSilentReaderIsMadeUpFor(t *testing.T) {
+	store, other := newFakeStore(), newFakeStore()
+	fleet := startFleet(t, store, other)
+	if err := fleet[0].stop(); err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	other.change(func() { other.config = other.revision })
+	fleet[1].await(t, "11 u1")
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("in force after %v, want 2s at most", took)
+	}
+}
+
+// TestGapInTheNewsIsFetched has a router miss a change and hear of the next.
+func TestGapInTheNewsIsFetched(t *testing.T) {
+	store := newFakeStore()
+	fleet := startFleet(t, store, newFakeStore())
+	fleet[0].edge.fleet.Call(func(now time.Duration) {
+		e := fleet[0].edge
+		e.apply(now, []Item{{
+			ID:       "u2",
+			Value:    []byte("u2"),
+			Revision: 20,
+		}}, "test")
+		e.catalog.Advance(20)
+		e.tell(now, []Item{{
+			ID:       "u3",
+			Value:    []byte("u3"),
+			Revision: 21,
+		}}, 20, 21)
+	})
+	fleet[1].await(t, "1 u1 u2")
+}
+
+// TestManyChangesAtOnce needs several datagrams, and a document that fits none.
+func TestManyChangesAtOnce(t *testing.T) {
+	store := newFakeStore()
+	fleet := startFleet(t, store, newFakeStore())
+	long := strings.Repeat("x", 200)
+	ids := []string{"u1"}
+	store.change(func() {
+		for i := range 40 {
+			store.revision++
+			ids = append(ids, fmt.Sprintf("v%02d-%s", i, long))
+			store.upstreams[ids[i+1]] = store.revision
+			store.events = append(store.events, Item{
+				ID:       ids[i+1],
+				Value:    []byte(ids[i+1]),
+				Revision: store.revision,
+			})
+		}
+	})
+	fleet[1].awaitCount(t, len(ids))
+	store.put("w" + strings.Repeat(long, _newsBytes/len(long)+1))
+	fleet[1].awaitCount(t, len(ids)+1)
+}
+
+// awaitCount waits for a number of upstreams.
+func (r *running) awaitCount(t *testing.T, want int) {
+	t.Helper()
+	got := 0
+	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		r.edge.fleet.Call(func(time.Duration) { got = len(r.edge.catalog.Entries()) })
+		if got == want {
+			return
+		}
+	}
+	t.Fatalf("upstreams: got %d, want %d within 4 s", got, want)
+}
+
+// TestBlindReaderPassesNewsOn has the store turn a reader away; it hears from
+// the reader of another zone, and tells its own.
+func TestBlindReaderPassesNewsOn(t *testing.T) {
+	store, other := newFakeStore(), newFakeStore()
+	fleet := startFleet(t, store, other)
+	store.set(func() { store.down = true })
+	for away := false; !away; time.Sleep(time.Millisecond) {
+		fleet[0].edge.fleet.Call(func(time.Duration) { away = fleet[0].edge.feed.Away() })
+	}
+	fleet[0].edge.fleet.Call(func(now time.Duration) {
+		fleet[0].edge.takeNews(now, "", &qlfleetwire.News{
+			After:    10,
+			Revision: 30,
+			Settled:  true,
+			Items: []*qlfleetwire.Item{{
+				Id:       "u2",
+				Value:    []byte("u2"),
+				Revision: 30,
+			}},
+		})
+	})
+	fleet[1].await(t, "1 u1 u2")
+}
+
 func TestReadiness(t *testing.T) {
 	store := newFakeStore()
 	store.down = true
--- a/internal/qledge/reader.go
+++ b/internal/qledge/reader.go
@@ -2,153 +2,136 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/quetzallane/quetzallane/internal/qlfeed"
+	"github.com/quetzallane/quetzallane/internal/qlring"
 	"go.uber.org/zap"
 )
 
-const (
-	// _readerWait is how long a watch of the few readers waits for a change,
-	// and _watchWait one of the others. A watch may go deaf without a sign:
-	// readers find out after their wait and tell the others.
-	_readerWait = 800 * time.Millisecond
-	_watchWait  = 8 * time.Second
-	// _replyTimeout bounds a call beside its wait.
-	_replyTimeout = 700 * time.Millisecond
-	// _readers is how many routers read with short waits, in as many zones.
-	_readers = 3
-	// _retryFirst and _retryMost bound the pause after a failed call; it
-	// doubles from one to the other.
-	_retryFirst = 100 * time.Millisecond
-	_retryMost  = 600 * time.Millisecond
-)
+// _replyTimeout bounds a call to the store beside its wait.
+const _replyTimeout = 700 * time.Millisecond
 
-// document is one watched document: how to read it whole, how to watch it,
-// and what to do with what comes.
-type document struct {
-	name string
-	// read reads it whole and returns the revision to watch from.
-	read func(ctx context.Context) (uint64, error)
-	// watch waits for changes and applies them.
-	watch func(ctx context.Context, after uint64) (uint64, error)
-	// away and back are told of the store's loss and return.
-	away func()
-	back func()
-}
+// errNoReply is the cause when a call outlasts its time.
+const errNoReply = errors.ConstError("no reply from the store")
 
-// follow reads and watches a document until the context ends.
-func (e *Edge) follow(ctx context.Context, d *document) {
-	revision := uint64(0)
-	lost := false
-	pause := _retryFirst
+// follow calls the store whenever it is this router's turn, until the context
+// ends.
+func (e *Edge) follow(ctx context.Context) {
+	lost, whole := false, false
 	for ctx.Err() == nil {
+		after, wait := e.turn()
+		if wait > 0 {
+			whole = false
+			e.rest(ctx, wait)
+			continue
+		}
+		if whole {
+			after = 0
+		}
 		began := time.Now()
-		next, err := e.step(ctx, d, revision)
+		revision, err := e.call(ctx, after)
 		switch {
 		case err == nil:
+			whole = false
 			if lost {
 				lost = false
-				e.log.Info("store-regained", zap.String("document", d.name), zap.Uint64("revision", next))
+				e.log.Info("store-regained", zap.Uint64("revision", revision))
 			}
-			d.back()
-			revision, pause = next, _retryFirst
 			continue
 		case errors.Is(err, ErrHistoryLost):
-			e.log.Info("store-history-lost", zap.String("document", d.name), zap.Uint64("revision", revision))
-			revision = 0
+			e.log.Info("store-history-lost", zap.Uint64("revision", after))
+			whole = true
 			continue
 		case ctx.Err() != nil:
 			return
 		}
 		if !lost {
 			lost = true
-			e.log.Warn("store-lost", zap.String("document", d.name), zap.Uint64("revision", revision),
-				zap.Duration("waited", time.Since(began)), zap.Error(err))
+			e.log.Warn("store-lost", zap.Uint64("revision", after), zap.Duration("waited", time.Since(began)), zap.Error(err))
 		}
-		if !errors.Is(err, ErrNoDocument) {
-			d.away()
-		}
-		sleep(ctx, e.spread(pause))
-		pause = min(2*pause, _retryMost)
+		e.rest(ctx, e.spread(e.storeFailed()))
 	}
 }
 
-func (e *Edge) step(ctx context.Context, d *document, revision uint64) (uint64, error) {
-	if revision == 0 {
-		ctx, cancel := context.WithTimeout(ctx, _replyTimeout)
+// turn returns the revision up to which this router has the documents, 0 when
+// it has none, and how long it may leave the store to others.
+func (e *Edge) turn() (after uint64, wait time.Duration) {
+	e.fleet.Call(func(now time.Duration) {
+		if e.catalog.Known() {
+			after = e.catalog.Revision()
+		}
+		wait = e.feed.Wait(now)
+	})
+	return after, wait
+}
+
+// call reads all documents, or waits for changes after the revision.
+func (e *Edge) call(ctx context.Context, after uint64) (uint64, error) {
+	source := &e.config.Source
+	if after == 0 {
+		ctx, cancel := context.WithTimeoutCause(ctx, _replyTimeout, errNoReply)
 		defer cancel()
-		return d.read(ctx)
+		items, revision, err := source.Read(ctx)
+		if err != nil {
+			return 0, errors.Trace(err)
+		}
+		e.fleet.Post(func(now time.Duration) { e.takeAll(now, items, revision) })
+		return revision, nil
 	}
-	ctx, cancel := context.WithTimeoutCause(ctx, e.watchWait()+_replyTimeout, errNoReply)
+	ctx, cancel := context.WithTimeoutCause(ctx, qlfeed.WatchWait+_replyTimeout, errNoReply)
 	defer cancel()
-	ctx, shorten := context.WithCancelCause(ctx)
-	defer shorten(nil)
-	defer e.longWatches.add(func() { shorten(errBecameReader) })()
-	next, err := d.watch(ctx, revision)
-	if err != nil && context.Cause(ctx) == errBecameReader {
-		return revision, nil
+	items, revision, err := source.Watch(ctx, after, qlfeed.WatchWait)
+	if err != nil {
+		return 0, errors.Trace(err)
 	}
-	return next, err
+	e.fleet.Post(func(now time.Duration) { e.takeChanges(now, items, after, revision) })
+	return revision, nil
 }
 
-const (
-	// errNoReply is the cause when a watch outlasts its wait.
-	errNoReply = errors.ConstError("no reply to a watch")
-	// errBecameReader is the cause when a watch is begun anew with a short
-	// wait.
-	errBecameReader = errors.ConstError("became a reader")
-)
-
-// watches are those under way, so that they can be ended when their waits are
-// too long.
-type watches struct {
-	mu     sync.Mutex
-	next   int
-	cancel map[int]func()
+// storeFailed notes a failed call and returns the pause before the next.
+func (e *Edge) storeFailed() (pause time.Duration) {
+	e.fleet.Call(func(now time.Duration) {
+		pause = e.feed.Failed()
+		e.checkStore(now)
+	})
+	return pause
 }
 
-// add keeps a watch's end until the function that it returns is called.
-func (w *watches) add(cancel func()) (remove func()) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.cancel == nil {
-		w.cancel = make(map[int]func())
-	}
-	w.next++
-	key := w.next
-	w.cancel[key] = cancel
-	return func() {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		delete(w.cancel, key)
+// checkStore says that the store is away once neither it nor a reader was
+// heard for a while.
+func (e *Edge) checkStore(now time.Duration) {
+	if e.feed.Away() && !e.feed.Fresh(now) {
+		e.catalog.Away()
 	}
 }
 
-// end ends all watches under way.
-func (w *watches) end() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, cancel := range w.cancel {
-		cancel()
+// setRouters takes the live routers.
+func (e *Edge) setRouters(live []qlring.Node) {
+	if e.feed.SetRouters(live) {
+		e.callStore()
 	}
 }
 
-// setReads says whether this router is a reader. One that becomes a reader
-// begins its watches anew.
-func (e *Edge) setReads(reads bool) {
-	if !e.reads.Swap(reads) && reads {
-		e.longWatches.end()
+// callStore ends a rest.
+func (e *Edge) callStore() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+		// A rest is ended already.
 	}
 }
 
-// watchWait returns the wait of this router's watches.
-func (e *Edge) watchWait() time.Duration {
-	if e.reads.Load() {
-		return _readerWait
+// rest waits, but no longer than until the next callStore.
+func (e *Edge) rest(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-e.wake:
+	case <-ctx.Done():
 	}
-	return _watchWait
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -159,67 +142,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// configurationDocument is the configuration as the store has it.
-func (e *Edge) configurationDocument() *document {
-	source := &e.config.Source
-	return &document{
-		name: "configuration",
-		read: func(ctx context.Context) (uint64, error) {
-			item, revision, err := source.ReadConfiguration(ctx)
-			if err != nil {
-				return 0, errors.Trace(err)
-			}
-			e.fleet.Post(func(time.Duration) { e.adoptConfiguration(item.Value, "store") })
-			return revision, nil
-		},
-		watch: func(ctx context.Context, after uint64) (uint64, error) {
-			items, revision, err := source.WatchConfiguration(ctx, after, e.watchWait())
-			if err != nil {
-				return 0, errors.Trace(err)
-			}
-			e.fleet.Post(func(time.Duration) {
-				for _, item := range items {
-					if !item.Deleted {
-						e.adoptConfiguration(item.Value, "store")
-					}
-				}
-			})
-			return revision, nil
-		},
-		away: func() {},
-		back: func() {},
-	}
-}
-
-// upstreamsDocument is the list of upstreams as the store has it.
-func (e *Edge) upstreamsDocument() *document {
-	source := &e.config.Source
-	return &document{
-		name: "upstreams",
-		read: func(ctx context.Context) (uint64, error) {
-			items, revision, err := source.ReadUpstreams(ctx)
-			if err != nil {
-				return 0, errors.Trace(err)
-			}
-			e.fleet.Post(func(now time.Duration) {
-				e.catalog.Back(now)
-				e.replaceUpstreams(now, items, revision)
-			})
-			return revision, nil
-		},
-		watch: func(ctx context.Context, after uint64) (uint64, error) {
-			items, revision, err := source.WatchUpstreams(ctx, after, e.watchWait())
-			if err != nil {
-				return 0, errors.Trace(err)
-			}
-			e.fleet.Post(func(now time.Duration) {
-				e.catalog.Back(now)
-				e.changeUpstreams(now, items, revision)
-			})
-			return revision, nil
-		},
-		away: func() { e.fleet.Post(func(time.Duration) { e.catalog.Away() }) },
-		back: func() {},
-	}
-}
--- a/internal/qledge/source.go
+++ b/internal/qledge/source.go
@@ -13,26 +13,23 @@
 // documents have to be read whole.
 const ErrHistoryLost = errors.ConstError("history lost")
 
-// ErrNoDocument is returned when the store holds no such document yet.
-const ErrNoDocument = errors.ConstError("no such document")
-
 // Item is one document of the store, or its removal.
 type Item struct {
-	// ID is an upstream's id; it means nothing for the configuration.
-	ID       string
-	Value    []byte
-	Revision uint64
-	Deleted  bool
+	// ID is an upstream's id, empty for the configuration.
+	ID            string
+	Configuration bool
+	Value         []byte
+	Revision      uint64
+	Deleted       bool
 }
 
 // Source reads the platform's documents. All revisions are the store's.
 type Source struct {
-	ReadConfiguration func(ctx context.Context) (item Item, revision uint64, err error)
-	ReadUpstreams     func(ctx context.Context) (items []Item, revision uint64, err error)
-	// WatchConfiguration and WatchUpstreams return what changed after the
-	// revision, as soon as something has or the wait is over.
-	WatchConfiguration  func(ctx context.Context, after uint64, wait time.Duration) (items []Item, revision uint64, err error)
-	WatchUpstreams      func(ctx context.Context, after uint64, wait time.Duration) (items []Item, revision uint64, err error)
+	// Read returns all documents and the revision to watch from.
+	Read func(ctx context.Context) (items []Item, revision uint64, err error)
+	// Watch returns what changed after the revision, as soon as something has
+	// or the wait is over.
+	Watch               func(ctx context.Context, after uint64, wait time.Duration) (items []Item, revision uint64, err error)
 	DecodeConfiguration func(data []byte) (*qlroute.Document, error)
 	DecodeUpstream      func(id string, data []byte) (qlcatalog.Entry, error)
 	// Calls returns how many calls were made.
--- a/internal/qledge/state.go
+++ b/internal/qledge/state.go
@@ -1,19 +1,20 @@
 package qledge
 
 import (
-	"context"
 	"time"
 
 	"github.com/quetzallane/quetzallane/internal/qlcatalog"
 	"github.com/quetzallane/quetzallane/internal/qlengine"
-	"github.com/quetzallane/quetzallane/internal/qlfleetwire"
 	"github.com/quetzallane/quetzallane/internal/qlforward"
 	"github.com/quetzallane/quetzallane/internal/qlplace"
 	"github.com/quetzallane/quetzallane/internal/qlroute"
 	"go.uber.org/zap"
 )
 
-// All functions of this file but fetchFrom run in the control goroutine.
+// All functions of this file run in the control goroutine.
+
+// _fromStore names the store in log lines about where a document came from.
+const _fromStore = "store"
 
 // adoptConfiguration takes a configuration if it is newer than the one in
 // force. One that cannot be read leaves the one in force.
@@ -34,7 +35,6 @@
 	e.rawTable = raw
 	e.publish()
 	e.fleet.Core().Placer().SetCapacity(table.Limits().TokensPerSecond)
-	e.fleet.Core().Push()
 	e.log.Info("configuration-adopted", zap.Uint64("revision", table.Revision()),
 		zap.Int("routes", table.Routes()), zap.String("source", source))
 }
@@ -61,21 +61,49 @@
 	return entries
 }
 
-func (e *Edge) replaceUpstreams(now time.Duration, items []Item, revision uint64) {
-	e.catalog.Replace(now, e.decodeUpstreams(items), revision)
-	e.refresh(now)
-}
-
-func (e *Edge) changeUpstreams(now time.Duration, items []Item, revision uint64) {
+// apply takes changes of the documents, as the store or a reader tells them.
+func (e *Edge) apply(now time.Duration, items []Item, source string) {
 	for _, item := range items {
+		if item.Configuration {
+			if !item.Deleted {
+				e.adoptConfiguration(item.Value, source)
+			}
+			continue
+		}
 		if entry, ok := e.decodeUpstream(item); !item.Deleted && ok {
 			e.catalog.Put(entry)
 			continue
 		}
 		e.catalog.Delete(now, item.ID, item.Revision)
 	}
+}
+
+// takeAll takes all documents as the store has them.
+func (e *Edge) takeAll(now time.Duration, items []Item, revision uint64) {
+	e.catalog.Back(now)
+	e.feed.Answered(now)
+	var upstreams []Item
+	for _, item := range items {
+		if item.Configuration {
+			e.adoptConfiguration(item.Value, _fromStore)
+			continue
+		}
+		upstreams = append(upstreams, item)
+	}
+	e.catalog.Replace(now, e.decodeUpstreams(upstreams), revision)
+	e.refresh(now)
+	// Whoever has less fetches the documents.
+	e.tell(now, nil, revision, revision)
+}
+
+// takeChanges takes what the store says changed after the revision.
+func (e *Edge) takeChanges(now time.Duration, items []Item, after, revision uint64) {
+	e.catalog.Back(now)
+	e.feed.Answered(now)
+	e.apply(now, items, _fromStore)
 	e.catalog.Advance(revision)
 	e.refresh(now)
+	e.tell(now, items, after, revision)
 }
 
 // refresh publishes the list if it changed.
@@ -84,7 +112,6 @@
 		return
 	}
 	e.publish()
-	e.fleet.Core().Push()
 	ready := 0
 	for _, entry := range e.catalog.Entries() {
 		if entry.State == qlcatalog.Ready {
@@ -141,68 +168,3 @@
 	}
 	return configuration, e.catalog.Changed()
 }
-
-// answerFetch returns what another router lacks.
-func (e *Edge) answerFetch(request *qlfleetwire.FetchRequest) *qlfleetwire.FetchReply {
-	reply := &qlfleetwire.FetchReply{}
-	reply.ConfigurationRevision, reply.ListRevision = e.revisions()
-	if reply.GetConfigurationRevision() > request.GetConfigurationRevision() {
-		reply.Configuration = e.rawTable
-	}
-	if reply.GetListRevision() > request.GetListRevision() {
-		reply.Settled = e.catalog.Settled(e.clock())
-		for _, entry := range e.catalog.Listed() {
-			reply.Items = append(reply.Items, &qlfleetwire.Item{
-				Id:       entry.ID,
-				Value:    entry.Raw,
-				Revision: entry.Revision,
-			})
-		}
-	}
-	return reply
-}
-
-// behind is told that a router has newer documents. The store usually
-// delivers them by itself within _fetchDelay.
-func (e *Edge) behind(address string, _, _ uint64) {
-	if e.fetching || address == "" {
-		return
-	}
-	e.fetching = true
-	go func() {
-		time.Sleep(_fetchDelay)
-		e.fetchFrom(address)
-		e.fleet.Post(func(time.Duration) { e.fetching = false })
-	}()
-}
-
-// fetchFrom fetches from a router what is still lacking.
-func (e *Edge) fetchFrom(address string) {
-	request := &qlfleetwire.FetchRequest{}
-	e.fleet.Call(func(time.Duration) {
-		request.ConfigurationRevision, request.ListRevision = e.revisions()
-	})
-	reply, err := e.fleet.Fetch(context.Background(), address, request)
-	if err != nil {
-		e.log.Info("fetch-failed", zap.String("from", address), zap.Error(err))
-		return
-	}
-	e.fleet.Post(func(now time.Duration) {
-		if len(reply.GetConfiguration()) > 0 {
-			e.adoptConfiguration(reply.GetConfiguration(), address)
-		}
-		if len(reply.GetItems()) == 0 {
-			return
-		}
-		items := make([]Item, 0, len(reply.GetItems()))
-		for _, item := range reply.GetItems() {
-			items = append(items, Item{
-				ID:       item.GetId(),
-				Value:    item.GetValue(),
-				Revision: item.GetRevision(),
-			})
-		}
-		e.catalog.Merge(e.decodeUpstreams(items), reply.GetListRevision(), reply.GetSettled())
-		e.refresh(now)
-	})
-}
--- /dev/null
+++ b/internal/qlfeed/qlfeed.go
@@ -0,0 +1,194 @@
+// Package qlfeed decides which routers read the platform's store, whom they
+// tell, and when a router that is told has to read for itself.
+//
+// It answers the load on the store: each call has a price, and watches by all
+// routers return together at each change. A few readers in each zone watch the
+// store and tell the other routers of their zone and the readers elsewhere
+// what changed. A router that has heard nothing for a while calls the store
+// itself, so that the loss of a reader, or of the way to it, delays a change
+// by _staleAfter at most. Nobody is elected: routers with the same view choose
+// the same readers, and too many readers cost only calls.
+//
+// # Usage
+//
+//	feed := qlfeed.New("r1", "z1")
+//	feed.SetRouters(live)
+//	feed.Told(now, age)       // a reader told what the store holds
+//	if feed.Wait(now) == 0 {} // call the store
+//	feed.Answered(now)        // it answered
+//	feed.Audience()           // whom to tell then
+package qlfeed
+
+import (
+	"time"
+
+	"github.com/quetzallane/quetzallane/internal/qlring"
+)
+
+const (
+	// WatchWait is how long a reader's watch waits for a change, and so the
+	// time between tellings when there is none.
+	WatchWait = 700 * time.Millisecond
+	// _staleAfter is how long after the last confirmation a router calls the
+	// store itself: two lost tellings, and below the two seconds within which
+	// a change has to be in force.
+	_staleAfter = 1500 * time.Millisecond
+	// _served is how many routers a reader tells, which keeps its tellings
+	// below 3 KB/s.
+	_served = 32
+	// _key names the readers in the routers' order.
+	_key = "readers"
+	// _pauseFirst is the pause after a failed call; it doubles up to
+	// _readerPause or, for routers that others may tell, _otherPause.
+	_pauseFirst  = 100 * time.Millisecond
+	_readerPause = 600 * time.Millisecond
+	_otherPause  = 2 * time.Second
+)
+
+// Feed is one router's part. It is not safe for several goroutines.
+type Feed struct {
+	self    string
+	zone    string
+	reads   bool
+	members []string
+	readers []string
+	// confirmed is when the documents were last as the store had them, told
+	// when a reader last said so.
+	confirmed time.Duration
+	known     bool
+	told      time.Duration
+	wasTold   bool
+	failures  int
+}
+
+// New returns the part of a router that knows no other, and so reads.
+func New(self, zone string) *Feed {
+	return &Feed{
+		self:  self,
+		zone:  zone,
+		reads: true,
+	}
+}
+
+// SetRouters takes the live routers, this one included, and reports whether
+// this one became a reader.
+func (f *Feed) SetRouters(live []qlring.Node) bool {
+	zones := make(map[string][]qlring.Node)
+	for _, node := range live {
+		zones[node.Zone()] = append(zones[node.Zone()], node)
+	}
+	did := f.reads
+	f.reads = false
+	f.members, f.readers = nil, nil
+	for zone, nodes := range zones {
+		count := 1 + (len(nodes)-1)/_served
+		ranked := qlring.New(nodes).RankBySize(_key)
+		readers := ranked[:count]
+		for _, reader := range readers {
+			if reader.ID() == f.self {
+				f.reads = true
+				continue
+			}
+			f.readers = append(f.readers, reader.ID())
+		}
+		if zone == f.zone {
+			f.members = f.served(readers, ranked[count:])
+		}
+	}
+	if !f.reads {
+		f.members, f.readers = nil, nil
+	}
+	return f.reads && !did
+}
+
+// served returns those that the readers of the zone leave to this one.
+func (f *Feed) served(readers, others []qlring.Node) []string {
+	var members []string
+	ring := qlring.New(readers)
+	for _, node := range others {
+		if reader, ok := ring.Owner(node.ID()); ok && reader.ID() == f.self {
+			members = append(members, node.ID())
+		}
+	}
+	return members
+}
+
+// Reads reports whether this router is a reader.
+func (f *Feed) Reads() bool {
+	return f.reads
+}
+
+// Members returns the routers of the zone that this reader tells.
+func (f *Feed) Members() []string {
+	return f.members
+}
+
+// Audience returns all routers that this reader tells: its members and the
+// other readers.
+func (f *Feed) Audience() []string {
+	return append(append([]string(nil), f.members...), f.readers...)
+}
+
+// Told says that a reader told what the store held so long ago.
+func (f *Feed) Told(now, age time.Duration) {
+	f.confirm(now - age)
+	f.told, f.wasTold = max(f.told, now-age), true
+}
+
+func (f *Feed) confirm(at time.Duration) {
+	f.confirmed, f.known = max(f.confirmed, at), true
+}
+
+// Expire says that what the readers tell is of no use to this router, which
+// therefore calls the store.
+func (f *Feed) Expire() {
+	f.wasTold = false
+}
+
+// Age returns how old the last confirmation is.
+func (f *Feed) Age(now time.Duration) time.Duration {
+	return max(now-f.confirmed, 0)
+}
+
+// Fresh reports whether a confirmation is recent.
+func (f *Feed) Fresh(now time.Duration) bool {
+	return f.known && f.Age(now) < _staleAfter
+}
+
+// Wait returns how long this router may leave the store to the readers; 0 when
+// it has to call now.
+func (f *Feed) Wait(now time.Duration) time.Duration {
+	if f.reads || !f.wasTold {
+		return 0
+	}
+	return max(f.told+_staleAfter-now, 0)
+}
+
+// Answered says that the store answered a call of this router.
+func (f *Feed) Answered(now time.Duration) {
+	f.failures = 0
+	f.confirm(now)
+}
+
+// Failed says that the store did not answer, and returns the pause before the
+// next call.
+func (f *Feed) Failed() time.Duration {
+	most := _otherPause
+	if f.reads {
+		most = _readerPause
+	}
+	pause := _pauseFirst
+	for range f.failures {
+		if pause *= 2; pause >= most {
+			pause = most
+			break
+		}
+	}
+	f.failures++
+	return pause
+}
+
+// Away reports whether the last call of this router failed.
+func (f *Feed) Away() bool {
+	return f.failures > 0
+}
--- /dev/null
+++ b/internal/qlfeed/qlfeed_test.go
@@ -0,0 +1,170 @@
+package qlfeed
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/quetzallane/quetzallane/internal/qlring"
+)
+
+// fleet returns the parts of routers in zones, as all see the same live ones.
+func fleet(routers, zones int, size func(i int) uint32) (map[string]*Feed, []qlring.Node) {
+	feeds := make(map[string]*Feed)
+	var live []qlring.Node
+	for i := range routers {
+		id, zone := fmt.Sprintf("r%d", i), fmt.Sprintf("z%d", i%zones)
+		live = append(live, qlring.NewNode(id, zone).WithSize(size(i)))
+		feeds[id] = New(id, zone)
+	}
+	for _, feed := range feeds {
+		feed.SetRouters(live)
+	}
+	return feeds, live
+}
+
+func equal(int) uint32 { return 400 }
+
+// TestEachRouterIsToldByOneReader checks fleets up to the two-year target:
+// few readers in each zone, whose members are all others, each once, and no
+// reader tells more than its telling is budgeted for.
+func TestEachRouterIsToldByOneReader(t *testing.T) {
+	for _, c := range []struct {
+		routers, zones, readers int
+	}{
+		{routers: 1, zones: 1, readers: 1},
+		{routers: 7, zones: 3, readers: 3},
+		{routers: 62, zones: 3, readers: 3},
+		{routers: 63, zones: 4, readers: 4},
+		{routers: 390, zones: 6, readers: 18},
+	} {
+		feeds, _ := fleet(c.routers, c.zones, equal)
+		readers, told, most := 0, make(map[string]int), 0
+		for _, feed := range feeds {
+			if !feed.Reads() {
+				if len(feed.Audience()) != 0 {
+					t.Errorf("%d routers: one that is no reader tells others", c.routers)
+				}
+				continue
+			}
+			readers++
+			most = max(most, len(feed.Audience()))
+			for _, member := range feed.Members() {
+				told[member]++
+			}
+		}
+		if readers != c.readers {
+			t.Errorf("%d routers in %d zones: got %d readers, want %d", c.routers, c.zones, readers, c.readers)
+		}
+		if got, want := len(told), c.routers-c.readers; got != want {
+			t.Errorf("%d routers: got %d told, want %d", c.routers, got, want)
+		}
+		for id, times := range told {
+			if times != 1 {
+				t.Errorf("%d routers: %s is told by %d readers, want one", c.routers, id, times)
+			}
+		}
+		if bound := 2*_served + c.readers; most > bound {
+			t.Errorf("%d routers: a reader tells %d others, want %d at most", c.routers, most, bound)
+		}
+	}
+}
+
+func TestTheLargestRead(t *testing.T) {
+	feeds, _ := fleet(60, 3, func(i int) uint32 {
+		if i < 6 {
+			return 800
+		}
+		return 192
+	})
+	for id, feed := range feeds {
+		var i int
+		if _, err := fmt.Sscanf(id, "r%d", &i); err != nil {
+			t.Fatal(err)
+		}
+		if feed.Reads() && i >= 6 {
+			t.Errorf("%s reads, want one of the large VMs", id)
+		}
+	}
+}
+
+func TestLostReaderIsReplaced(t *testing.T) {
+	feeds, live := fleet(30, 3, equal)
+	lost := ""
+	for id, feed := range feeds {
+		if feed.Reads() {
+			lost = id
+		}
+	}
+	rest := make([]qlring.Node, 0, len(live))
+	for _, node := range live {
+		if node.ID() != lost {
+			rest = append(rest, node)
+		}
+	}
+	became := 0
+	for id, feed := range feeds {
+		if id != lost && feed.SetRouters(rest) {
+			became++
+		}
+	}
+	if became != 1 {
+		t.Errorf("routers that became readers: got %d, want 1", became)
+	}
+}
+
+// TestRouterThatIsNotToldCalls plays a router whose reader falls silent.
+func TestRouterThatIsNotToldCalls(t *testing.T) {
+	feeds, _ := fleet(7, 3, equal)
+	var feed *Feed
+	for _, candidate := range feeds {
+		if !candidate.Reads() {
+			feed = candidate
+		}
+	}
+	now := 10 * time.Second
+	if got := feed.Wait(now); got != 0 {
+		t.Errorf("before any telling: got a wait of %v, want none", got)
+	}
+	feed.Answered(now)
+	if got := feed.Wait(now); got != 0 {
+		t.Errorf("after an answer, without readers: got a wait of %v, want none", got)
+	}
+	feed.Told(now, 0)
+	if got, want := feed.Wait(now+time.Second), _staleAfter-time.Second; got != want {
+		t.Errorf("1 s after a telling: got a wait of %v, want %v", got, want)
+	}
+	if got := feed.Wait(now + _staleAfter); got != 0 {
+		t.Errorf("once the telling is stale: got a wait of %v, want none", got)
+	}
+	feed.Told(now+2*time.Second, 0)
+	feed.Expire()
+	if got := feed.Wait(now + 2*time.Second); got != 0 {
+		t.Errorf("when tellings are of no use: got a wait of %v, want none", got)
+	}
+	// Within two seconds a change has to be in force.
+	if bound := 2 * time.Second; _staleAfter >= bound {
+		t.Errorf("stale after %v, want less than %v", _staleAfter, bound)
+	}
+}
+
+func TestPausesGrow(t *testing.T) {
+	reader := New("r1", "z1")
+	other := New("r2", "z1")
+	other.SetRouters([]qlring.Node{qlring.NewNode("r1", "z1").WithSize(2), qlring.NewNode("r2", "z1").WithSize(1)})
+	got := ""
+	for range 6 {
+		got += fmt.Sprintf("%v %v, ", reader.Failed(), other.Failed())
+	}
+	want := "100ms 100ms, 200ms 200ms, 400ms 400ms, 600ms 800ms, 600ms 1.6s, 600ms 2s, "
+	if got != want {
+		t.Errorf("pauses: got %s, want %s", got, want)
+	}
+	if !reader.Away() {
+		t.Error("the store is not taken for away after failures")
+	}
+	reader.Answered(time.Second)
+	if got, want := reader.Failed(), _pauseFirst; got != want {
+		t.Errorf("pause after an answer: got %v, want %v", got, want)
+	}
+}
--- a/internal/qlfleet/qlfleet.go
+++ b/internal/qlfleet/qlfleet.go
@@ -25,6 +25,7 @@
 	"github.com/quetzallane/quetzallane/internal/qlfleetwire"
 	"github.com/quetzallane/quetzallane/internal/qlowner"
 	"github.com/quetzallane/quetzallane/internal/qlplace"
+	"github.com/quetzallane/quetzallane/internal/qlring"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcconn"
@@ -46,8 +47,8 @@
 
 // Config configures a Fleet.
 type Config struct {
-	// Core configures the decision code; Send, Decide, Changed, OwnerChanged
-	// and Faulty are set here.
+	// Core configures the decision code; Send, Decide, OwnerChanged and Faulty
+	// are set here.
 	Core qlowner.Config
 	// Fetch answers another router's request for documents. It is called in
 	// the control goroutine.
@@ -95,9 +96,12 @@
 	core := config.Core
 	core.Send = f.send
 	core.Decide = f.decide
-	core.Changed = func(live int) {
-		if before := f.live.Swap(int64(live)); before != int64(live) {
-			f.config.Log.Info("routers-changed", zap.Int("live", live), zap.Int64("before", before))
+	core.Changed = func(live []qlring.Node) {
+		if before := f.live.Swap(int64(len(live))); before != int64(len(live)) {
+			f.config.Log.Info("routers-changed", zap.Int("live", len(live)), zap.Int64("before", before))
+		}
+		if config.Core.Changed != nil {
+			config.Core.Changed(live)
 		}
 	}
 	core.OwnerChanged = func(from, to string) {
--- a/internal/qlowner/packet.go
+++ b/internal/qlowner/packet.go
@@ -115,10 +115,11 @@
 	introduction := &qlfleetwire.Introduction{
 		WantsReply: wantsReply,
 		Routers: []*qlfleetwire.Router{{
-			Id:      c.config.Self,
-			Zone:    c.config.Zone,
-			Address: c.config.Address,
-			Leaving: c.leaving,
+			Id:       c.config.Self,
+			Zone:     c.config.Zone,
+			Address:  c.config.Address,
+			Leaving:  c.leaving,
+			Capacity: c.config.Capacity,
 		}},
 	}
 	for _, i := range c.config.Random.Perm(len(c.members.IDs())) {
@@ -161,6 +162,9 @@
 	for _, note := range packet.GetNotes() {
 		c.receiveNote(now, from, note)
 	}
+	if news := packet.GetNews(); news != nil {
+		c.config.News(now, source, news)
+	}
 	if running := packet.GetRunning(); running != nil {
 		c.placer.Retain(now, from, decodeRunning(running), _runSlack)
 	}
@@ -196,7 +200,8 @@
 		if router.GetId() == c.config.Self || router.GetId() == "" {
 			continue
 		}
-		if known := c.routers[router.GetId()]; known == nil || known.GetAddress() != router.GetAddress() {
+		known := c.routers[router.GetId()]
+		if known == nil || known.GetAddress() != router.GetAddress() || known.GetCapacity() != router.GetCapacity() {
 			c.routers[router.GetId()] = router
 			changed = true
 		}
--- a/internal/qlowner/qlowner.go
+++ b/internal/qlowner/qlowner.go
@@ -63,8 +63,6 @@
 	_suspicion     = time.Second
 	// _ownerKey names the engines in the routers' rendezvous order.
 	_ownerKey = "engines"
-	// _readerKey does so for the readers of the platform's store.
-	_readerKey = "readers"
 	// _expireInterval is the time between searches for lost runs, and between
 	// tellings of those that go on. _runSlack is how old a run must be to be
 	// taken for lost.
@@ -81,7 +79,9 @@
 	Zone        string
 	Address     string
 	Incarnation uint64
-	Random      *rand.Rand
+	// Capacity is this VM's, in thousandths of a core: the largest decide.
+	Capacity uint32
+	Random   *rand.Rand
 	// Seeds are addresses of routers to begin with.
 	Seeds []string
 	// Send sends a packet to an address; it may be lost.
@@ -92,8 +92,10 @@
 	Revisions func() (configuration, list uint64)
 	// Behind is called when a router has newer documents.
 	Behind func(address string, configuration, list uint64)
-	// Changed is called when the set of live routers changed.
-	Changed func(live int)
+	// News is called with what a reader of the platform's store tells.
+	News func(now time.Duration, address string, news *qlfleetwire.News)
+	// Changed is called with the live routers when they changed.
+	Changed func(live []qlring.Node)
 	// OwnerChanged is called when this router turns to another owner.
 	OwnerChanged func(from, to string)
 	// Faulty is told of messages to and from a router that cannot be encoded
@@ -227,11 +229,18 @@
 		return
 	}
 	live := c.members.Live()
+	for i, node := range live {
+		capacity := c.config.Capacity
+		if node.ID() != c.config.Self {
+			capacity = c.routers[node.ID()].GetCapacity()
+		}
+		live[i] = node.WithSize(capacity)
+	}
 	if c.leaving && len(live) > 1 {
 		live = live[1:]
 	}
-	c.ranked = qlring.New(live).Rank(_ownerKey)
-	c.config.Changed(len(c.ranked))
+	c.ranked = qlring.New(live).RankBySize(_ownerKey)
+	c.config.Changed(c.ranked)
 }
 
 func (c *Core) digest() *qlwire.Digest {
@@ -468,16 +477,13 @@
 	c.config.Seeds = seeds
 }
 
-// Reads reports whether this router is one of the few that read the platform's
-// store for the others.
-func (c *Core) Reads(readers int) bool {
-	if c.leaving {
-		return false
-	}
-	for _, node := range qlring.New(c.members.Live()).Spread(_readerKey, readers) {
-		if node.ID() == c.config.Self {
-			return true
-		}
+// Tell sends news to a router. Datagrams may be lost.
+func (c *Core) Tell(to string, news *qlfleetwire.News) {
+	router := c.routers[to]
+	if router == nil {
+		return
 	}
-	return false
+	packet := c.newPacket()
+	packet.News = news
+	c.send(router.GetAddress(), packet)
 }
--- a/internal/qlowner/qlowner_test.go
+++ b/internal/qlowner/qlowner_test.go
@@ -9,6 +9,7 @@
 	"github.com/quetzallane/quetzallane/internal/qlengine"
 	"github.com/quetzallane/quetzallane/internal/qlfleetwire"
 	"github.com/quetzallane/quetzallane/internal/qlplace"
+	"github.com/quetzallane/quetzallane/internal/qlring"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -92,7 +93,7 @@
 		Faulty:       func(router string, err error) { panic(router + ": " + err.Error()) },
 		Revisions:    func() (uint64, uint64) { return 0, 0 },
 		Behind:       func(string, uint64, uint64) {},
-		Changed:      func(int) {},
+		Changed:      func([]qlring.Node) {},
 	})
 	core.Placer().SetEngines(testEngines())
 	return core
@@ -342,21 +343,6 @@
 	}
 }
 
-func TestFewReadersInDifferentZones(t *testing.T) {
-	n := newNetwork(t, 7)
-	zones := map[string]bool{}
-	readers := 0
-	for i, core := range n.cores {
-		if core.Reads(3) {
-			readers++
-			zones[fmt.Sprintf("z%d", i%3)] = true
-		}
-	}
-	if readers != 3 || len(zones) != 3 {
-		t.Errorf("readers: got %d in %d zones, want 3 in 3", readers, len(zones))
-	}
-}
-
 func TestAloneARouterDecides(t *testing.T) {
 	n := newNetwork(t, 1)
 	n.ask(0, 1)
@@ -400,7 +386,7 @@
 	core := New(Config{
 		Self:    "r1",
 		Random:  rand.New(rand.NewPCG(1, 1)),
-		Changed: func(int) {},
+		Changed: func([]qlring.Node) {},
 		Faulty:  func(string, error) { faults++ },
 	})
 	core.Receive(0, "10.0.0.2:7400", &qlfleetwire.Packet{
--- a/internal/qlring/qlring.go
+++ b/internal/qlring/qlring.go
@@ -12,6 +12,8 @@
 package qlring
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,6 +24,7 @@
 	id   string
 	zone string
 	hash uint64
+	size uint32
 }
 
 // NewNode returns the node of the id in the zone.
@@ -38,6 +41,12 @@
 	return n.id
 }
 
+// WithSize returns the node with a size, by which RankBySize orders.
+func (n Node) WithSize(size uint32) Node {
+	n.size = size
+	return n
+}
+
 // Zone returns the node's zone.
 func (n Node) Zone() string {
 	return n.zone
@@ -127,6 +136,16 @@
 	return ranked
 }
 
+// RankBySize returns all nodes, the largest first, and those of one size in the
+// key's order.
+func (r *Ring) RankBySize(key string) []Node {
+	ranked := r.Rank(key)
+	slices.SortStableFunc(ranked, func(a, b Node) int {
+		return cmp.Compare(b.size, a.size)
+	})
+	return ranked
+}
+
 // Spread returns the first count nodes in the key's order that stand in
 // different zones; when there are fewer zones, the next in order fill up.
 func (r *Ring) Spread(key string, count int) []Node {
--- a/internal/qlsetting/edge.go
+++ b/internal/qlsetting/edge.go
@@ -27,8 +27,10 @@
 	Memory int `json:"memory-mb"`
 	// Descriptors is how many the process may open.
 	Descriptors int `json:"descriptors"`
-	// Processors is how many the VM has.
-	Processors int `json:"processors"`
+	// Processors is how many the VM has, and ProcessorPart the part of each
+	// that it may use.
+	Processors    int     `json:"processors"`
+	ProcessorPart float64 `json:"processor-part"`
 	// StopDeadline bounds a planned stop.
 	StopDeadline qljson.Duration `json:"stop-deadline"`
 	// BalancerNotice is how long a stopping router takes connections after it
@@ -94,6 +96,8 @@
 		return "descriptors", "write 1 or more"
 	case s.Processors < 1:
 		return "processors", "write 1 or more"
+	case s.ProcessorPart <= 0 || s.ProcessorPart > 1:
+		return "processor-part", "write more than 0, and 1 at most"
 	case s.StopDeadline.Std() < time.Second:
 		return "stop-deadline", "write at least 1s"
 	case s.BalancerNotice < 0 || s.BalancerNotice >= s.StopDeadline:
--- a/internal/qlsetting/qlsetting_test.go
+++ b/internal/qlsetting/qlsetting_test.go
@@ -97,6 +97,7 @@
 		{old: `"zone": "zone-1",`, new: ``},
 		{old: `"0.0.0.0:8080"`, new: `"8080"`},
 		{old: `"descriptors": 4100`, new: `"descriptors": 0`},
+		{old: `"processor-part": 0.4`, new: `"processor-part": 40`},
 		{old: `"8s"`, new: `"8"`},
 		{old: `"2500ms"`, new: `"9s"`},
 		{old: `"retry-ratio": 0.2`, new: `"retry-ratio": -1`},
