A router refuses what its processor cannot keep up with

The router answered everything late, took its own lateness for the owner's (a second owner then decided without knowing the first one's runs) and ended over its memory limit. Ruled out: a lasting fault of the owner: its own lag was below 5 ms. Change: qlshed measures how late the control tick is and refuses a part, by max-min between customers, before the body is read; the refusal has not run, and its repeat reaches another router (code 216). A router that is itself late waits longer for an owner's answer. Callers' connections are bounded by memory as well. A line router-overloaded tells once a second what is short. Left: the hot router still spends its processor on refusals and new connections; next.

--- a/internal/qledge/connection.go
+++ b/internal/qledge/connection.go
@@ -14,10 +14,15 @@
 	// _fullPart is the part from which on idle connections are closed, those
 	// that were idle for longest first.
 	_fullPart = 0.6
+	// _connectionPart is the part of the memory that callers' connections may
+	// take; each takes _connectionBytes, of which half are buffers and stacks
+	// here and half what the kernel holds of a prompt that was not read yet.
+	_connectionPart  = 0.5
+	_connectionBytes = 32 << 10
 )
 
 // callerConnections keeps callers' connections within the process's
-// descriptors. It answers storms of repeats, each of which comes on a
+// descriptors and memory. It answers storms of repeats, each of which comes on a
 // connection of its own and leaves it idle.
 type callerConnections struct {
 	crowded int
@@ -31,10 +36,11 @@
 	closed uint64
 }
 
-func newCallerConnections(descriptors int) *callerConnections {
+func newCallerConnections(descriptors, megabytes int) *callerConnections {
+	most := min(float64(descriptors), _connectionPart*float64(megabytes)*_megabyte/_connectionBytes)
 	return &callerConnections{
-		crowded: int(_crowdedPart * float64(descriptors)),
-		full:    int(_fullPart * float64(descriptors)),
+		crowded: int(_crowdedPart * most),
+		full:    int(_fullPart * most),
 		idle:    list.New(),
 		places:  make(map[net.Conn]*list.Element),
 	}
--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -36,6 +36,7 @@
 	"github.com/quetzallane/quetzallane/internal/qlplace"
 	"github.com/quetzallane/quetzallane/internal/qlroute"
 	"github.com/quetzallane/quetzallane/internal/qlsetting"
+	"github.com/quetzallane/quetzallane/internal/qlshed"
 	"go.uber.org/zap"
 )
 
@@ -87,6 +88,7 @@
 	fleet     *qlfleet.Fleet
 	forwarder *qlforward.Forwarder
 	callers   *callerConnections
+	shedder   *qlshed.Shedder
 	known     atomic.Bool
 	// wake ends a rest between calls to the store.
 	wake     chan struct{}
@@ -99,8 +101,10 @@
 	feed     *qlfeed.Feed
 	fetching bool
 	pruneAt  time.Duration
-	// decided is how many decisions for others were logged.
+	// decided is how many decisions for others were logged, shed how many
+	// refusals of an overloaded processor.
 	decided uint64
+	shed    uint64
 
 	randomMu sync.Mutex
 	random   *rand.Rand
@@ -117,8 +121,9 @@
 		catalog:  qlcatalog.New(),
 		feed:     qlfeed.New(settings.ID, settings.Zone),
 		wake:     make(chan struct{}, 1),
+		shedder:  qlshed.New(),
 		random:   newRandom(),
-		callers:  newCallerConnections(settings.Descriptors),
+		callers:  newCallerConnections(settings.Descriptors, settings.Memory),
 	}
 	runtime.GOMAXPROCS(settings.Processors)
 	debug.SetGCPercent(_collectPercent)
@@ -161,8 +166,11 @@
 			Window:    settings.RetryWindow.Std(),
 			Allowance: settings.RetryAllowance,
 		},
-		Zone:       settings.Zone,
-		Crowded:    e.callers.isCrowded,
+		Zone:    settings.Zone,
+		Crowded: e.callers.isCrowded,
+		Admit: func(customer string) bool {
+			return e.shedder.Admit(e.clock(), customer, rand.Float64())
+		},
 		BodyMemory: int64(_bodyPart * float64(settings.Memory) * _megabyte),
 		Clock:      e.clock,
 		Random:     newRandom(),
@@ -219,13 +227,15 @@
 }
 
 // tick runs in the control goroutine.
-func (e *Edge) tick(now time.Duration) {
+func (e *Edge) tick(now, lag time.Duration) {
+	e.shedder.Sample(lag)
 	e.checkStore(now)
 	e.refresh(now)
 	if now >= e.pruneAt {
 		e.pruneAt = now + _pruneInterval
 		e.forwarder.Prune()
 		e.logPlacement(now)
+		e.logLoad(lag)
 	}
 }
 
@@ -323,6 +333,19 @@
 	e.fleet.Post(func(time.Duration) { e.fleet.Core().SetSeeds(peerAddresses(settings, e.log)) })
 }
 
+// logLoad writes a line while this VM is short of something.
+func (e *Edge) logLoad(lag time.Duration) {
+	part, shed := e.shedder.Part(), e.shedder.Shed()
+	open, closed := e.callers.counts()
+	if part == 0 && shed == e.shed && !e.callers.isCrowded() {
+		return
+	}
+	e.log.Info("router-overloaded", zap.Duration("lag", lag), zap.Float64("refused-part", part),
+		zap.Uint64("refused", shed-e.shed), zap.Int("connections", open), zap.Uint64("idle-closed", closed),
+		zap.Int64("active", e.forwarder.Active()), zap.Int64("memory-held", e.forwarder.Held()))
+	e.shed = shed
+}
+
 // logPlacement writes a line for each service of engines that this router
 // decides about.
 func (e *Edge) logPlacement(now time.Duration) {
--- a/internal/qledge/qledge_test.go
+++ b/internal/qledge/qledge_test.go
@@ -624,7 +624,7 @@
 }
 
 func TestIdleConnectionsYield(t *testing.T) {
-	c := newCallerConnections(10)
+	c := newCallerConnections(10, 1)
 	var conns []net.Conn
 	for range 7 {
 		conn, _ := net.Pipe()
--- a/internal/qlfleet/qlfleet.go
+++ b/internal/qlfleet/qlfleet.go
@@ -53,8 +53,8 @@
 	// Fetch answers another router's request for documents. It is called in
 	// the control goroutine.
 	Fetch func(request *qlfleetwire.FetchRequest) *qlfleetwire.FetchReply
-	// Tick is called regularly in the control goroutine.
-	Tick  func(now time.Duration)
+	// Tick is called regularly in the control goroutine, with how late it is.
+	Tick  func(now, lag time.Duration)
 	Clock func() time.Duration
 	Log   *zap.Logger
 }
@@ -144,6 +144,7 @@
 	defer ticker.Stop()
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
+	due := f.config.Clock() + _tick
 	for {
 		select {
 		case event := <-f.events:
@@ -151,8 +152,11 @@
 			f.drain()
 		case <-ticker.C:
 			now := f.config.Clock()
+			lag := max(now-due, 0)
+			due = now + _tick
+			f.core.SetLag(lag)
 			f.core.Tick(now)
-			f.config.Tick(now)
+			f.config.Tick(now, lag)
 		case <-timer.C:
 		case <-ctx.Done():
 			f.drain()
--- a/internal/qlfleet/qlfleet_test.go
+++ b/internal/qlfleet/qlfleet_test.go
@@ -49,7 +49,7 @@
 					Configuration:         []byte("document"),
 				}
 			},
-			Tick:  func(time.Duration) {},
+			Tick:  func(_, _ time.Duration) {},
 			Clock: func() time.Duration { return time.Since(began) },
 			Log:   zap.NewNop(),
 		})
--- a/internal/qlforward/qlforward.go
+++ b/internal/qlforward/qlforward.go
@@ -47,6 +47,9 @@
 	_notReadyRetry = 500 * time.Millisecond
 	// _shedRetry is when callers return to a service that is full.
 	_shedRetry = 200 * time.Millisecond
+	// _overloadedRetry is when callers turn to another router, give or take a
+	// half: at once, but not all together.
+	_overloadedRetry = 40 * time.Millisecond
 	// _dialTimeout bounds a connection's making; the longest path between
 	// zones of one region takes a tenth of it.
 	_dialTimeout = 300 * time.Millisecond
@@ -68,6 +71,9 @@
 	Zone   string
 	// Crowded reports whether callers should close their connections.
 	Crowded func() bool
+	// Admit reports whether this VM's processor has room for a customer's
+	// request.
+	Admit func(customer string) bool
 	// BodyMemory bounds the memory of all requests under way, in bytes.
 	BodyMemory int64
 	Clock      func() time.Duration
@@ -221,6 +227,9 @@
 		f.refuse(x, qlcode.Stopping, 0, "the router stops")
 		return
 	}
+	if !f.identify(x) {
+		return
+	}
 	held := int64(_requestMemory) + max(request.ContentLength, 0)
 	defer f.held.Add(-held)
 	if f.held.Add(held) > f.config.BodyMemory {
@@ -252,12 +261,7 @@
 // readBody reads the whole body, which must not exceed the limit of the
 // configuration in force.
 func (f *Forwarder) readBody(x *exchange) bool {
-	view := f.view.Load()
-	if view == nil {
-		f.refuse(x, qlcode.NotReady, _notReadyRetry, "no configuration yet")
-		return false
-	}
-	limit := view.table.Limits().BodyBytes
+	limit := x.view.table.Limits().BodyBytes
 	if limit > 0 && x.request.ContentLength > limit {
 		f.fail(x, qlcode.BodyTooLarge, "")
 		return false
@@ -282,19 +286,42 @@
 	return true
 }
 
+// identify finds the customer by the key, and refuses the request if this VM
+// has no room for it, before its body is read.
+func (f *Forwarder) identify(x *exchange) bool {
+	view := f.view.Load()
+	if view == nil {
+		f.refuse(x, qlcode.NotReady, _notReadyRetry, "no configuration yet")
+		return false
+	}
+	x.setCustomer(view)
+	if f.config.Admit(x.customer) {
+		return true
+	}
+	part := 0.5 + rand.Float64()
+	f.refuse(x, qlcode.RouterOverloaded, time.Duration(part*float64(_overloadedRetry)), "the processor is overloaded")
+	return false
+}
+
+// setCustomer finds who holds the caller's key.
+func (x *exchange) setCustomer(view *View) {
+	x.view, x.customer = view, ""
+	if customer := view.table.Customer(x.caller.Key); customer != nil {
+		x.customer = customer.Name()
+	}
+}
+
 // resolve finds route, customer and service in the configuration that is in
 // force once the request is read whole.
 func (f *Forwarder) resolve(x *exchange) bool {
-	x.view = f.view.Load()
+	x.setCustomer(f.view.Load())
 	path, _, _ := strings.Cut(x.request.RequestURI, "?")
 	x.route = x.view.table.Match(x.request.Host, path)
 	if x.route == nil {
 		f.fail(x, qlcode.UnknownPool, "no route")
 		return false
 	}
-	if customer := x.view.table.Customer(x.caller.Key); customer != nil {
-		x.customer = customer.Name()
-	} else if x.view.table.Keyed() && !x.route.Public() {
+	if x.customer == "" && x.view.table.Keyed() && !x.route.Public() {
 		f.fail(x, qlcode.UnknownKey, "")
 		return false
 	}
--- a/internal/qlforward/standin_test.go
+++ b/internal/qlforward/standin_test.go
@@ -171,6 +171,7 @@
 			Allowance: 100,
 		},
 		Crowded:    func() bool { return false },
+		Admit:      func(string) bool { return true },
 		BodyMemory: 1 << 20,
 		Clock:      func() time.Duration { return 0 },
 		Random:     rand.New(rand.NewPCG(1, 2)),
--- a/internal/qlowner/qlowner.go
+++ b/internal/qlowner/qlowner.go
@@ -68,6 +68,9 @@
 	// taken for lost.
 	_runSlack       = 300 * time.Millisecond
 	_expireInterval = time.Second
+	// _lagFactor is how many times its own lag a router waits longer for an
+	// answer: the way out and the way in are late by as much.
+	_lagFactor = 2
 	// _fallbackLoad is how much of the others' load a router that decides by
 	// itself assumes, in parts of its own for each other router.
 	_fallbackLoad = 1.0
@@ -154,6 +157,7 @@
 	expireAt    time.Duration
 	owner       string
 	now         time.Duration
+	lag         time.Duration
 	stats       Stats
 }
 
@@ -446,10 +450,20 @@
 	}
 }
 
+// SetLag says how late this process runs what is due. An answer that is late
+// by that does not count against the owner.
+func (c *Core) SetLag(lag time.Duration) {
+	c.lag = lag
+}
+
+func (c *Core) expiry(q question) time.Duration {
+	return q.until + _lagFactor*c.lag
+}
+
 // Expire decides here what the owner did not answer in time.
 func (c *Core) Expire(now time.Duration) {
 	for id, q := range c.questions {
-		if now < q.until {
+		if now < c.expiry(q) {
 			continue
 		}
 		delete(c.questions, id)
@@ -465,8 +479,8 @@
 // NextExpiry returns when Expire has to be called next.
 func (c *Core) NextExpiry() (at time.Duration, ok bool) {
 	for _, q := range c.questions {
-		if !ok || q.until < at {
-			at, ok = q.until, true
+		if expiry := c.expiry(q); !ok || expiry < at {
+			at, ok = expiry, true
 		}
 	}
 	return at, ok
--- /dev/null
+++ b/internal/qlshed/qlshed.go
@@ -0,0 +1,157 @@
+// Package qlshed decides which requests a router refuses because its own
+// processor cannot keep up.
+//
+// It answers the load of a few callers that all come to one small VM: the
+// balancer chooses by the caller, so one router may get many times its part
+// while others idle. A router that takes more than it can handle answers
+// everything late, loses its peers' answers and runs out of memory. Refusing
+// costs far less than serving, is certain not to have run the request, and a
+// repeat reaches another router. What is admitted is divided between customers
+// by max-min: the one that sends most is refused first.
+//
+// # Usage
+//
+//	shedder := qlshed.New()
+//	shedder.Sample(lag) // regularly
+//	if !shedder.Admit(now, customer, random.Float64()) { refuse }
+package qlshed
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// _target is the lag that is aimed at: below it a request loses a small
+	// part of any objective.
+	_target = 30 * time.Millisecond
+	// _rise is how much the refused part grows with a sample at twice the
+	// target, _mostRise bounds one sample's growth, and _fall is how much it
+	// shrinks with a sample without lag.
+	_rise     = 0.08
+	_mostRise = 0.25
+	_fall     = 0.03
+	// _most is the largest part that is refused: some requests must show when
+	// the load has passed.
+	_most = 0.95
+	// _window is how long customers' requests are counted, and _slots in how
+	// many steps they are forgotten.
+	_window = time.Second
+	_slots  = 5
+)
+
+// Shedder is one router's. It is safe for several goroutines.
+type Shedder struct {
+	mu        sync.Mutex
+	refused   float64
+	customers map[string]*[_slots]float64
+	slot      int64
+	// level is how many requests in the window each customer may have.
+	level    float64
+	levelAt  int64
+	shed     uint64
+	levelFor float64
+}
+
+// New returns a shedder that admits everything.
+func New() *Shedder {
+	return &Shedder{
+		customers: make(map[string]*[_slots]float64),
+	}
+}
+
+// Sample takes how late this process ran what was due.
+func (s *Shedder) Sample(lag time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	excess := float64(lag-_target) / float64(_target)
+	if excess > 0 {
+		s.refused = min(s.refused+min(_rise*excess, _mostRise), _most)
+		return
+	}
+	s.refused = max(s.refused+_fall*excess, 0)
+}
+
+// Part returns the part of requests that is refused.
+func (s *Shedder) Part() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refused
+}
+
+// Shed returns how many requests were refused.
+func (s *Shedder) Shed() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.shed
+}
+
+// Admit reports whether to serve a customer's request; chance is uniform
+// below 1.
+func (s *Shedder) Admit(now time.Duration, customer string, chance float64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.advance(now)
+	counts := s.customers[customer]
+	if counts == nil {
+		counts = &[_slots]float64{}
+		s.customers[customer] = counts
+	}
+	counts[s.slot%_slots]++
+	if s.refused == 0 {
+		return true
+	}
+	if s.levelAt != s.slot || s.levelFor != s.refused {
+		s.level = s.computeLevel()
+		s.levelAt, s.levelFor = s.slot, s.refused
+	}
+	if chance*sum(counts) < s.level {
+		return true
+	}
+	s.shed++
+	return false
+}
+
+// advance forgets counts that left the window.
+func (s *Shedder) advance(now time.Duration) {
+	slot := int64(now / (_window / _slots))
+	for step := max(s.slot+1, slot-_slots+1); step <= slot; step++ {
+		for name, counts := range s.customers {
+			counts[step%_slots] = 0
+			if sum(counts) == 0 {
+				delete(s.customers, name)
+			}
+		}
+	}
+	s.slot = max(s.slot, slot)
+}
+
+func sum(counts *[_slots]float64) float64 {
+	total := 0.0
+	for _, count := range counts {
+		total += count
+	}
+	return total
+}
+
+// computeLevel divides what is admitted by max-min.
+func (s *Shedder) computeLevel() float64 {
+	sums := make([]float64, 0, len(s.customers))
+	left := 0.0
+	for _, counts := range s.customers {
+		total := sum(counts)
+		sums = append(sums, total)
+		left += total
+	}
+	left *= 1 - s.refused
+	slices.Sort(sums)
+	for i, total := range sums {
+		even := left / float64(len(sums)-i)
+		if total >= even {
+			return even
+		}
+		left -= total
+	}
+	return left
+}
--- /dev/null
+++ b/internal/qlshed/qlshed_test.go
@@ -0,0 +1,93 @@
+package qlshed
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+func TestWithoutLagNothingIsRefused(t *testing.T) {
+	s := New()
+	for i := range 1000 {
+		s.Sample(time.Millisecond)
+		if !s.Admit(time.Duration(i)*time.Millisecond, "a", 0.999) {
+			t.Fatal("a request was refused without lag")
+		}
+	}
+}
+
+// TestHotCustomerIsRefusedFirst plays a small VM that can serve 200 requests a
+// second: one customer sends 600, three others 20 each, below an even part. What is served stays
+// near the capacity, the lag is bounded, and the others lose little.
+func TestHotCustomerIsRefusedFirst(t *testing.T) {
+	const (
+		capacity = 200.0
+		tick     = 50 * time.Millisecond
+		span     = 20 * time.Second
+	)
+	random := rand.New(rand.NewPCG(1, 2))
+	s := New()
+	sent := map[string]int{}
+	served := map[string]int{}
+	backlog, worst := 0.0, 0.0
+	for now := time.Duration(0); now < span; now += tick {
+		if now > 2*time.Second {
+			worst = max(worst, backlog/capacity)
+		}
+		s.Sample(time.Duration(backlog / capacity * float64(time.Second)))
+		for customer, rate := range map[string]float64{"hot": 600, "a": 20, "b": 20, "c": 20} {
+			for range int(rate*tick.Seconds() + random.Float64()) {
+				sent[customer]++
+				if s.Admit(now, customer, random.Float64()) {
+					served[customer]++
+					backlog++
+				} else {
+					// A refusal costs an eighth of a request.
+					backlog += 0.125
+				}
+			}
+		}
+		backlog = max(backlog-capacity*tick.Seconds(), 0)
+	}
+	if worst > 0.25 {
+		t.Errorf("backlog after 2 s: got up to %.2f s of work, want 0.25 s at most", worst)
+	}
+	for _, customer := range []string{"a", "b", "c"} {
+		if part := float64(served[customer]) / float64(sent[customer]); part < 0.9 {
+			t.Errorf("customer %s: got %.2f of its requests served, want 0.9 or more", customer, part)
+		}
+	}
+	total := 0
+	for _, count := range served {
+		total += count
+	}
+	// Refusals take up to a third of the processor.
+	if rate := float64(total) / span.Seconds(); rate < 0.5*capacity || rate > 1.05*capacity {
+		t.Errorf("served: got %.0f a second, want near what refusals leave of %.0f", rate, capacity)
+	}
+}
+
+func TestRefusalsEndWithTheLoad(t *testing.T) {
+	s := New()
+	for range 20 {
+		s.Sample(200 * time.Millisecond)
+	}
+	if got, want := s.Part(), _most; got != want {
+		t.Errorf("refused under lasting lag: got %v, want %v", got, want)
+	}
+	for range 40 {
+		s.Sample(0)
+	}
+	if got := s.Part(); got != 0 {
+		t.Errorf("refused two seconds after the lag: got %v, want 0", got)
+	}
+}
+
+func TestCustomersAreForgotten(t *testing.T) {
+	s := New()
+	s.Admit(0, "a", 0)
+	s.Admit(10*time.Second, "b", 0)
+	if got := len(s.customers); got != 1 {
+		t.Errorf("customers: got %d, want 1", got)
+	}
+}
--- a/pkg/qlcode/table.go
+++ b/pkg/qlcode/table.go
@@ -21,6 +21,7 @@
 	CallerLeft        Code = 213
 	UpstreamUnreached Code = 214
 	RouterFault       Code = 215
+	RouterOverloaded  Code = 216
 	UpstreamCut       Code = 300
 	UpstreamTimeout   Code = 301
 	AnswerCrossed     Code = 302
@@ -191,6 +192,16 @@
 		status:  499,
 		run:     RunNo,
 	},
+	{
+		code:    RouterOverloaded,
+		name:    "router-overloaded",
+		title:   "This router is overloaded",
+		text:    "The router's processor cannot keep up with the callers that the balancer sends it. Customers that send most are refused first.",
+		example: "many callers of one customer at one small VM",
+		remedy:  "send it again after Retry-After; another router takes it",
+		status:  http.StatusServiceUnavailable,
+		run:     RunNo,
+	},
 	{
 		code:    UpstreamUnreached,
 		name:    "upstream-unreached",
