Overload is measured by datagrams to itself; no room, no reading

Connections beyond what 112 MB hold were accepted all the same. Ruled out: the accept queue alone: connections were taken, their requests not. Change: each router sends itself a datagram each 100 ms, which waits like what callers send; the lag is the later of that and of the tick. Connections beyond the memory's bound are closed unread, as are half of all while more than 0.9 of requests are refused. No kernel probes on callers' connections (four calls less for each).

--- a/internal/qledge/connection.go
+++ b/internal/qledge/connection.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"sync"
+
+	"github.com/juju/errors"
 )
 
 const (
@@ -14,6 +16,9 @@
 	// _fullPart is the part from which on idle connections are closed, those
 	// that were idle for longest first.
 	_fullPart = 0.6
+	// _mostPart is the part from which on new connections are closed unread:
+	// their callers turn to another router.
+	_mostPart = 0.85
 	// _connectionPart is the part of the memory that callers' connections may
 	// take; each takes _connectionBytes, of which half are buffers and stacks
 	// here and half what the kernel holds of a prompt that was not read yet.
@@ -27,6 +32,7 @@
 type callerConnections struct {
 	crowded int
 	full    int
+	most    int
 
 	mu   sync.Mutex
 	open int
@@ -34,13 +40,15 @@
 	// places holds each idle connection's place in the list.
 	places map[net.Conn]*list.Element
 	closed uint64
+	turned uint64
 }
 
 func newCallerConnections(descriptors, megabytes int) *callerConnections {
 	most := min(float64(descriptors), _connectionPart*float64(megabytes)*_megabyte/_connectionBytes)
 	return &callerConnections{
-		crowded: int(_crowdedPart * most),
+		crowded: int(_crowdedPart * float64(descriptors)),
 		full:    int(_fullPart * most),
+		most:    int(_mostPart * most),
 		idle:    list.New(),
 		places:  make(map[net.Conn]*list.Element),
 	}
@@ -53,11 +61,43 @@
 	return c.open > c.crowded
 }
 
-// counts returns the open connections and how many idle ones were closed.
-func (c *callerConnections) counts() (open int, closed uint64) {
+// counts returns the open connections, how many idle ones were closed and how
+// many new ones turned away.
+func (c *callerConnections) counts() (open int, closed, turned uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open, c.closed, c.turned
+}
+
+// takes reports whether to keep a new connection.
+func (c *callerConnections) takes(overloaded bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.open, c.closed
+	if c.open < c.most && !overloaded {
+		return true
+	}
+	c.turned++
+	return false
+}
+
+// gate is a listener that closes connections for which there is no room. They
+// are not read, so nothing that was sent on them has run.
+type gate struct {
+	net.Listener
+	takes func() bool
+}
+
+// Accept returns the next connection that is kept.
+func (g *gate) Accept() (net.Conn, error) {
+	for {
+		conn, err := g.Listener.Accept()
+		if err != nil || g.takes() {
+			return conn, err
+		}
+		if err := conn.Close(); err != nil {
+			return nil, errors.Annotate(err, "turn away a connection")
+		}
+	}
 }
 
 // changed follows the states of the server's connections.
--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -59,6 +59,9 @@
 	_memoryPart = 0.7
 	_bodyPart   = 0.25
 	_megabyte   = 1 << 20
+	// _gatePart is the part of requests refused by the processor's lag from
+	// which on connections are turned away as well.
+	_gatePart = 0.9
 	// _milli is how many parts of a core a VM's capacity is told in.
 	_milli = 1000
 	// _defaultHeaderTimeout and _defaultIdleTimeout hold where no
@@ -244,7 +247,12 @@
 func (e *Edge) Run(ctx context.Context) error {
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	callers, err := net.Listen("tcp4", e.settings.CallerAddress)
+	// Callers that vanish are found by the limits on idle connections and on
+	// requests; the kernel's probes would cost calls on each connection.
+	config := net.ListenConfig{
+		KeepAlive: -1,
+	}
+	callers, err := config.Listen(background, "tcp4", e.settings.CallerAddress)
 	if err != nil {
 		return errors.Annotate(err, "listen for callers")
 	}
@@ -261,7 +269,7 @@
 		zap.String("peers", e.settings.PeerAddress), zap.Strings("seeds", e.settings.Seeds))
 	server := e.callerServer(ctx)
 	go func() {
-		if err := server.Serve(callers); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(e.gate(callers)); !errors.Is(err, http.ErrServerClosed) {
 			e.log.Error("callers-not-served", zap.Error(err))
 		}
 	}()
@@ -272,6 +280,17 @@
 	return errors.Trace(err)
 }
 
+// gate turns away connections for which there is no memory, and half of all
+// while nearly all requests are refused: a refusal still has to be read.
+func (e *Edge) gate(callers net.Listener) net.Listener {
+	return &gate{
+		Listener: callers,
+		takes: func() bool {
+			return e.callers.takes(e.shedder.Part() > _gatePart && rand.Float64() < 0.5)
+		},
+	}
+}
+
 // callerServer returns the server for callers, with the limits of the first
 // configuration if it comes soon.
 func (e *Edge) callerServer(ctx context.Context) *http.Server {
@@ -336,12 +355,12 @@
 // logLoad writes a line while this VM is short of something.
 func (e *Edge) logLoad(lag time.Duration) {
 	part, shed := e.shedder.Part(), e.shedder.Shed()
-	open, closed := e.callers.counts()
+	open, closed, turned := e.callers.counts()
 	if part == 0 && shed == e.shed && !e.callers.isCrowded() {
 		return
 	}
 	e.log.Info("router-overloaded", zap.Duration("lag", lag), zap.Float64("refused-part", part),
-		zap.Uint64("refused", shed-e.shed), zap.Int("connections", open), zap.Uint64("idle-closed", closed),
+		zap.Uint64("refused", shed-e.shed), zap.Int("connections", open), zap.Uint64("idle-closed", closed), zap.Uint64("turned-away", turned),
 		zap.Int64("active", e.forwarder.Active()), zap.Int64("memory-held", e.forwarder.Held()))
 	e.shed = shed
 }
--- a/internal/qledge/qledge_test.go
+++ b/internal/qledge/qledge_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -623,6 +624,50 @@
 	}
 }
 
+func TestConnectionsWithoutRoomAreClosedUnread(t *testing.T) {
+	c := newCallerConnections(10, 1)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	room := false
+	g := &gate{
+		Listener: listener,
+		takes:    func() bool { room = !room; return c.takes(room) },
+	}
+	accepted := make(chan net.Conn, 2)
+	go func() {
+		for range 2 {
+			if conn, err := g.Accept(); err == nil {
+				accepted <- conn
+			}
+		}
+	}()
+	for i, want := range []bool{false, true} {
+		conn, err := net.Dial("tcp4", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+		_ = conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+		_, err = conn.Read(make([]byte, 1))
+		if got := errors.Is(err, os.ErrDeadlineExceeded); got != want {
+			t.Errorf("connection %d: got kept %v (%v), want %v", i, got, err, want)
+		}
+	}
+	if _, _, turned := c.counts(); turned != 1 {
+		t.Errorf("turned away: got %d, want 1", turned)
+	}
+	for range 9 {
+		conn, _ := net.Pipe()
+		c.follow(conn, http.StateNew)
+	}
+	if c.takes(false) {
+		t.Error("a connection was taken beyond the bound")
+	}
+}
+
 func TestIdleConnectionsYield(t *testing.T) {
 	c := newCallerConnections(10, 1)
 	var conns []net.Conn
@@ -645,8 +690,8 @@
 	if got := c.follow(conns[4], http.StateIdle); got != nil {
 		t.Error("a connection was closed below the bound")
 	}
-	if open, closed := c.counts(); open != 6 || closed != 1 {
-		t.Errorf("counts: got %d open and %d closed, want 6 and 1", open, closed)
+	if open, closed, turned := c.counts(); open != 6 || closed != 1 || turned != 0 {
+		t.Errorf("counts: got %d open, %d closed and %d turned away, want 6, 1 and 0", open, closed, turned)
 	}
 }
 
--- a/internal/qlfleet/qlfleet.go
+++ b/internal/qlfleet/qlfleet.go
@@ -41,6 +41,10 @@
 	_maxPacket = 64 << 10
 	// _fetchTimeout bounds a fetch of documents from another router.
 	_fetchTimeout = 1500 * time.Millisecond
+	// _echoInterval is the time between datagrams to itself, and _echoLost how
+	// long one is waited for.
+	_echoInterval = 100 * time.Millisecond
+	_echoLost     = time.Second
 	// _eventBatch is how many events are taken before packets are sent.
 	_eventBatch = 64
 )
@@ -53,7 +57,8 @@
 	// Fetch answers another router's request for documents. It is called in
 	// the control goroutine.
 	Fetch func(request *qlfleetwire.FetchRequest) *qlfleetwire.FetchReply
-	// Tick is called regularly in the control goroutine, with how late it is.
+	// Tick is called regularly in the control goroutine, with how late this
+	// process runs what is due or reads what has come.
 	Tick  func(now, lag time.Duration)
 	Clock func() time.Duration
 	Log   *zap.Logger
@@ -71,6 +76,7 @@
 	live     atomic.Int64
 	sent     atomic.Int64
 	bytes    atomic.Int64
+	echo     echo
 	// waiters belongs to the control goroutine.
 	waiters map[uint64]chan qlplace.Verdict
 }
@@ -152,8 +158,14 @@
 			f.drain()
 		case <-ticker.C:
 			now := f.config.Clock()
-			lag := max(now-due, 0)
+			lag := max(now-due, f.echo.lag(now))
 			due = now + _tick
+			if f.echo.begin(now) {
+				f.send(f.config.Core.Address, &qlfleetwire.Packet{
+					From: f.config.Core.Self,
+					Echo: int64(now),
+				})
+			}
 			f.core.SetLag(lag)
 			f.core.Tick(now)
 			f.config.Tick(now, lag)
@@ -289,6 +301,12 @@
 			f.config.Log.Info("packet-not-decoded", zap.Stringer("source", source), zap.Error(err))
 			continue
 		}
+		if packet.GetEcho() != 0 {
+			if packet.GetFrom() == f.config.Core.Self {
+				f.echo.end(f.config.Clock(), time.Duration(packet.GetEcho()))
+			}
+			continue
+		}
 		f.Post(func(now time.Duration) { f.core.Receive(now, source.String(), packet) })
 	}
 }
--- a/internal/qlforward/standin_test.go
+++ b/internal/qlforward/standin_test.go
@@ -81,7 +81,7 @@
 	return len(s.requests)
 }
 
-func newStandIn(t *testing.T, id string, reply func(conn net.Conn, request *http.Request)) *standIn {
+func newStandIn(t testing.TB, id string, reply func(conn net.Conn, request *http.Request)) *standIn {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -154,7 +154,7 @@
 	outcomes []qlengine.Outcome
 }
 
-func newBench(t *testing.T, upstreams ...*standIn) *bench {
+func newBench(t testing.TB, upstreams ...*standIn) *bench {
 	t.Helper()
 	b := &bench{}
 	b.forwarder = New(Config{
@@ -196,7 +196,7 @@
 	return b
 }
 
-func testTable(t *testing.T) *qlroute.Table {
+func testTable(t testing.TB) *qlroute.Table {
 	t.Helper()
 	route := func(prefix, service string, kind qlroute.Kind, attempts int, resumable bool) qlroute.RouteConfig {
 		return qlroute.RouteConfig{
