A router that refuses much takes no new callers for a while

Ruled out: shorter Retry-After: the balancer's choice does not depend on it. The balancer then sends the callers to another router.

--- a/internal/qledge/operations.go
+++ b/internal/qledge/operations.go
@@ -49,11 +49,17 @@
 }
 
 func (e *Edge) answerReady(w http.ResponseWriter, _ *http.Request) {
-	if !e.known.Load() || e.stopping.Load() {
+	if !e.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
+// ready reports whether the balancer should send callers here.
+func (e *Edge) ready() bool {
+	rests, _ := e.shedder.Rests(e.clock())
+	return e.known.Load() && !e.stopping.Load() && !rests
+}
+
 // answerVars writes counters and histograms as one JSON object.
 func (e *Edge) answerVars(w http.ResponseWriter, _ *http.Request) {
 	packets, packetBytes := e.fleet.Traffic()
@@ -103,7 +109,7 @@
 		state = map[string]any{
 			"id":                     e.settings.ID,
 			"uptime":                 now.String(),
-			"ready":                  e.known.Load() && !e.stopping.Load(),
+			"ready":                  e.ready(),
 			"configuration-revision": configuration,
 			"list-revision":          list,
 			"owner":                  e.fleet.Core().Owner(),
--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -231,7 +231,7 @@
 
 // tick runs in the control goroutine.
 func (e *Edge) tick(now, lag time.Duration) {
-	e.shedder.Sample(lag)
+	e.shedder.Sample(now, lag)
 	e.checkStore(now)
 	e.refresh(now)
 	if now >= e.pruneAt {
--- a/internal/qlshed/qlshed.go
+++ b/internal/qlshed/qlshed.go
@@ -12,7 +12,7 @@
 // # Usage
 //
 //	shedder := qlshed.New()
-//	shedder.Sample(lag) // regularly
+//	shedder.Sample(now, lag) // regularly
 //	if !shedder.Admit(now, customer, random.Float64()) { refuse }
 package qlshed
 
@@ -39,6 +39,14 @@
 	// many steps they are forgotten.
 	_window = time.Second
 	_slots  = 5
+	// _restPart is the part that is refused from which on, after _restAfter,
+	// a router rests; it does until it refused nothing for _calm.
+	_restPart  = 0.5
+	_restAfter = time.Second
+	_calm      = 3 * time.Second
+	// _noticed is how long the balancer takes to see that a router rests: it
+	// asks once a second and takes two misses.
+	_noticed = 2200 * time.Millisecond
 )
 
 // Shedder is one router's. It is safe for several goroutines.
@@ -50,8 +58,14 @@
 	// level is how many requests in the window each customer may have.
 	level    float64
 	levelAt  int64
-	shed     uint64
 	levelFor float64
+	shed     uint64
+
+	busySince time.Duration
+	calmSince time.Duration
+	restSince time.Duration
+	busy      bool
+	rests     bool
 }
 
 // New returns a shedder that admits everything.
@@ -62,15 +76,41 @@
 }
 
 // Sample takes how late this process ran what was due.
-func (s *Shedder) Sample(lag time.Duration) {
+func (s *Shedder) Sample(now, lag time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	excess := float64(lag-_target) / float64(_target)
 	if excess > 0 {
 		s.refused = min(s.refused+min(_rise*excess, _mostRise), _most)
-		return
+	} else {
+		s.refused = max(s.refused+_fall*excess, 0)
+	}
+	s.setRest(now)
+}
+
+func (s *Shedder) setRest(now time.Duration) {
+	if s.refused < _restPart {
+		s.busy = false
+	} else if !s.busy {
+		s.busy, s.busySince = true, now
 	}
-	s.refused = max(s.refused+_fall*excess, 0)
+	if s.refused > 0 {
+		s.calmSince = now
+	}
+	switch {
+	case !s.rests && s.busy && now-s.busySince >= _restAfter:
+		s.rests, s.restSince = true, now
+	case s.rests && now-s.calmSince >= _calm:
+		s.rests = false
+	}
+}
+
+// Rests reports whether the balancer should send new callers elsewhere, and
+// whether it does by now.
+func (s *Shedder) Rests(now time.Duration) (rests, noticed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rests, s.rests && now-s.restSince >= _noticed
 }
 
 // Part returns the part of requests that is refused.
--- a/internal/qlshed/qlshed_test.go
+++ b/internal/qlshed/qlshed_test.go
@@ -9,7 +9,7 @@
 func TestWithoutLagNothingIsRefused(t *testing.T) {
 	s := New()
 	for i := range 1000 {
-		s.Sample(time.Millisecond)
+		s.Sample(time.Duration(i)*time.Millisecond, time.Millisecond)
 		if !s.Admit(time.Duration(i)*time.Millisecond, "a", 0.999) {
 			t.Fatal("a request was refused without lag")
 		}
@@ -34,7 +34,7 @@
 		if now > 2*time.Second {
 			worst = max(worst, backlog/capacity)
 		}
-		s.Sample(time.Duration(backlog / capacity * float64(time.Second)))
+		s.Sample(now, time.Duration(backlog/capacity*float64(time.Second)))
 		for customer, rate := range map[string]float64{"hot": 600, "a": 20, "b": 20, "c": 20} {
 			for range int(rate*tick.Seconds() + random.Float64()) {
 				sent[customer]++
@@ -69,14 +69,14 @@
 
 func TestRefusalsEndWithTheLoad(t *testing.T) {
 	s := New()
-	for range 20 {
-		s.Sample(200 * time.Millisecond)
+	for i := range 20 {
+		s.Sample(time.Duration(i)*50*time.Millisecond, 200*time.Millisecond)
 	}
 	if got, want := s.Part(), _most; got != want {
 		t.Errorf("refused under lasting lag: got %v, want %v", got, want)
 	}
-	for range 40 {
-		s.Sample(0)
+	for i := range 40 {
+		s.Sample(time.Duration(20+i)*50*time.Millisecond, 0)
 	}
 	if got := s.Part(); got != 0 {
 		t.Errorf("refused two seconds after the lag: got %v, want 0", got)
@@ -91,3 +91,34 @@
 		t.Errorf("customers: got %d, want 1", got)
 	}
 }
+
+// TestOverloadedRouterRests has a load last for two seconds.
+func TestOverloadedRouterRests(t *testing.T) {
+	s := New()
+	const tick = 50 * time.Millisecond
+	began, ended := time.Duration(-1), time.Duration(-1)
+	for now := time.Duration(0); now < 12*time.Second; now += tick {
+		lag := time.Duration(0)
+		if now < 2*time.Second {
+			lag = 200 * time.Millisecond
+		}
+		s.Sample(now, lag)
+		rests, noticed := s.Rests(now)
+		if rests && began < 0 {
+			began = now
+		}
+		if !rests && began >= 0 && ended < 0 {
+			ended = now
+		}
+		if noticed && now-began < _noticed {
+			t.Fatalf("noticed %v after the rest began, want %v", now-began, _noticed)
+		}
+	}
+	if began < _restAfter || began > _restAfter+500*time.Millisecond {
+		t.Errorf("the rest began at %v, want soon after %v", began, _restAfter)
+	}
+	// The refused part falls to 0 within 1.6 s of the load's end.
+	if ended < 2*time.Second+_calm || ended > 2*time.Second+_calm+2*time.Second {
+		t.Errorf("the rest ended at %v, want %v after the last refusal", ended, _calm)
+	}
+}
