--- a/internal/qlforward/plain.go
+++ b/internal/qlforward/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/quetzallane/quetzallane/internal/qlbalance"
 	"github.com/quetzallane/quetzallane/internal/qlcatalog"
 	"github.com/quetzallane/quetzallane/internal/qlconn"
+	"github.com/quetzallane/quetzallane/internal/qlpace"
 	"github.com/quetzallane/quetzallane/pkg/qlcode"
 )
 
@@ -35,6 +37,11 @@
 // servePlain forwards a request to a plain service.
 func (f *Forwarder) servePlain(x *exchange) {
 	f.countRequest(x)
+	if !f.paced(x) {
+		part := 0.5 + rand.Float64()
+		f.refuse(x, qlcode.QueueFull, time.Duration(part*float64(_pacedRetry)), "the service answers late")
+		return
+	}
 	unreached := 0
 	for {
 		entry, ok := f.pick(x)
@@ -135,6 +142,22 @@
 	return x.view.byID[id], ok
 }
 
+// paced reports whether the service has room for a request.
+func (f *Forwarder) paced(x *exchange) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.pacer(x.service.Name()).Admit(rand.Float64())
+}
+
+func (f *Forwarder) pacer(service string) *qlpace.Pacer {
+	pacer := f.pacers[service]
+	if pacer == nil {
+		pacer = qlpace.New()
+		f.pacers[service] = pacer
+	}
+	return pacer
+}
+
 func (f *Forwarder) balancer(service string) *qlbalance.Balancer {
 	balancer := f.balancers[service]
 	if balancer == nil {
@@ -149,7 +172,8 @@
 // callPlain makes one attempt and reads the whole answer.
 func (f *Forwarder) callPlain(x *exchange, entry qlcatalog.Entry) (got *reply, err error) {
 	outcome := qlbalance.Failed
-	defer func() { f.endCall(x, entry.ID, outcome, got) }()
+	began := time.Now()
+	defer func() { f.endCall(x, entry.ID, outcome, got, time.Since(began)) }()
 	headTimeout := time.Duration(0)
 	if x.route.Repeatable() && x.attempts+1 < x.route.MaxAttempts() {
 		headTimeout = max(_hangGoals*x.route.Goal(), _minHang)
@@ -182,7 +206,7 @@
 	return qlbalance.Answered
 }
 
-func (f *Forwarder) endCall(x *exchange, id string, outcome qlbalance.Outcome, got *reply) {
+func (f *Forwarder) endCall(x *exchange, id string, outcome qlbalance.Outcome, got *reply, took time.Duration) {
 	now := f.config.Clock()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -190,6 +214,7 @@
 	balancer.End(now, id, outcome)
 	if got != nil && got.answer.HasLoad {
 		balancer.Report(now, id, got.answer.Running, got.answer.Waiting)
+		f.pacer(x.service.Name()).Answered(took, x.route.Goal(), got.answer.Waiting)
 	}
 }
 
--- a/internal/qlforward/qlforward.go
+++ b/internal/qlforward/qlforward.go
@@ -32,6 +32,7 @@
 	"github.com/quetzallane/quetzallane/internal/qlbudget"
 	"github.com/quetzallane/quetzallane/internal/qlcatalog"
 	"github.com/quetzallane/quetzallane/internal/qlconn"
+	"github.com/quetzallane/quetzallane/internal/qlpace"
 	"github.com/quetzallane/quetzallane/internal/qlroute"
 	"github.com/quetzallane/quetzallane/pkg/qlcode"
 	"go.uber.org/zap"
@@ -50,6 +51,8 @@
 	// _overloadedRetry is when callers turn to another router, give or take a
 	// half: at once, but not all together.
 	_overloadedRetry = 40 * time.Millisecond
+	// _pacedRetry is when callers return to a service that answers late.
+	_pacedRetry = 300 * time.Millisecond
 	// _dialTimeout bounds a connection's making; the longest path between
 	// zones of one region takes a tenth of it.
 	_dialTimeout = 300 * time.Millisecond
@@ -97,6 +100,7 @@
 	// mu guards what all requests decide by.
 	mu        sync.Mutex
 	balancers map[string]*qlbalance.Balancer
+	pacers    map[string]*qlpace.Pacer
 	budgets   map[string]*qlbudget.Budget
 }
 
@@ -106,6 +110,7 @@
 		config:    config,
 		metrics:   newMetrics(),
 		balancers: make(map[string]*qlbalance.Balancer),
+		pacers:    make(map[string]*qlpace.Pacer),
 		budgets:   make(map[string]*qlbudget.Budget),
 	}
 	f.next.Store(config.Random.Uint64() >> _requestBits)
--- a/internal/qlforward/qlforward_test.go
+++ b/internal/qlforward/qlforward_test.go
@@ -262,3 +262,63 @@
 		t.Errorf("answered after %v, want it soon after 200ms", took)
 	}
 }
+
+// TestOverloadedRouterRefusesBeforeTheBody has a router without room: what
+// comes is refused as not run, to be sent again at once.
+func TestOverloadedRouterRefusesBeforeTheBody(t *testing.T) {
+	upstream := newStandIn(t, "u1", say(200, "Signature: s\r\n", "x"))
+	b := newBench(t, upstream)
+	customers := ""
+	b.forwarder.config.Admit = func(customer string) bool {
+		customers += customer
+		return false
+	}
+	request, err := http.NewRequest(http.MethodPost, b.server.URL+"/order/1", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Key", "k1")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if got, want := response.StatusCode, http.StatusServiceUnavailable; got != want {
+		t.Errorf("status: got %d, want %d", got, want)
+	}
+	if got, want := response.Header.Get(_resultHeader), "216"; got != want {
+		t.Errorf("code: got %s, want %s", got, want)
+	}
+	wait, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	if bound := 2 * _overloadedRetry.Seconds(); err != nil || wait <= 0 || wait > bound {
+		t.Errorf("Retry-After: got %v (%v), want up to %v", wait, err, bound)
+	}
+	if upstream.count() != 0 || customers != "depot" {
+		t.Errorf("got %d requests sent and customer %q asked for, want none and depot", upstream.count(), customers)
+	}
+}
+
+// TestServiceThatAnswersLateIsPaced has an upstream that tells of a queue and
+// answers later than the objective.
+func TestServiceThatAnswersLateIsPaced(t *testing.T) {
+	upstream := newStandIn(t, "u1", func(conn net.Conn, request *http.Request) {
+		time.Sleep(110 * time.Millisecond)
+		say(200, "Signature: s\r\nLoad: 6\r\n", "x")(conn, request)
+	})
+	b := newBench(t, upstream)
+	b.forwarder.config.Dialect.ReadAnswer = func(_ *http.Response) Answer {
+		return Answer{
+			Signed:  true,
+			HasLoad: true,
+			Running: 6,
+			Waiting: 6,
+		}
+	}
+	statuses := make(map[int]int)
+	for range 20 {
+		statuses[b.send(t, http.MethodGet, "/look/1", nil, "").status]++
+	}
+	if statuses[http.StatusOK] == 0 || statuses[http.StatusTooManyRequests] == 0 {
+		t.Errorf("statuses: got %v, want some requests answered and some refused", statuses)
+	}
+}
