The store is called no more than each 150 ms; a log file is read by one function

Cause: a reader's watch returns at each change, so a release or a storm of configurations costs a call for each; two copies of a function that reads logs. Change: 150 ms between the starts of calls; qlexplain.Story.ReadFile.

--- a/cmd/qlsoak/soak.go
+++ b/cmd/qlsoak/soak.go
@@ -187,7 +187,7 @@
 	}
 	story := qlexplain.New(attempt)
 	for _, path := range paths {
-		if err := readLog(story, path); err != nil {
+		if err := story.ReadFile(path); err != nil {
 			return fmt.Sprintf("  story of %s: %v\n", attempt, err)
 		}
 	}
@@ -198,15 +198,6 @@
 	return "  story of " + attempt + ":\n" + text.String()
 }
 
-func readLog(story *qlexplain.Story, path string) error {
-	file, err := os.Open(path)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	defer func() { _ = file.Close() }()
-	return errors.Trace(story.Read(filepath.Base(path), file))
-}
-
 // ip is a router's own address on loopback.
 func (r *run) ip(i int) string {
 	return fmt.Sprintf("127.%d.%d.%d", 10+os.Getpid()%200, 1+i/250, 1+i%250)
--- a/cmd/quetzallane/main.go
+++ b/cmd/quetzallane/main.go
@@ -152,7 +152,7 @@
 		RunE: func(command *cobra.Command, args []string) error {
 			story := qlexplain.New(args[0])
 			for _, path := range args[1:] {
-				if err := readLog(story, path); err != nil {
+				if err := story.ReadFile(path); err != nil {
 					return err
 				}
 			}
@@ -161,15 +161,6 @@
 	}
 }
 
-func readLog(story *qlexplain.Story, path string) error {
-	file, err := os.Open(path)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	defer func() { _ = file.Close() }()
-	return story.Read(path, file)
-}
-
 func newCodes() *cobra.Command {
 	var markdown bool
 	command := &cobra.Command{
--- a/internal/qledge/reader.go
+++ b/internal/qledge/reader.go
@@ -10,8 +10,13 @@
 	"go.uber.org/zap"
 )
 
-// _replyTimeout bounds a call to the store beside its wait.
-const _replyTimeout = 700 * time.Millisecond
+const (
+	// _replyTimeout bounds a call to the store beside its wait.
+	_replyTimeout = 700 * time.Millisecond
+	// _callInterval is the least time between calls: changes that come in quick
+	// succession share one.
+	_callInterval = 150 * time.Millisecond
+)
 
 // errNoReply is the cause when a call outlasts its time.
 const errNoReply = errors.ConstError("no reply from the store")
@@ -39,6 +44,7 @@
 				lost = false
 				e.log.Info("store-regained", zap.Uint64("revision", revision))
 			}
+			sleep(ctx, _callInterval-time.Since(began))
 			continue
 		case errors.Is(err, ErrHistoryLost):
 			e.log.Info("store-history-lost", zap.Uint64("revision", after))
--- a/internal/qlexplain/qlexplain.go
+++ b/internal/qlexplain/qlexplain.go
@@ -17,6 +17,8 @@
 	"bufio"
 	"fmt"
 	"io"
+	"os"
+	"path/filepath"
 	"sort"
 	"strings"
 	"time"
@@ -73,6 +75,16 @@
 	}
 }
 
+// ReadFile reads a log file, which is named by its base name.
+func (s *Story) ReadFile(path string) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer func() { _ = file.Close() }()
+	return errors.Annotate(s.Read(filepath.Base(path), file), path)
+}
+
 // Read takes the lines of a log. Lines that cannot be read are passed over:
 // logs hold other programs' lines, too.
 func (s *Story) Read(source string, log io.Reader) error {
