--- a/cmd/qlsoak/ledger.go
+++ b/cmd/qlsoak/ledger.go
@@ -57,6 +57,7 @@
 	planned    bool
 	disturbed  time.Time
 	versions   []version
+	writing    uint64
 	effects    map[string]effect
 	attempts   map[string]*attempt
 	arrivals   map[string][]qlsim.Arrival
@@ -98,6 +99,13 @@
 	l.disturbed = time.Now()
 }
 
+// writes says that the operator begins to write a version.
+func (l *ledger) writes(number uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.writing = number
+}
+
 func (l *ledger) acknowledged(number uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -192,9 +200,9 @@
 			oldest = v.number
 		}
 	}
-	// The operator's write may be in force before it is acknowledged here.
-	if next := l.versions[len(l.versions)-1].number + 1; genService(next) == arrival.Service {
-		newest = next
+	// What the operator writes may be in force before it is acknowledged here.
+	if genService(l.writing) == arrival.Service {
+		newest = max(newest, l.writing)
 	}
 	if newest < oldest {
 		l.fail("config", a.id, fmt.Sprintf("%s ran it, as of version %d, after %d was due", arrival.Service, newest, oldest))
--- a/cmd/qlsoak/world.go
+++ b/cmd/qlsoak/world.go
@@ -125,6 +125,7 @@
 	for _, customer := range _customers {
 		configuration.Keys[customer] = []string{keyOf(customer)}
 	}
+	r.ledger.writes(r.version)
 	if err := r.store.Configure(configuration); err != nil {
 		return errors.Trace(err)
 	}
--- a/cmd/quetzallane/main.go
+++ b/cmd/quetzallane/main.go
@@ -6,6 +6,7 @@
 //	quetzallane render --customer depot templates.json customers.json
 //	quetzallane state 10.0.0.5:9100
 //	quetzallane explain 9c41d07be2a35f68 router-1.log router-2.log
+//	quetzallane report --out docs/report journal
 //	quetzallane codes
 //
 // It only reads. The exit status is 0 when what was asked for holds, 1 else.
@@ -42,7 +43,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	command.AddCommand(newCheck(), newRender(), newState(), newExplain(), newCodes(), newHash())
+	command.AddCommand(newCheck(), newRender(), newState(), newExplain(), newReport(), newCodes(), newHash())
 	return command
 }
 
