Engines of a large service in groups, each with an owner; metrics by kind and service

Ruled out: groups at the users' sizes of today: up to 128 engines are one group, so what was measured there does not change. Change: groups of about 64 engines by their ids, a power of two, taken back only when engines fall below three quarters; a request asks the owner of the group of its last shared part, and of one other group when it is refused; fair shares by group with its part of the stated throughput; owners by group in the dump.

--- a/internal/qledge/operations.go
+++ b/internal/qledge/operations.go
@@ -112,7 +112,7 @@
 			"ready":                  e.ready(),
 			"configuration-revision": configuration,
 			"list-revision":          list,
-			"owner":                  e.fleet.Core().Owner(),
+			"owners":                 e.fleet.Core().Owners(),
 			"members":                e.fleet.Core().Members(),
 			"decisions":              e.fleet.Core().Stats(),
 			"engines":                e.fleet.Core().Placer().State(now),
--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -373,11 +373,12 @@
 		return
 	}
 	e.decided = stats.ForOthers
-	shares := e.fleet.Core().Placer().Shares()
-	for _, customer := range shares.State() {
-		if customer.Asked > shares.Level() {
-			e.log.Info("share-state", zap.String("customer", customer.Customer), zap.Float64("asked", customer.Asked),
-				zap.Float64("granted", customer.Granted), zap.Float64("level", shares.Level()))
+	for group, shares := range e.fleet.Core().Placer().Shares() {
+		for _, customer := range shares.State() {
+			if customer.Asked > shares.Level() {
+				e.log.Info("share-state", zap.Int("group", group), zap.String("customer", customer.Customer),
+					zap.Float64("asked", customer.Asked), zap.Float64("granted", customer.Granted), zap.Float64("level", shares.Level()))
+			}
 		}
 	}
 	for _, pool := range e.fleet.Core().Placer().State(now) {
@@ -391,7 +392,7 @@
 		if len(pool.Engines) == 0 {
 			continue
 		}
-		e.log.Info("placement-state", zap.String("service", pool.Service), zap.Int("engines", len(pool.Engines)),
+		e.log.Info("placement-state", zap.String("service", pool.Service), zap.Int("group", pool.Group), zap.Int("engines", len(pool.Engines)),
 			zap.Int("running", running), zap.Int("waiting", waiting), zap.Int("unread", unread),
 			zap.Float64("slowness", slowness), zap.Float64("margin", pool.Margin),
 			zap.Uint64("in-time", pool.InTime), zap.Uint64("late", pool.Late), zap.Uint64("tokens-read-again", pool.Reread),
--- a/internal/qlforward/log_test.go
+++ b/internal/qlforward/log_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"expvar"
 	"flag"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"regexp"
+	"strings"
 	"testing"
 
 	zaplogfmt "github.com/jsternberg/zap-logfmt"
@@ -67,3 +69,21 @@
 		}
 	}
 }
+
+func TestMetricsByKindAndService(t *testing.T) {
+	b := newBench(t, newStandIn(t, "u1", say(200, "Signature: s\r\n", "x")))
+	b.send(t, http.MethodPost, "/order/1", nil, "body")
+	got := make(map[string]string)
+	b.forwarder.Metrics().Do(func(name string, value expvar.Var) { got[name] = value.String() })
+	for name, want := range map[string]string{
+		"kinds":    `{"non-idempotent/answered": 1}`,
+		"services": `{"plain/answered": 1}`,
+	} {
+		if got[name] != want {
+			t.Errorf("%s: got %s, want %s", name, got[name], want)
+		}
+	}
+	if whole := got["whole-answer-non-idempotent"]; !strings.Contains(whole, "1") {
+		t.Errorf("times of the kind: got %s, want one", whole)
+	}
+}
--- a/internal/qlforward/metrics.go
+++ b/internal/qlforward/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 	"github.com/quetzallane/quetzallane/internal/qlplace"
+	"github.com/quetzallane/quetzallane/internal/qlroute"
 	"github.com/quetzallane/quetzallane/pkg/qlcode"
 	"go.uber.org/zap"
 )
@@ -18,14 +19,30 @@
 	byCustomer expvar.Map
 	byUpstream expvar.Map
 	byRoute    expvar.Map
+	byKind     expvar.Map
+	byService  expvar.Map
 	reasons    expvar.Map
+	// kinds holds each kind's times.
+	kinds      map[qlroute.Kind]*kindTimes
 	firstEvent Histogram
 	whole      Histogram
 	prediction Histogram
 }
 
+// kindTimes are the times of requests of one kind.
+type kindTimes struct {
+	firstEvent Histogram
+	whole      Histogram
+}
+
 func newMetrics() *Metrics {
-	return &Metrics{}
+	m := &Metrics{
+		kinds: make(map[qlroute.Kind]*kindTimes),
+	}
+	for _, kind := range qlroute.Kinds() {
+		m.kinds[kind] = &kindTimes{}
+	}
+	return m
 }
 
 // Metrics returns the counters; they go on counting.
@@ -39,10 +56,16 @@
 	each("customers", &m.byCustomer)
 	each("upstreams", &m.byUpstream)
 	each("routes", &m.byRoute)
+	each("kinds", &m.byKind)
+	each("services", &m.byService)
 	each("placements", &m.reasons)
 	each("first-event", &m.firstEvent)
 	each("whole-answer", &m.whole)
 	each("predicted-first-event", &m.prediction)
+	for _, kind := range qlroute.Kinds() {
+		each("first-event-"+kind.String(), &m.kinds[kind].firstEvent)
+		each("whole-answer-"+kind.String(), &m.kinds[kind].whole)
+	}
 }
 
 // _bounds are the upper ends of a histogram's buckets.
@@ -121,6 +144,7 @@
 func (f *Forwarder) firstEvent(x *exchange) {
 	x.first = time.Since(x.start)
 	f.metrics.firstEvent.Observe(x.first)
+	f.metrics.kinds[x.route.Kind()].firstEvent.Observe(x.first)
 }
 
 // attempted logs an attempt that did not answer the request.
@@ -148,9 +172,14 @@
 	if x.route != nil {
 		route, kind = x.route.Name(), x.route.Kind().String()
 		f.metrics.byRoute.Add(route+"/"+code.Name(), 1)
+		f.metrics.byKind.Add(kind+"/"+code.Name(), 1)
+		f.metrics.kinds[x.route.Kind()].whole.Observe(took)
 		f.metrics.byCustomer.Add(x.customer+"/"+code.Name(), 1)
 		f.metrics.byUpstream.Add(x.upstream+"/"+code.Name(), 1)
 	}
+	if x.service != nil {
+		f.metrics.byService.Add(x.service.Name()+"/"+code.Name(), 1)
+	}
 	revision, list := uint64(0), uint64(0)
 	if x.view != nil {
 		revision, list = x.view.table.Revision(), x.view.list
--- a/internal/qlowner/packet.go
+++ b/internal/qlowner/packet.go
@@ -269,14 +269,17 @@
 	}
 	delete(c.questions, verdict.GetRequest())
 	c.stats.ByOwner++
-	c.conclude(now, q.request, qlplace.Verdict{
+	decided := qlplace.Verdict{
 		Engine:     verdict.GetEngine(),
 		Reason:     qlplace.Reason(verdict.GetReason()),
 		Predicted:  time.Duration(verdict.GetPredictedMs()) * time.Millisecond,
 		RetryAfter: time.Duration(verdict.GetRetryAfterMs()) * time.Millisecond,
 		Missing:    int(verdict.GetMissing()),
 		Decider:    from,
-	})
+	}
+	if !c.asksAgain(now, q.request, &decided, q.second) {
+		c.conclude(now, q.request, decided)
+	}
 }
 
 // release gives back what an owner placed too late: the request was decided
@@ -323,6 +326,7 @@
 		GoalMs:       uint32(request.Goal.Milliseconds()),
 		Excluded:     request.Excluded,
 		Again:        request.Again,
+		Group:        uint32(request.Group),
 	}
 	for _, part := range request.Prompt.Parts {
 		ask.Parts = append(ask.Parts, &qlfleetwire.Part{
@@ -349,6 +353,7 @@
 		Goal:     time.Duration(ask.GetGoalMs()) * time.Millisecond,
 		Excluded: ask.GetExcluded(),
 		Again:    ask.GetAgain(),
+		Group:    int(ask.GetGroup()),
 	}
 	for _, part := range ask.GetParts() {
 		request.Prompt.Parts = append(request.Prompt.Parts, qlengine.Part{
--- a/internal/qlowner/qlowner.go
+++ b/internal/qlowner/qlowner.go
@@ -2,8 +2,10 @@
 //
 // It answers heavy load on engines: a router that knows all that was placed
 // decides better than many that each know a part. The owner of the engines is
-// found by rendezvous hashing over the live routers; nobody is elected. A
-// request asks the owner by one datagram. When no answer comes within a few
+// found by rendezvous hashing over the live routers; nobody is elected. The
+// engines of a large service are divided into groups, each with an owner of
+// its own. A request asks the owner of its group by one datagram, and that of
+// one other group when it is refused there. When no answer comes within a few
 // round trips the router decides by itself, scaling up what it knows; an owner
 // that misses twice is passed over for a while. Losing an owner loses only
 // knowledge: routers tell the next one what they have running.
@@ -23,6 +25,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/quetzallane/quetzallane/internal/qlengine"
@@ -61,7 +64,8 @@
 	_probeInterval = 300 * time.Millisecond
 	_probeTimeout  = 100 * time.Millisecond
 	_suspicion     = time.Second
-	// _ownerKey names the engines in the routers' rendezvous order.
+	// _ownerKey names the engines in the routers' rendezvous order; a group's
+	// number and that of all groups follow when there are several.
 	_ownerKey = "engines"
 	// _expireInterval is the time between searches for lost runs, and between
 	// tellings of those that go on. _runSlack is how old a run must be to be
@@ -114,11 +118,15 @@
 	request *qlplace.Request
 	owner   string
 	until   time.Duration
+	// second is set when another group refused the request before.
+	second bool
 }
 
 // own is a run of this router's.
 type own struct {
 	engine string
+	// key names the group that decided.
+	key    string
 	unread int
 	memory int
 	goal   time.Duration
@@ -144,18 +152,22 @@
 	members      *qlmember.Members
 	routers      map[string]*qlfleetwire.Router
 	listRevision uint64
-	ranked       []qlring.Node
-	questions    map[uint64]question
-	runs         map[uint64]*own
-	outboxes     map[string]*outbox
-	distrusted   map[string]distrust
+	// live are the routers that answer, this one included, and ranks their
+	// order for each group of engines that was asked for.
+	live  []qlring.Node
+	ranks map[string][]qlring.Node
+	// owners are those that this router turned to last, for each group.
+	owners     map[string]string
+	questions  map[uint64]question
+	runs       map[uint64]*own
+	outboxes   map[string]*outbox
+	distrusted map[string]distrust
 	// counting are the routers that counted runs of this one lately.
 	counting    []string
 	leaving     bool
 	introduceAt time.Duration
 	learnedAt   time.Duration
 	expireAt    time.Duration
-	owner       string
 	now         time.Duration
 	lag         time.Duration
 	stats       Stats
@@ -164,6 +176,8 @@
 // Stats counts what was decided where.
 type Stats struct {
 	AskedOwner uint64 `json:"asked-owner"`
+	// AskedAgain counts requests that asked a second group.
+	AskedAgain uint64 `json:"asked-second-owner"`
 	ByOwner    uint64 `json:"answered-by-owner"`
 	ByItself   uint64 `json:"decided-alone"`
 	ForOthers  uint64 `json:"decided-for-others"`
@@ -180,6 +194,8 @@
 			Policy: config.Policy,
 		}),
 		routers:    make(map[string]*qlfleetwire.Router),
+		ranks:      make(map[string][]qlring.Node),
+		owners:     make(map[string]string),
 		questions:  make(map[uint64]question),
 		runs:       make(map[uint64]*own),
 		outboxes:   make(map[string]*outbox),
@@ -220,12 +236,12 @@
 
 // Live returns how many routers answer, this one included.
 func (c *Core) Live() int {
-	return len(c.ranked)
+	return len(c.live)
 }
 
-// Owner returns the router that decides for this one.
-func (c *Core) Owner() string {
-	return c.owner
+// Owners returns the routers that decide for this one, by group.
+func (c *Core) Owners() map[string]string {
+	return c.owners
 }
 
 func (c *Core) rank() {
@@ -243,8 +259,27 @@
 	if c.leaving && len(live) > 1 {
 		live = live[1:]
 	}
-	c.ranked = qlring.New(live).RankBySize(_ownerKey)
-	c.config.Changed(c.ranked)
+	c.live = live
+	clear(c.ranks)
+	c.config.Changed(live)
+}
+
+// ownerKey returns what names a group in the routers' order.
+func ownerKey(group, groups int) string {
+	if groups <= 1 {
+		return _ownerKey
+	}
+	return _ownerKey + "/" + strconv.Itoa(group) + "/" + strconv.Itoa(groups)
+}
+
+// rankFor returns the routers in a group's order.
+func (c *Core) rankFor(key string) []qlring.Node {
+	ranked, ok := c.ranks[key]
+	if !ok {
+		ranked = qlring.New(c.live).RankBySize(key)
+		c.ranks[key] = ranked
+	}
+	return ranked
 }
 
 func (c *Core) digest() *qlwire.Digest {
@@ -278,9 +313,14 @@
 // Ask begins the decision on a request of this router's.
 func (c *Core) Ask(now time.Duration, request *qlplace.Request) {
 	request.Key.Router = c.config.Self
-	owner := c.chooseOwner(now)
+	request.Group, _ = qlplace.Choose(request, c.placer.Groups(request.Service))
+	c.ask(now, request, false)
+}
+
+func (c *Core) ask(now time.Duration, request *qlplace.Request, second bool) {
+	owner := c.chooseOwner(now, c.keyOf(request))
 	if owner == c.config.Self || c.config.Local {
-		c.decide(now, request)
+		c.decide(now, request, second)
 		return
 	}
 	c.stats.AskedOwner++
@@ -288,57 +328,81 @@
 		request: request,
 		owner:   owner,
 		until:   now + _answerWait,
+		second:  second,
 	}
 	box := c.box(now, owner)
 	box.packet.Asks = append(box.packet.Asks, encodeAsk(request))
 	box.urgent = true
 }
 
-// chooseOwner returns the first router in order that answered lately.
-func (c *Core) chooseOwner(now time.Duration) string {
+func (c *Core) keyOf(request *qlplace.Request) string {
+	return ownerKey(request.Group, c.placer.Groups(request.Service))
+}
+
+// asksAgain asks the request's second group, if the first refused it and there
+// is one.
+func (c *Core) asksAgain(now time.Duration, request *qlplace.Request, verdict *qlplace.Verdict, second bool) bool {
+	groups := c.placer.Groups(request.Service)
+	if verdict.Engine != "" || second || groups <= 1 {
+		return false
+	}
+	c.stats.AskedAgain++
+	_, request.Group = qlplace.Choose(request, groups)
+	c.ask(now, request, true)
+	return true
+}
+
+// chooseOwner returns the first router in a group's order that answered lately.
+func (c *Core) chooseOwner(now time.Duration, key string) string {
 	owner := c.config.Self
-	for _, node := range c.ranked {
+	for _, node := range c.rankFor(key) {
 		if d := c.distrusted[node.ID()]; node.ID() == c.config.Self || d.misses < _missLimit || now >= d.until {
 			owner = node.ID()
 			break
 		}
 	}
-	if owner != c.owner {
-		c.config.OwnerChanged(c.owner, owner)
-		c.owner = owner
-		c.tellAll(now)
+	if before := c.owners[key]; owner != before {
+		c.config.OwnerChanged(before, owner)
+		c.owners[key] = owner
+		c.tellAll(now, key, owner)
 	}
 	return owner
 }
 
-// tellAll tells a new owner what this router has running.
-func (c *Core) tellAll(now time.Duration) {
-	if c.owner == c.config.Self {
+// tellAll tells a group's new owner what this router has running there.
+func (c *Core) tellAll(now time.Duration, key, owner string) {
+	if owner == c.config.Self {
 		return
 	}
 	for request, run := range c.runs {
-		c.tell(now, c.owner, request, run)
+		if run.key == key {
+			c.tell(now, owner, request, run)
+		}
 	}
 }
 
 // decide decides on an own request by what is known here.
-func (c *Core) decide(now time.Duration, request *qlplace.Request) {
+func (c *Core) decide(now time.Duration, request *qlplace.Request, second bool) {
 	c.stats.ByItself++
-	if c.owner == c.config.Self {
+	if c.owners[c.keyOf(request)] == c.config.Self {
 		c.placer.SetOthers(1)
 	} else {
-		c.placer.SetOthers(1 + _fallbackLoad*float64(len(c.ranked)-1))
+		c.placer.SetOthers(1 + _fallbackLoad*float64(len(c.live)-1))
 	}
 	verdict := c.placer.Ask(now, request)
 	verdict.Decider = c.config.Self
-	c.conclude(now, request, verdict)
+	if !c.asksAgain(now, request, &verdict, second) {
+		c.conclude(now, request, verdict)
+	}
 }
 
 // conclude hands a decision out and notes the run.
 func (c *Core) conclude(now time.Duration, request *qlplace.Request, verdict qlplace.Verdict) {
 	if verdict.Engine != "" {
+		key := c.keyOf(request)
 		run := &own{
 			engine: verdict.Engine,
+			key:    key,
 			unread: request.Prompt.Own() + verdict.Missing,
 			memory: request.Prompt.Own() + request.Prompt.Output,
 			goal:   request.Goal,
@@ -347,8 +411,8 @@
 		if verdict.Decider != c.config.Self {
 			run.told = append(run.told, verdict.Decider)
 			c.placer.Place(now, request, verdict.Engine)
-		} else if c.owner != c.config.Self {
-			c.tell(now, c.owner, request.Key.Request, run)
+		} else if owner := c.owners[key]; owner != c.config.Self && owner != "" {
+			c.tell(now, owner, request.Key.Request, run)
 		}
 	}
 	c.config.Decide(request.Key.Request, verdict)
@@ -424,7 +488,10 @@
 			byRouter[to] = append(byRouter[to], request)
 		}
 	}
-	for _, to := range append(c.counting, c.owner) {
+	for _, owner := range c.owners {
+		c.counting = append(c.counting, owner)
+	}
+	for _, to := range c.counting {
 		if _, ok := byRouter[to]; !ok && to != c.config.Self && to != "" {
 			byRouter[to] = nil
 		}
@@ -472,7 +539,7 @@
 		d.misses++
 		d.until = now + _missPause
 		c.distrusted[q.owner] = d
-		c.decide(now, q.request)
+		c.decide(now, q.request, q.second)
 	}
 }
 
--- a/internal/qlplace/admit.go
+++ b/internal/qlplace/admit.go
@@ -30,9 +30,10 @@
 		usualRead: pool.usualRead,
 		reason:    Late,
 	}
-	if ratio := p.shares.Ratio(now, request.Customer); ratio > 1 {
+	shares := p.shares[pool.group]
+	if ratio := shares.Ratio(now, request.Customer); ratio > 1 {
 		lead := 1.0
-		if least := p.shares.Least(); least > 0 {
+		if least := shares.Least(); least > 0 {
 			lead = max(ratio/least, 1)
 		}
 		t.load = min(max(2*_overLoad-pool.meanLoad, _leastOverLoad), 1) / lead
--- a/internal/qlplace/qlplace.go
+++ b/internal/qlplace/qlplace.go
@@ -105,6 +105,8 @@
 	// Zone is that of the router that will send the request.
 	Zone   string
 	Prompt qlengine.Prompt
+	// Group is the group of the service's engines that is asked.
+	Group int
 	// Goal is the route's objective for the first event.
 	Goal time.Duration
 	// Excluded engines were tried already.
@@ -164,11 +166,14 @@
 
 type engine struct {
 	info  EngineInfo
+	pool  *pool
 	hash  qlring.Node
 	model *qlengine.Engine
 }
 
 type pool struct {
+	service string
+	group   int
 	engines []*engine
 	holders *holders
 	margin  float64
@@ -200,11 +205,14 @@
 // Placer decides for the engines it knows. It is not safe for several
 // goroutines.
 type Placer struct {
-	config  Config
-	pools   map[string]*pool
+	config Config
+	// pools holds each service's groups of engines.
+	pools   map[string][]*pool
 	engines map[string]*engine
 	runs    map[qlengine.Key]placed
-	shares  *qlshare.Window
+	// shares are the fair shares of each group.
+	shares   []*qlshare.Window
+	capacity float64
 	// others scales the load that is known up to what all routers place,
 	// while this one hears only of its own.
 	others float64
@@ -216,19 +224,31 @@
 func New(config Config) *Placer {
 	return &Placer{
 		config:  config,
-		pools:   make(map[string]*pool),
+		pools:   make(map[string][]*pool),
 		engines: make(map[string]*engine),
 		runs:    make(map[qlengine.Key]placed),
-		shares: qlshare.New(qlshare.Config{
-			Span: _shareSpan,
-		}),
-		others: 1,
+		shares:  []*qlshare.Window{newWindow()},
+		others:  1,
 	}
 }
 
+func newWindow() *qlshare.Window {
+	return qlshare.New(qlshare.Config{
+		Span: _shareSpan,
+	})
+}
+
 // SetCapacity sets what all engines produce together, in tokens a second.
 func (p *Placer) SetCapacity(tokens float64) {
-	p.shares.SetCapacity(tokens)
+	p.capacity = tokens
+	p.divideCapacity()
+}
+
+// divideCapacity gives each group its part: groups are about equal.
+func (p *Placer) divideCapacity() {
+	for _, shares := range p.shares {
+		shares.SetCapacity(p.capacity / float64(len(p.shares)))
+	}
 }
 
 // SetOthers says by how much the load is larger than what is told here.
@@ -239,9 +259,7 @@
 // SetEngines takes the engines that may get new requests. What is known of
 // the others' runs is dropped.
 func (p *Placer) SetEngines(infos []EngineInfo) {
-	for _, pool := range p.pools {
-		pool.engines = pool.engines[:0]
-	}
+	p.regroup(infos)
 	known := make(map[string]*engine, len(infos))
 	for _, info := range infos {
 		e := p.engines[info.ID]
@@ -253,13 +271,45 @@
 		}
 		e.info = info
 		known[info.ID] = e
-		pool := p.pool(info.Service)
-		pool.engines = append(pool.engines, e)
+		groups := p.pools[info.Service]
+		e.pool = groups[groupOf(info.ID, len(groups))]
+		e.pool.engines = append(e.pool.engines, e)
 	}
 	p.engines = known
-	for _, pool := range p.pools {
-		pool.index()
+	for _, groups := range p.pools {
+		for _, pool := range groups {
+			pool.index()
+		}
+	}
+}
+
+// regroup empties the pools and makes as many as the engines need.
+func (p *Placer) regroup(infos []EngineInfo) {
+	counts := make(map[string]int)
+	for service := range p.pools {
+		counts[service] = 0
 	}
+	for _, info := range infos {
+		counts[info.Service]++
+	}
+	most := 1
+	for service, count := range counts {
+		groups := p.pools[service]
+		number := groupsFor(count, len(groups))
+		most = max(most, number)
+		for len(groups) < number {
+			groups = append(groups, newPool(service, len(groups)))
+		}
+		p.pools[service] = groups[:number]
+		for _, pool := range groups {
+			pool.engines = pool.engines[:0]
+		}
+	}
+	for len(p.shares) < most {
+		p.shares = append(p.shares, newWindow())
+	}
+	p.shares = p.shares[:most]
+	p.divideCapacity()
 }
 
 // index notes anew which engines hold which parts.
@@ -271,23 +321,31 @@
 	}
 }
 
-func (p *Placer) pool(service string) *pool {
-	found := p.pools[service]
-	if found == nil {
-		found = &pool{
-			holders: newHolders(0),
-			margin:  _startMargin,
-		}
-		p.pools[service] = found
+func newPool(service string, group int) *pool {
+	return &pool{
+		service: service,
+		group:   group,
+		holders: newHolders(0),
+		margin:  _startMargin,
+	}
+}
+
+// pool returns the group that a request asks.
+func (p *Placer) pool(request *Request) *pool {
+	groups := p.pools[request.Service]
+	if len(groups) == 0 {
+		groups = []*pool{newPool(request.Service, 0)}
+		p.pools[request.Service] = groups
 	}
-	return found
+	return groups[request.Group%len(groups)]
 }
 
 // Ask decides on a request and, if it is admitted, counts it as placed.
 func (p *Placer) Ask(now time.Duration, request *Request) Verdict {
 	cost := costOf(&request.Prompt)
-	p.shares.Asked(now, request.Customer, cost)
-	pool := p.pool(request.Service)
+	pool := p.pool(request)
+	shares := p.shares[pool.group]
+	shares.Asked(now, request.Customer, cost)
 	pool.noteGoal(request.Goal)
 	pool.refreshLoad(now)
 	if p.config.Policy != Predict {
@@ -306,7 +364,7 @@
 		}
 		return p.refuse(reason, &best, &terms)
 	}
-	p.shares.Granted(now, request.Customer, cost)
+	shares.Granted(now, request.Customer, cost)
 	pool.reread += uint64(best.forecast.Missing)
 	p.Place(now, request, best.engine.info.ID)
 	return Verdict{
@@ -360,7 +418,7 @@
 	if !ok || run.goal == 0 {
 		return
 	}
-	pool := p.pool(run.engine.info.Service)
+	pool := run.engine.pool
 	pool.observe(now, float64(took)/float64(max(predicted, time.Millisecond)))
 	if took > run.goal {
 		pool.late++
--- a/internal/qlplace/qlplace_test.go
+++ b/internal/qlplace/qlplace_test.go
@@ -182,10 +182,20 @@
 }
 
 func BenchmarkAsk(b *testing.B) {
-	p := newPlacer(60)
+	benchmarkAsk(b, 60)
+}
+
+// BenchmarkAskAtTheTarget has the engines of the two-year target.
+func BenchmarkAskAtTheTarget(b *testing.B) {
+	benchmarkAsk(b, 3100)
+}
+
+func benchmarkAsk(b *testing.B, engines int) {
+	p := newPlacer(engines)
 	requests := make([]*Request, 512)
 	for i := range requests {
 		requests[i] = request(uint64(i), "c", uint64(i%100), 500)
+		requests[i].Group, _ = Choose(requests[i], p.Groups(_service))
 	}
 	b.ReportAllocs()
 	n := uint64(0)
@@ -236,7 +246,7 @@
 			p.SetEngines(engineInfos(70 - int(n/500)))
 		}
 	}
-	pool := p.pools[_service]
+	pool := p.pools[_service][0]
 	for shared := range uint64(400) {
 		r := request(1, "c", 10+shared, 100)
 		p.lookUp(pool, r)
--- a/internal/qlroute/document.go
+++ b/internal/qlroute/document.go
@@ -16,6 +16,11 @@
 	Streaming
 )
 
+// Kinds returns all kinds.
+func Kinds() []Kind {
+	return []Kind{Idempotent, NonIdempotent, Streaming}
+}
+
 // String returns the kind's name.
 func (k Kind) String() string {
 	switch k {
