Requests of callers that left meanwhile are not sent; only memory closes connections unread

Change: while the router refuses, it looks at the caller's connection before each send; connections are no longer closed for the processor's sake, only beyond the memory's bound.

--- a/internal/qlconn/usable.go
+++ b/internal/qlconn/usable.go
@@ -1,6 +1,7 @@
 package qlconn
 
 import (
+	"net"
 	"syscall"
 	"time"
 )
@@ -11,20 +12,35 @@
 	if time.Since(c.idleSince) >= c.keepFor || c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, ok := c.Conn.(syscall.Conn)
+	_, ok, err := peek(c.Conn)
+	return !ok || err == syscall.EAGAIN
+}
+
+// Closed reports whether the other end has closed a connection, without
+// waiting. It may be asked while another goroutine reads.
+func Closed(conn net.Conn) bool {
+	n, ok, err := peek(conn)
+	return ok && n == 0 && err != syscall.EAGAIN
+}
+
+// peek looks for a byte that was not read yet; ok is false where the
+// connection gives no access to its descriptor.
+func peek(conn net.Conn) (n int, ok bool, err error) {
+	raw, ok := conn.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, false, nil
 	}
 	control, err := raw.SyscallConn()
 	if err != nil {
-		return false
+		return 0, true, err
 	}
-	quiet := false
-	err = control.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, peekErr := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = peekErr == syscall.EAGAIN
-		return true
+	var one [1]byte
+	var peekErr error
+	err = control.Control(func(fd uintptr) {
+		n, _, peekErr = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && quiet
+	if err != nil {
+		return 0, true, err
+	}
+	return n, true, peekErr
 }
--- a/internal/qledge/connection.go
+++ b/internal/qledge/connection.go
@@ -70,10 +70,10 @@
 }
 
 // takes reports whether to keep a new connection.
-func (c *callerConnections) takes(overloaded bool) bool {
+func (c *callerConnections) takes() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.open < c.most && !overloaded {
+	if c.open < c.most {
 		return true
 	}
 	c.turned++
--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -28,6 +28,7 @@
 	"github.com/juju/errors"
 	"github.com/quetzallane/quetzallane/internal/qlbudget"
 	"github.com/quetzallane/quetzallane/internal/qlcatalog"
+	"github.com/quetzallane/quetzallane/internal/qlconn"
 	"github.com/quetzallane/quetzallane/internal/qlfeed"
 	"github.com/quetzallane/quetzallane/internal/qlfleet"
 	"github.com/quetzallane/quetzallane/internal/qlforward"
@@ -59,9 +60,6 @@
 	_memoryPart = 0.7
 	_bodyPart   = 0.25
 	_megabyte   = 1 << 20
-	// _gatePart is the part of requests refused by the processor's lag from
-	// which on connections are turned away as well.
-	_gatePart = 0.9
 	// _milli is how many parts of a core a VM's capacity is told in.
 	_milli = 1000
 	// _defaultHeaderTimeout and _defaultIdleTimeout hold where no
@@ -174,6 +172,7 @@
 		Admit: func(customer string) bool {
 			return e.shedder.Admit(e.clock(), customer, rand.Float64())
 		},
+		Left:       e.callerLeft,
 		BodyMemory: int64(_bodyPart * float64(settings.Memory) * _megabyte),
 		Clock:      e.clock,
 		Random:     newRandom(),
@@ -269,7 +268,10 @@
 		zap.String("peers", e.settings.PeerAddress), zap.Strings("seeds", e.settings.Seeds))
 	server := e.callerServer(ctx)
 	go func() {
-		if err := server.Serve(e.gate(callers)); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(&gate{
+			Listener: callers,
+			takes:    e.callers.takes,
+		}); !errors.Is(err, http.ErrServerClosed) {
 			e.log.Error("callers-not-served", zap.Error(err))
 		}
 	}()
@@ -280,15 +282,15 @@
 	return errors.Trace(err)
 }
 
-// gate turns away connections for which there is no memory, and half of all
-// while nearly all requests are refused: a refusal still has to be read.
-func (e *Edge) gate(callers net.Listener) net.Listener {
-	return &gate{
-		Listener: callers,
-		takes: func() bool {
-			return e.callers.takes(e.shedder.Part() > _gatePart && rand.Float64() < 0.5)
-		},
-	}
+// connectionKey finds a request's connection in its context.
+type connectionKey struct{}
+
+// callerLeft looks whether a caller closed its connection. The server finds out
+// by itself, but late when the processor is: requests that waited unread may be
+// of callers that gave up meanwhile.
+func (e *Edge) callerLeft(ctx context.Context) bool {
+	conn, ok := ctx.Value(connectionKey{}).(net.Conn)
+	return ok && e.shedder.Part() > 0 && qlconn.Closed(conn)
 }
 
 // callerServer returns the server for callers, with the limits of the first
@@ -303,6 +305,9 @@
 		IdleTimeout:       _defaultIdleTimeout,
 		ErrorLog:          zap.NewStdLog(e.log),
 		ConnState:         e.callers.changed,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connectionKey{}, conn)
+		},
 	}
 	e.fleet.Call(func(time.Duration) {
 		if e.table == nil {
--- a/internal/qledge/qledge_test.go
+++ b/internal/qledge/qledge_test.go
@@ -20,6 +20,7 @@
 	"github.com/quetzallane/quetzallane/internal/qlforward"
 	"github.com/quetzallane/quetzallane/internal/qlroute"
 	"github.com/quetzallane/quetzallane/internal/qlsetting"
+	"github.com/quetzallane/quetzallane/internal/qlshed"
 	"github.com/quetzallane/quetzallane/pkg/qljson"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
@@ -631,40 +632,65 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = listener.Close() }()
-	room := false
 	g := &gate{
 		Listener: listener,
-		takes:    func() bool { room = !room; return c.takes(room) },
+		takes:    c.takes,
 	}
-	accepted := make(chan net.Conn, 2)
 	go func() {
-		for range 2 {
-			if conn, err := g.Accept(); err == nil {
-				accepted <- conn
+		for {
+			conn, err := g.Accept()
+			if err != nil {
+				return
 			}
+			c.follow(conn, http.StateNew)
 		}
 	}()
-	for i, want := range []bool{false, true} {
+	for i := range 10 {
 		conn, err := net.Dial("tcp4", listener.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer func() { _ = conn.Close() }()
-		_ = conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+		_ = conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
 		_, err = conn.Read(make([]byte, 1))
-		if got := errors.Is(err, os.ErrDeadlineExceeded); got != want {
+		if got, want := errors.Is(err, os.ErrDeadlineExceeded), i < c.most; got != want {
 			t.Errorf("connection %d: got kept %v (%v), want %v", i, got, err, want)
 		}
 	}
-	if _, _, turned := c.counts(); turned != 1 {
-		t.Errorf("turned away: got %d, want 1", turned)
+	if _, _, turned := c.counts(); turned != uint64(10-c.most) {
+		t.Errorf("turned away: got %d, want %d", turned, 10-c.most)
 	}
-	for range 9 {
-		conn, _ := net.Pipe()
-		c.follow(conn, http.StateNew)
+}
+
+// TestCallerThatLeftIsSeen looks at connections as the forwarder does.
+func TestCallerThatLeftIsSeen(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
 	}
-	if c.takes(false) {
-		t.Error("a connection was taken beyond the bound")
+	defer func() { _ = listener.Close() }()
+	caller, err := net.Dial("tcp4", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	e := &Edge{
+		shedder: qlshed.New(),
+	}
+	ctx := context.WithValue(context.Background(), connectionKey{}, conn)
+	e.shedder.Sample(0, time.Second)
+	if e.callerLeft(ctx) {
+		t.Error("a caller that waits is taken for gone")
+	}
+	_ = caller.Close()
+	for end := time.Now().Add(time.Second); !e.callerLeft(ctx); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("a caller that closed its connection is not seen")
+		}
 	}
 }
 
--- a/internal/qlforward/qlforward.go
+++ b/internal/qlforward/qlforward.go
@@ -77,6 +77,9 @@
 	// Admit reports whether this VM's processor has room for a customer's
 	// request.
 	Admit func(customer string) bool
+	// Left reports whether a request's caller has closed its connection, as far
+	// as the request's context does not tell yet.
+	Left func(ctx context.Context) bool
 	// BodyMemory bounds the memory of all requests under way, in bytes.
 	BodyMemory int64
 	Clock      func() time.Duration
@@ -204,6 +207,8 @@
 	last    int64
 	hasLast bool
 	cause   string
+	// gone is set when the caller was found to have left.
+	gone bool
 	// decider and predicted are those of the last placement; first is the
 	// time to the first event that was passed on.
 	decider   string
@@ -361,7 +366,7 @@
 
 // callerGone reports whether the caller has closed its connection.
 func (x *exchange) callerGone() bool {
-	return x.request.Context().Err() != nil
+	return x.gone || x.request.Context().Err() != nil
 }
 
 // outgoing returns the headers for one send.
@@ -391,6 +396,10 @@
 
 // send makes one attempt at an upstream.
 func (f *Forwarder) send(x *exchange, entry qlcatalog.Entry, headTimeout time.Duration) (*qlconn.Exchange, error) {
+	if f.config.Left(x.request.Context()) {
+		x.gone = true
+		return nil, errors.WithType(errors.New("the caller left"), qlconn.ErrNotSent)
+	}
 	x.upstream = entry.ID
 	routers := max(f.config.Placement.Routers(), 1)
 	e, err := f.pool.Do(x.ctx, &qlconn.Request{
--- a/internal/qlforward/standin_test.go
+++ b/internal/qlforward/standin_test.go
@@ -172,6 +172,7 @@
 		},
 		Crowded:    func() bool { return false },
 		Admit:      func(string) bool { return true },
+		Left:       func(context.Context) bool { return false },
 		BodyMemory: 1 << 20,
 		Clock:      func() time.Duration { return 0 },
 		Random:     rand.New(rand.NewPCG(1, 2)),
