--- a/cmd/quetzallane/main.go
+++ b/cmd/quetzallane/main.go
@@ -3,6 +3,7 @@
 // # Usage
 //
 //	quetzallane check templates.json customers.json
+//	quetzallane check-deploy deploy/system.toml
 //	quetzallane render --customer depot templates.json customers.json
 //	quetzallane state 10.0.0.5:9100
 //	quetzallane explain 9c41d07be2a35f68 router-1.log router-2.log
@@ -18,12 +19,14 @@
 	"io"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/quetzallane/quetzallane/internal/qlexplain"
 	"github.com/quetzallane/quetzallane/pkg/qlcode"
 	"github.com/quetzallane/quetzallane/pkg/qlconfig"
+	"github.com/quetzallane/quetzallane/platform/qlbench"
 	"github.com/spf13/cobra"
 )
 
@@ -43,7 +46,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	command.AddCommand(newCheck(), newRender(), newState(), newExplain(), newReport(), newCodes(), newHash())
+	command.AddCommand(newCheck(), newCheckDeploy(), newRender(), newState(), newExplain(), newReport(), newCodes(), newHash())
 	return command
 }
 
@@ -83,6 +86,25 @@
 	}
 }
 
+func newCheckDeploy() *cobra.Command {
+	var root string
+	command := &cobra.Command{
+		Use:   "check-deploy FILE",
+		Short: "Check a deploy file of the users' platform",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, args []string) error {
+			roles, err := qlbench.CheckDeploy(root, args[0])
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(command.OutOrStdout(), "good: roles %s\n", strings.Join(roles, ", "))
+			return errors.Trace(err)
+		},
+	}
+	command.Flags().StringVar(&root, "root", ".", "the repository's root, to which paths in the file are relative")
+	return command
+}
+
 func newRender() *cobra.Command {
 	var id string
 	command := &cobra.Command{
--- a/cmd/quetzallane/report.go
+++ b/cmd/quetzallane/report.go
@@ -7,7 +7,7 @@
 
 	"github.com/juju/errors"
 	"github.com/quetzallane/quetzallane/internal/qlreport"
-	"github.com/quetzallane/quetzallane/platform"
+	"github.com/quetzallane/quetzallane/platform/qlbench"
 	"github.com/spf13/cobra"
 )
 
@@ -24,7 +24,7 @@
 		Short: "Make a page with tables and plots from the bench's journal",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(command *cobra.Command, args []string) error {
-			plays, err := platform.ReadJournal(args[0])
+			plays, err := qlbench.ReadJournal(args[0])
 			if err != nil {
 				return errors.Trace(err)
 			}
--- a/internal/qledge/state.go
+++ b/internal/qledge/state.go
@@ -81,7 +81,7 @@
 // takeAll takes all documents as the store has them.
 func (e *Edge) takeAll(now time.Duration, items []Item, revision uint64) {
 	e.catalog.Back(now)
-	e.feed.Answered(now)
+	e.feed.AnsweredWhole(now)
 	var upstreams []Item
 	for _, item := range items {
 		if item.Configuration {
--- a/internal/qlfeed/qlfeed.go
+++ b/internal/qlfeed/qlfeed.go
@@ -38,10 +38,12 @@
 	_served = 32
 	// _key names the readers in the routers' order.
 	_key = "readers"
-	// _pauseFirst is the pause after a failed call; it doubles up to
-	// _readerPause or, for routers that others may tell, _otherPause.
-	_pauseFirst  = 100 * time.Millisecond
+	// _readerFirst and _otherFirst are the pause after a failed call of a
+	// reader, and of a router that others may tell; it doubles up to
+	// _readerPause or _otherPause.
+	_readerFirst = 100 * time.Millisecond
 	_readerPause = 600 * time.Millisecond
+	_otherFirst  = 500 * time.Millisecond
 	_otherPause  = 2 * time.Second
 )
 
@@ -170,14 +172,20 @@
 	f.confirm(now)
 }
 
+// AnsweredWhole says that the store sent all documents to this router: it need
+// not call again before the readers would have told it.
+func (f *Feed) AnsweredWhole(now time.Duration) {
+	f.Answered(now)
+	f.told, f.wasTold = now, true
+}
+
 // Failed says that the store did not answer, and returns the pause before the
 // next call.
 func (f *Feed) Failed() time.Duration {
-	most := _otherPause
+	pause, most := _otherFirst, _otherPause
 	if f.reads {
-		most = _readerPause
+		pause, most = _readerFirst, _readerPause
 	}
-	pause := _pauseFirst
 	for range f.failures {
 		if pause *= 2; pause >= most {
 			pause = most
