Test fleets listen on loopback addresses of their own

Cause: TestLookupsSurviveLostAnswers failed once beside twelve soaks: 'listen on 127.0.0.1:37459: address already in use'. The harness takes a free port and gives it up again; another process's outgoing connection took it meanwhile. Change: the harness, and that of qledge, use an address of 127.0.0.0/8 that follows from the process's id; outgoing connections come from 127.0.0.1. The bound, the waits and the checks are as before.

--- a/cmd/quetzallaned/harness_test.go
+++ b/cmd/quetzallaned/harness_test.go
@@ -85,12 +85,14 @@
 }
 
 // freeAddresses returns addresses that were free all at the same time, so
-// that none comes twice.
+// that none comes twice. They are of a loopback address of this process's own:
+// on 127.0.0.1 the kernel may hand a port to another process's connection
+// meanwhile.
 func freeAddresses(t *testing.T, count int) []string {
 	t.Helper()
 	addresses := make([]string, 0, count)
 	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:0", 1+os.Getpid()/250%250, os.Getpid()%250))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/qledge/qledge_test.go
+++ b/internal/qledge/qledge_test.go
@@ -188,12 +188,18 @@
 	}
 }
 
+// loopback returns a loopback address of this process's own: on 127.0.0.1 the
+// kernel may hand a port that was free to another process's connection.
+func loopback(n int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()/250%250, os.Getpid()%250, n)
+}
+
 // freePorts returns addresses on loopback that were free a moment ago.
 func freePorts(t *testing.T, count int) []string {
 	t.Helper()
 	var addresses []string
 	for range count {
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		listener, err := net.Listen("tcp4", loopback(1)+":0")
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -404,8 +410,8 @@
 		t.Fatal(err)
 	}
 	second := start(t, "r2", away, func(settings *qlsetting.Edge) {
-		settings.PeerAddress = net.JoinHostPort("127.0.0.2", port)
-		settings.Seeds = []string{"127.0.0.1:1"}
+		settings.PeerAddress = net.JoinHostPort(loopback(2), port)
+		settings.Seeds = []string{loopback(1) + ":1"}
 	})
 	second.await(t, "1 u1")
 	store.change(func() { store.config = store.revision })
@@ -426,8 +432,8 @@
 	var fleet []*running
 	for i, store := range stores {
 		fleet = append(fleet, start(t, fmt.Sprintf("r%d", i+1), store, func(settings *qlsetting.Edge) {
-			settings.PeerAddress = net.JoinHostPort(fmt.Sprintf("127.0.0.%d", i+1), port)
-			settings.Seeds = []string{"127.0.0.1:1"}
+			settings.PeerAddress = net.JoinHostPort(loopback(i+1), port)
+			settings.Seeds = []string{loopback(1) + ":1"}
 			settings.ProcessorPart = 1 / float64(i+1)
 		}))
 	}
