--- a/internal/qledge/qledge_test.go
+++ b/internal/qledge/qledge_test.go
@@ -46,6 +46,8 @@
 	lost bool
 	// deaf makes watches wait without an answer.
 	deaf bool
+	// busy is how long a whole read takes to begin.
+	busy time.Duration
 	// reads counts whole reads, watches the other calls.
 	reads   int
 	watches int
@@ -103,10 +105,13 @@
 
 func (s *fakeStore) source() Source {
 	return Source{
-		Read: func(context.Context) ([]Item, uint64, error) {
+		Read: func(_ context.Context, wait time.Duration) ([]Item, uint64, error) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.reads++
+			if wait+_replyTimeout < s.busy {
+				return nil, 0, errors.New("no progress")
+			}
 			items := []Item{s.configuration()}
 			for id, revision := range s.upstreams {
 				items = append(items, Item{
@@ -606,6 +611,18 @@
 	fleet[1].await(t, "1 u1 u2")
 }
 
+// TestBusyStoreIsWaitedFor has the store take longer to begin an answer than a
+// call usually waits.
+func TestBusyStoreIsWaitedFor(t *testing.T) {
+	store := newFakeStore()
+	store.busy = 3 * time.Second
+	r := start(t, "r1", store, nil)
+	r.await(t, "1 u1")
+	if got, most := store.reads, 4; got > most {
+		t.Errorf("whole reads: got %d, want %d at most", got, most)
+	}
+}
+
 func TestReadiness(t *testing.T) {
 	store := newFakeStore()
 	store.down = true
--- a/internal/qledge/reader.go
+++ b/internal/qledge/reader.go
@@ -14,12 +14,18 @@
 	// _callInterval is the least time between calls: changes that come in quick
 	// succession share one.
 	_callInterval = 150 * time.Millisecond
+	// _firstPatience and _mostPatience bound how much longer a whole read may
+	// take to begin after one that failed: a store that a whole fleet reads at
+	// once is busy for seconds, and repeats would keep it so.
+	_firstPatience = 700 * time.Millisecond
+	_mostPatience  = 6 * time.Second
 )
 
 // follow calls the store whenever it is this router's turn, until the context
 // ends.
 func (e *Edge) follow(ctx context.Context) {
 	lost, whole := false, false
+	patience := time.Duration(0)
 	for ctx.Err() == nil {
 		after, wait := e.turn()
 		if wait > 0 {
@@ -31,10 +37,10 @@
 			after = 0
 		}
 		began := time.Now()
-		revision, err := e.call(ctx, after)
+		revision, err := e.call(ctx, after, patience)
 		switch {
 		case err == nil:
-			whole = false
+			whole, patience = false, 0
 			if lost {
 				lost = false
 				e.log.Info("store-regained", zap.Uint64("revision", revision))
@@ -52,6 +58,7 @@
 			lost = true
 			e.log.Warn("store-lost", zap.Uint64("revision", after), zap.Duration("waited", time.Since(began)), zap.Error(err))
 		}
+		patience = min(max(2*patience, _firstPatience), _mostPatience)
 		e.rest(ctx, e.spread(e.storeFailed()))
 	}
 }
@@ -68,11 +75,12 @@
 	return after, wait
 }
 
-// call reads all documents, or waits for changes after the revision.
-func (e *Edge) call(ctx context.Context, after uint64) (uint64, error) {
+// call reads all documents, whose answer may take the patience to begin, or
+// waits for changes after the revision.
+func (e *Edge) call(ctx context.Context, after uint64, patience time.Duration) (uint64, error) {
 	source := &e.config.Source
 	if after == 0 {
-		items, revision, err := source.Read(ctx)
+		items, revision, err := source.Read(ctx, patience)
 		if err != nil {
 			return 0, errors.Trace(err)
 		}
--- a/internal/qledge/source.go
+++ b/internal/qledge/source.go
@@ -26,8 +26,9 @@
 // Source reads the platform's documents. All revisions are the store's. A call
 // that makes no progress for a while beside its wait fails.
 type Source struct {
-	// Read returns all documents and the revision to watch from.
-	Read func(ctx context.Context) (items []Item, revision uint64, err error)
+	// Read returns all documents and the revision to watch from. Its answer may
+	// take the wait to begin.
+	Read func(ctx context.Context, wait time.Duration) (items []Item, revision uint64, err error)
 	// Watch returns what changed after the revision, as soon as something has
 	// or the wait is over.
 	Watch               func(ctx context.Context, after uint64, wait time.Duration) (items []Item, revision uint64, err error)
