A stop waits for requests that have come and were not read yet

Ruled out: the bounds on connections (727 of 1,286 at most), the processor's refusals (none at that router). Change: after the notice the stop looks at idle connections and at the lag until nothing waits, for 1 s at most.

--- a/internal/qlconn/usable.go
+++ b/internal/qlconn/usable.go
@@ -23,6 +23,13 @@
 	return ok && n == 0 && err != syscall.EAGAIN
 }
 
+// Unread reports whether a connection holds bytes that were not read yet,
+// without waiting.
+func Unread(conn net.Conn) bool {
+	n, ok, err := peek(conn)
+	return ok && err == nil && n > 0
+}
+
 // peek looks for a byte that was not read yet; ok is false where the
 // connection gives no access to its descriptor.
 func peek(conn net.Conn) (n int, ok bool, err error) {
--- a/internal/qledge/connection.go
+++ b/internal/qledge/connection.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/juju/errors"
+	"github.com/quetzallane/quetzallane/internal/qlconn"
 )
 
 const (
@@ -80,6 +81,23 @@
 	return false
 }
 
+// anyUnread reports whether an idle connection holds a request that was not
+// read yet.
+func (c *callerConnections) anyUnread() bool {
+	c.mu.Lock()
+	idle := make([]net.Conn, 0, len(c.places))
+	for conn := range c.places {
+		idle = append(idle, conn)
+	}
+	c.mu.Unlock()
+	for _, conn := range idle {
+		if qlconn.Unread(conn) {
+			return true
+		}
+	}
+	return false
+}
+
 // gate is a listener that closes connections for which there is no room. They
 // are not read, so nothing that was sent on them has run.
 type gate struct {
--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -49,6 +49,12 @@
 	_firstView = 400 * time.Millisecond
 	// _stopMargin is how much earlier than the platform's SIGKILL a stop ends.
 	_stopMargin = 250 * time.Millisecond
+	// _unreadMost bounds how long a stop waits for requests that have come and
+	// were not read yet, looking each _unreadPoll; what comes is read soon while
+	// the lag is below _unreadLag.
+	_unreadMost = time.Second
+	_unreadPoll = 20 * time.Millisecond
+	_unreadLag  = 30 * time.Millisecond
 	// _viewPoll is how often the first configuration is looked for.
 	_viewPoll = 10 * time.Millisecond
 	// _collectPercent is how much garbage the runtime gathers against what is in
@@ -336,6 +342,7 @@
 	deadline := began.Add(e.settings.StopDeadline.Std() - _stopMargin)
 	time.Sleep(e.settings.BalancerNotice.Std())
 	e.forwarder.SetRefusing()
+	e.awaitUnread(time.Now().Add(min(_unreadMost, time.Until(deadline))))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	err := server.Shutdown(ctx)
@@ -350,6 +357,14 @@
 	return nil
 }
 
+// awaitUnread waits until callers' requests that have come are read, as far as
+// can be seen: the server closes idle connections without a look.
+func (e *Edge) awaitUnread(until time.Time) {
+	for time.Now().Before(until) && (e.fleet.Lag() > _unreadLag || e.callers.anyUnread()) {
+		time.Sleep(_unreadPoll)
+	}
+}
+
 // Reload takes changed settings as far as they can change while the router
 // runs: the seeds. All others hold from the next start on.
 func (e *Edge) Reload(settings *qlsetting.Edge) {
--- a/internal/qledge/qledge_test.go
+++ b/internal/qledge/qledge_test.go
@@ -746,6 +746,24 @@
 	if e.callerLeft(ctx) {
 		t.Error("a caller that waits is taken for gone")
 	}
+	// A request that was not read yet keeps a stop from closing the connection.
+	c := newCallerConnections(10, 1)
+	c.follow(conn, http.StateNew)
+	c.follow(conn, http.StateIdle)
+	if c.anyUnread() {
+		t.Error("an empty connection is said to hold a request")
+	}
+	if _, err := caller.Write([]byte("GET")); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(time.Second); !c.anyUnread(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("a request that was not read is not seen")
+		}
+	}
+	if _, err := conn.Read(make([]byte, 3)); err != nil {
+		t.Fatal(err)
+	}
 	_ = caller.Close()
 	for end := time.Now().Add(time.Second); !e.callerLeft(ctx); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
--- a/internal/qlfleet/qlfleet.go
+++ b/internal/qlfleet/qlfleet.go
@@ -130,6 +130,11 @@
 	return int(f.live.Load())
 }
 
+// Lag returns how late this process reads what has come.
+func (f *Fleet) Lag() time.Duration {
+	return f.echo.lag(f.config.Clock())
+}
+
 // Traffic returns the datagrams and bytes sent.
 func (f *Fleet) Traffic() (packets, bytes int64) {
 	return f.sent.Load(), f.bytes.Load()
