A connection that holds a request is not closed as idle; what is turned away is refused

Idle connections are closed there without a look at what they hold, and new ones beyond the bound unread. Ruled out: stops (the routers ran on). Change: a connection that holds unread bytes is passed over; one that is turned away is read for a millisecond, and what came is refused by a 503 that is true.

--- a/internal/qledge/connection.go
+++ b/internal/qledge/connection.go
@@ -2,11 +2,12 @@
 
 import (
 	"container/list"
+	"io"
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
-	"github.com/juju/errors"
 	"github.com/quetzallane/quetzallane/internal/qlconn"
 )
 
@@ -98,29 +99,10 @@
 	return false
 }
 
-// gate is a listener that closes connections for which there is no room. They
-// are not read, so nothing that was sent on them has run.
-type gate struct {
-	net.Listener
-	takes func() bool
-}
-
-// Accept returns the next connection that is kept.
-func (g *gate) Accept() (net.Conn, error) {
-	for {
-		conn, err := g.Listener.Accept()
-		if err != nil || g.takes() {
-			return conn, err
-		}
-		if err := conn.Close(); err != nil {
-			return nil, errors.Annotate(err, "turn away a connection")
-		}
-	}
-}
-
 // changed follows the states of the server's connections.
 func (c *callerConnections) changed(conn net.Conn, state http.ConnState) {
-	if victim := c.follow(conn, state); victim != nil {
+	// One that holds a request is not idle: the server is late to read it.
+	if victim := c.follow(conn, state); victim != nil && !qlconn.Unread(victim) {
 		// The server notices and reports the connection closed.
 		_ = victim.Close()
 	}
@@ -150,3 +132,44 @@
 	c.closed++
 	return victim
 }
+
+const (
+	// _turnWait is how long a request is waited for on a connection for which
+	// there is no room, and _turnRead how much of it is read.
+	_turnWait = time.Millisecond
+	_turnRead = 64 << 10
+	// _turnAnswer refuses whatever was sent: nothing of it has run.
+	_turnAnswer = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.04\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+)
+
+// gate is a listener that turns away connections for which there is no room.
+type gate struct {
+	net.Listener
+	takes func() bool
+	// buffer is used by Accept alone.
+	buffer [_turnRead]byte
+}
+
+// Accept returns the next connection that is kept.
+func (g *gate) Accept() (net.Conn, error) {
+	for {
+		conn, err := g.Listener.Accept()
+		if err != nil || g.takes() {
+			return conn, err
+		}
+		g.turnAway(conn)
+	}
+}
+
+// turnAway refuses a request that has come, so that its caller need not guess;
+// a caller that sent nothing yet turns elsewhere by itself. Errors mean that it
+// is gone.
+func (g *gate) turnAway(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	if err := conn.SetDeadline(time.Now().Add(_turnWait)); err != nil {
+		return
+	}
+	if n, _ := conn.Read(g.buffer[:]); n > 0 {
+		_, _ = io.WriteString(conn, _turnAnswer)
+	}
+}
--- a/internal/qledge/qledge_test.go
+++ b/internal/qledge/qledge_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -722,8 +723,9 @@
 	}
 }
 
-// TestCallerThatLeftIsSeen looks at connections as the forwarder does.
-func TestCallerThatLeftIsSeen(t *testing.T) {
+// TestTurnedAwayRequestIsRefused has a request come before its connection is
+// looked at.
+func TestTurnedAwayRequestIsRefused(t *testing.T) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -733,11 +735,71 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	conn, err := listener.Accept()
+	defer func() { _ = caller.Close() }()
+	if _, err := caller.Write([]byte("POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nbody")); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(20 * time.Millisecond)
+	g := &gate{
+		Listener: listener,
+		takes:    func() bool { return false },
+	}
+	go func() { _, _ = g.Accept() }()
+	_ = caller.SetReadDeadline(time.Now().Add(time.Second))
+	got, err := io.ReadAll(caller)
+	if err != nil || string(got) != _turnAnswer {
+		t.Errorf("got %q, %v, want the refusal", got, err)
+	}
+}
+
+// TestIdleConnectionWithARequestIsKept: a request that was not read must not be
+// lost because its connection seems idle.
+func TestIdleConnectionWithARequestIsKept(t *testing.T) {
+	c := newCallerConnections(10, 1)
+	caller, conn := tcpPair(t)
+	for range c.full {
+		other, _ := net.Pipe()
+		c.follow(other, http.StateNew)
+	}
+	c.changed(conn, http.StateNew)
+	if _, err := caller.Write([]byte("GET")); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(20 * time.Millisecond)
+	c.changed(conn, http.StateIdle)
+	if _, err := conn.Read(make([]byte, 3)); err != nil {
+		t.Errorf("the connection was closed: %v", err)
+	}
+	c.changed(conn, http.StateIdle)
+	if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("an idle connection beyond the bound: got %v, want it closed", err)
+	}
+}
+
+// tcpPair returns the two ends of a connection.
+func tcpPair(t *testing.T) (caller, conn net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = conn.Close() }()
+	defer func() { _ = listener.Close() }()
+	if caller, err = net.Dial("tcp4", listener.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	if conn, err = listener.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = caller.Close()
+		_ = conn.Close()
+	})
+	return caller, conn
+}
+
+// TestCallerThatLeftIsSeen looks at connections as the forwarder does.
+func TestCallerThatLeftIsSeen(t *testing.T) {
+	caller, conn := tcpPair(t)
 	e := &Edge{
 		shedder: qlshed.New(),
 	}
