Read as a newcomer: a comment on connections beyond the bound; an unused function gone

Cause: the last read of the diff: qlowner.Push has no caller since readers tell, and a comment spoke of connections closed unread. No behaviour changes.

--- a/internal/qledge/connection.go
+++ b/internal/qledge/connection.go
@@ -18,8 +18,8 @@
 	// _fullPart is the part from which on idle connections are closed, those
 	// that were idle for longest first.
 	_fullPart = 0.6
-	// _mostPart is the part from which on new connections are closed unread:
-	// their callers turn to another router.
+	// _mostPart is the part from which on new connections are turned away:
+	// their callers come to another router.
 	_mostPart = 0.85
 	// _connectionPart is the part of the memory that callers' connections may
 	// take; each takes _connectionBytes, of which half are buffers and stacks
--- a/internal/qlowner/qlowner.go
+++ b/internal/qlowner/qlowner.go
@@ -298,11 +298,6 @@
 	}
 }
 
-// Push tells a few routers of new documents at once.
-func (c *Core) Push() {
-	c.members.Push()
-}
-
 // Leave tells all routers that this one stops, so that they ask another.
 func (c *Core) Leave() {
 	c.leaving = true
