--- /dev/null
+++ b/internal/qledge/standin_test.go
@@ -0,0 +1,381 @@
+package qledge
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/quetzallane/quetzallane/internal/qlcatalog"
+	"github.com/quetzallane/quetzallane/internal/qlforward"
+	"github.com/quetzallane/quetzallane/internal/qlroute"
+	"github.com/quetzallane/quetzallane/internal/qlsetting"
+	"github.com/quetzallane/quetzallane/pkg/qljson"
+	"go.uber.org/zap"
+)
+
+// _replyTimeout is what a source waits for an answer beside a call's wait.
+const _replyTimeout = 700 * time.Millisecond
+
+// _mostPause is a reader's longest pause between calls that fail.
+const _mostPause = 600 * time.Millisecond
+
+// fakeStore is a platform's store: a configuration that is only a revision,
+// and upstreams that are ids.
+type fakeStore struct {
+	mu        sync.Mutex
+	revision  uint64
+	config    uint64
+	upstreams map[string]uint64
+	events    []Item
+	// down turns calls away; lost makes the next watch of upstreams say that
+	// history is gone.
+	down bool
+	lost bool
+	// deaf makes watches wait without an answer.
+	deaf bool
+	// busy is how long a whole read takes to begin.
+	busy time.Duration
+	// reads counts whole reads, watches the other calls.
+	reads   int
+	watches int
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{
+		revision:  10,
+		config:    1,
+		upstreams: map[string]uint64{"u1": 5},
+	}
+}
+
+func (s *fakeStore) change(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	change()
+}
+
+func (s *fakeStore) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+func (s *fakeStore) put(id string) {
+	s.change(func() {
+		s.upstreams[id] = s.revision
+		s.events = append(s.events, Item{
+			ID:       id,
+			Value:    []byte(id),
+			Revision: s.revision,
+		})
+	})
+}
+
+func (s *fakeStore) remove(id string) {
+	s.change(func() {
+		delete(s.upstreams, id)
+		s.events = append(s.events, Item{
+			ID:       id,
+			Revision: s.revision,
+			Deleted:  true,
+		})
+	})
+}
+
+func (s *fakeStore) available() error {
+	if s.down {
+		return errors.New("store is down")
+	}
+	return nil
+}
+
+func (s *fakeStore) source() Source {
+	return Source{
+		Read: func(_ context.Context, wait time.Duration) ([]Item, uint64, error) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.reads++
+			if wait+_replyTimeout < s.busy {
+				return nil, 0, errors.New("no progress")
+			}
+			items := []Item{s.configuration()}
+			for id, revision := range s.upstreams {
+				items = append(items, Item{
+					ID:       id,
+					Value:    []byte(id),
+					Revision: revision,
+				})
+			}
+			return items, s.revision, s.available()
+		},
+		Watch: s.watch,
+		DecodeConfiguration: func(data []byte) (*qlroute.Document, error) {
+			document := &qlroute.Document{}
+			_, err := fmt.Sscan(string(data), &document.Revision)
+			return document, errors.Trace(err)
+		},
+		DecodeUpstream: func(id string, data []byte) (qlcatalog.Entry, error) {
+			if strings.HasPrefix(string(data), "bad") {
+				return qlcatalog.Entry{}, errors.NotValidf("entry %q", id)
+			}
+			return qlcatalog.Entry{
+				ID:    id,
+				State: qlcatalog.Ready,
+				Raw:   data,
+			}, nil
+		},
+		Calls: func() int64 { return 0 },
+	}
+}
+
+func (s *fakeStore) configuration() Item {
+	return Item{
+		Configuration: true,
+		Value:         []byte(fmt.Sprint(s.config)),
+		Revision:      s.config,
+	}
+}
+
+// changes returns what changed after the revision.
+func (s *fakeStore) changes(after uint64) []Item {
+	var items []Item
+	if item := s.configuration(); item.Revision > after {
+		items = append(items, item)
+	}
+	for _, item := range s.events {
+		if item.Revision > after {
+			items = append(items, item)
+		}
+	}
+	return items
+}
+
+func (s *fakeStore) watch(ctx context.Context, after uint64, wait time.Duration) ([]Item, uint64, error) {
+	s.set(func() { s.watches++ })
+	for end := time.Now().Add(wait); ; {
+		s.mu.Lock()
+		err, deaf, lost, revision, items := s.available(), s.deaf, s.lost, s.revision, s.changes(after)
+		s.mu.Unlock()
+		switch {
+		case deaf:
+			select {
+			case <-ctx.Done():
+			case <-time.After(wait + _replyTimeout):
+			}
+			return nil, 0, errors.New("no progress")
+		case err != nil:
+			return nil, 0, err
+		case lost:
+			s.set(func() { s.lost = false })
+			return nil, 0, errors.Trace(ErrHistoryLost)
+		case len(items) > 0 || time.Now().After(end):
+			return items, revision, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, 0, errors.Trace(ctx.Err())
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+// loopback returns a loopback address of this process's own: on 127.0.0.1 the
+// kernel may hand a port that was free to another process's connection.
+func loopback(n int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()/250%250, os.Getpid()%250, n)
+}
+
+// freePorts returns addresses on loopback that were free a moment ago.
+func freePorts(t *testing.T, count int) []string {
+	t.Helper()
+	var addresses []string
+	for range count {
+		listener, err := net.Listen("tcp4", loopback(1)+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = listener.Close() }()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses
+}
+
+// running is an edge that runs, and its addresses.
+type running struct {
+	edge    *Edge
+	callers string
+	ready   string
+	ops     string
+	peers   string
+	stop    func() error
+}
+
+// start runs an edge; its seeds are peer addresses, all with one port.
+func start(t *testing.T, id string, store *fakeStore, change func(settings *qlsetting.Edge)) *running {
+	t.Helper()
+	ports := freePorts(t, 4)
+	settings := &qlsetting.Edge{
+		ID:                id,
+		Zone:              "z1",
+		CallerAddress:     ports[0],
+		ReadyAddress:      ports[1],
+		OperationsAddress: ports[2],
+		PeerAddress:       ports[3],
+		Memory:            256,
+		Descriptors:       1000,
+		Processors:        1,
+		StopDeadline:      qljson.Duration(2 * time.Second),
+		BalancerNotice:    qljson.Duration(100 * time.Millisecond),
+		RetryRatio:        0.2,
+		RetryWindow:       qljson.Duration(time.Second),
+		Placement:         qlsetting.PlacementOwner,
+	}
+	if change != nil {
+		change(settings)
+	}
+	edge, err := New(Config{
+		Settings: settings,
+		Source:   store.source(),
+		Dialect: qlforward.Dialect{
+			ReadCaller:  func(http.Header) qlforward.Caller { return qlforward.Caller{} },
+			SetOutgoing: func(http.Header, qlforward.Outgoing) {},
+			ReadAnswer:  func(*http.Response) qlforward.Answer { return qlforward.Answer{} },
+		},
+		Log: zap.NewNop(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- edge.Run(ctx) }()
+	r := &running{
+		edge:    edge,
+		callers: ports[0],
+		ready:   ports[1],
+		ops:     ports[2],
+		peers:   ports[3],
+	}
+	r.stop = sync.OnceValue(func() error {
+		cancel()
+		select {
+		case err := <-ended:
+			return err
+		case <-time.After(5 * time.Second):
+			return errors.New("the stop takes more than 5 s")
+		}
+	})
+	t.Cleanup(func() { _ = r.stop() })
+	return r
+}
+
+// state returns what the edge has: its configuration's revision, then its
+// upstreams.
+func (r *running) state() string {
+	state := ""
+	r.edge.fleet.Call(func(time.Duration) {
+		configuration, _ := r.edge.revisions()
+		state = fmt.Sprint(configuration)
+		for _, entry := range r.edge.catalog.Entries() {
+			state += " " + entry.ID
+		}
+	})
+	return state
+}
+
+func (r *running) await(t *testing.T, want string) {
+	t.Helper()
+	got := ""
+	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if got = r.state(); got == want {
+			return
+		}
+	}
+	t.Fatalf("state: got %q, want %q within 4 s", got, want)
+}
+
+func status(t *testing.T, address, path string) int {
+	t.Helper()
+	response, err := http.Get("http://" + address + path)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// startFleet runs routers of one zone on one store each, on addresses of
+// loopback with the same port; the first is the largest, and so the reader.
+func startFleet(t *testing.T, stores ...*fakeStore) []*running {
+	t.Helper()
+	_, port, err := net.SplitHostPort(freePorts(t, 1)[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	var fleet []*running
+	for i, store := range stores {
+		fleet = append(fleet, start(t, fmt.Sprintf("r%d", i+1), store, func(settings *qlsetting.Edge) {
+			settings.PeerAddress = net.JoinHostPort(loopback(i+1), port)
+			settings.Seeds = []string{loopback(1) + ":1"}
+			settings.ProcessorPart = 1 / float64(i+1)
+		}))
+	}
+	for end := time.Now().Add(4 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		ready := 0
+		for _, r := range fleet {
+			r.edge.fleet.Call(func(now time.Duration) {
+				if r.edge.feed.Reads() == (r == fleet[0]) && (r == fleet[0] || r.edge.feed.Wait(now) > 0) {
+					ready++
+				}
+			})
+		}
+		if ready == len(fleet) {
+			return fleet
+		}
+		if time.Now().After(end) {
+			t.Fatalf("routers that know who reads: got %d, want %d within 4 s", ready, len(fleet))
+		}
+	}
+}
+
+// awaitCount waits for a number of upstreams.
+func (r *running) awaitCount(t *testing.T, want int) {
+	t.Helper()
+	got := 0
+	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		r.edge.fleet.Call(func(time.Duration) { got = len(r.edge.catalog.Entries()) })
+		if got == want {
+			return
+		}
+	}
+	t.Fatalf("upstreams: got %d, want %d within 4 s", got, want)
+}
+
+// tcpPair returns the two ends of a connection.
+func tcpPair(t *testing.T) (caller, conn net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	if caller, err = net.Dial("tcp4", listener.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	if conn, err = listener.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = caller.Close()
+		_ = conn.Close()
+	})
+	return caller, conn
+}
--- a/internal/qlowner/qlowner.go
+++ b/internal/qlowner/qlowner.go
@@ -25,10 +25,8 @@
 
 import (
 	"math/rand/v2"
-	"strconv"
 	"time"
 
-	"github.com/quetzallane/quetzallane/internal/qlengine"
 	"github.com/quetzallane/quetzallane/internal/qlfleetwire"
 	"github.com/quetzallane/quetzallane/internal/qlmember"
 	"github.com/quetzallane/quetzallane/internal/qlplace"
@@ -264,24 +262,6 @@
 	c.config.Changed(live)
 }
 
-// ownerKey returns what names a group in the routers' order.
-func ownerKey(group, groups int) string {
-	if groups <= 1 {
-		return _ownerKey
-	}
-	return _ownerKey + "/" + strconv.Itoa(group) + "/" + strconv.Itoa(groups)
-}
-
-// rankFor returns the routers in a group's order.
-func (c *Core) rankFor(key string) []qlring.Node {
-	ranked, ok := c.ranks[key]
-	if !ok {
-		ranked = qlring.New(c.live).RankBySize(key)
-		c.ranks[key] = ranked
-	}
-	return ranked
-}
-
 func (c *Core) digest() *qlwire.Digest {
 	configuration, list := c.config.Revisions()
 	return &qlwire.Digest{
@@ -305,201 +285,6 @@
 	c.members.Announce()
 }
 
-// Ask begins the decision on a request of this router's.
-func (c *Core) Ask(now time.Duration, request *qlplace.Request) {
-	request.Key.Router = c.config.Self
-	request.Group, _ = qlplace.Choose(request, c.placer.Groups(request.Service))
-	c.ask(now, request, false)
-}
-
-func (c *Core) ask(now time.Duration, request *qlplace.Request, second bool) {
-	owner := c.chooseOwner(now, c.keyOf(request))
-	if owner == c.config.Self || c.config.Local {
-		c.decide(now, request, second)
-		return
-	}
-	c.stats.AskedOwner++
-	c.questions[request.Key.Request] = question{
-		request: request,
-		owner:   owner,
-		until:   now + _answerWait,
-		second:  second,
-	}
-	box := c.box(now, owner)
-	box.packet.Asks = append(box.packet.Asks, encodeAsk(request))
-	box.urgent = true
-}
-
-func (c *Core) keyOf(request *qlplace.Request) string {
-	return ownerKey(request.Group, c.placer.Groups(request.Service))
-}
-
-// asksAgain asks the request's second group, if the first refused it and there
-// is one.
-func (c *Core) asksAgain(now time.Duration, request *qlplace.Request, verdict *qlplace.Verdict, second bool) bool {
-	groups := c.placer.Groups(request.Service)
-	if verdict.Engine != "" || second || groups <= 1 {
-		return false
-	}
-	c.stats.AskedAgain++
-	_, request.Group = qlplace.Choose(request, groups)
-	c.ask(now, request, true)
-	return true
-}
-
-// chooseOwner returns the first router in a group's order that answered lately.
-func (c *Core) chooseOwner(now time.Duration, key string) string {
-	owner := c.config.Self
-	for _, node := range c.rankFor(key) {
-		if d := c.distrusted[node.ID()]; node.ID() == c.config.Self || d.misses < _missLimit || now >= d.until {
-			owner = node.ID()
-			break
-		}
-	}
-	if before := c.owners[key]; owner != before {
-		c.config.OwnerChanged(before, owner)
-		c.owners[key] = owner
-		c.tellAll(now, key, owner)
-	}
-	return owner
-}
-
-// tellAll tells a group's new owner what this router has running there.
-func (c *Core) tellAll(now time.Duration, key, owner string) {
-	if owner == c.config.Self {
-		return
-	}
-	for request, run := range c.runs {
-		if run.key == key {
-			c.tell(now, owner, request, run)
-		}
-	}
-}
-
-// decide decides on an own request by what is known here.
-func (c *Core) decide(now time.Duration, request *qlplace.Request, second bool) {
-	c.stats.ByItself++
-	if c.owners[c.keyOf(request)] == c.config.Self {
-		c.placer.SetOthers(1)
-	} else {
-		c.placer.SetOthers(1 + _fallbackLoad*float64(len(c.live)-1))
-	}
-	verdict := c.placer.Ask(now, request)
-	verdict.Decider = c.config.Self
-	if !c.asksAgain(now, request, &verdict, second) {
-		c.conclude(now, request, verdict)
-	}
-}
-
-// conclude hands a decision out and notes the run.
-func (c *Core) conclude(now time.Duration, request *qlplace.Request, verdict qlplace.Verdict) {
-	if verdict.Engine != "" {
-		key := c.keyOf(request)
-		run := &own{
-			engine: verdict.Engine,
-			key:    key,
-			unread: request.Prompt.Own() + verdict.Missing,
-			memory: request.Prompt.Own() + request.Prompt.Output,
-			goal:   request.Goal,
-		}
-		c.runs[request.Key.Request] = run
-		if verdict.Decider != c.config.Self {
-			run.told = append(run.told, verdict.Decider)
-			c.placer.Place(now, request, verdict.Engine)
-		} else if owner := c.owners[key]; owner != c.config.Self && owner != "" {
-			c.tell(now, owner, request.Key.Request, run)
-		}
-	}
-	c.config.Decide(request.Key.Request, verdict)
-}
-
-// First takes the first event of a run of this router's.
-func (c *Core) First(now time.Duration, request uint64) {
-	run := c.runs[request]
-	if run == nil {
-		return
-	}
-	run.unread = 0
-	c.placer.First(now, c.key(request))
-	c.noteAll(now, request, run, 0)
-}
-
-// End takes the end of a run of this router's, or of a request that its
-// caller left before it was decided.
-func (c *Core) End(now time.Duration, request uint64, outcome qlengine.Outcome) {
-	run := c.runs[request]
-	if run == nil {
-		// The verdict of a question that was dropped is given back.
-		delete(c.questions, request)
-		return
-	}
-	delete(c.runs, request)
-	c.placer.End(now, c.key(request), outcome)
-	c.noteAll(now, request, run, outcome)
-}
-
-func (c *Core) key(request uint64) qlengine.Key {
-	return qlengine.Key{
-		Router:  c.config.Self,
-		Request: request,
-	}
-}
-
-// tell has another router count a run.
-func (c *Core) tell(now time.Duration, to string, request uint64, run *own) {
-	for _, told := range run.told {
-		if told == to {
-			return
-		}
-	}
-	run.told = append(run.told, to)
-	c.note(now, to, request, run, 0)
-}
-
-// noteAll tells all routers that count a run what became of it.
-func (c *Core) noteAll(now time.Duration, request uint64, run *own, outcome qlengine.Outcome) {
-	for _, to := range run.told {
-		c.note(now, to, request, run, outcome)
-	}
-}
-
-func (c *Core) note(now time.Duration, to string, request uint64, run *own, outcome qlengine.Outcome) {
-	box := c.box(now, to)
-	box.packet.Notes = append(box.packet.Notes, &qlfleetwire.Note{
-		Request: request,
-		Engine:  run.engine,
-		Unread:  uint32(run.unread),
-		Memory:  uint32(run.memory),
-		GoalMs:  uint32(run.goal.Milliseconds()),
-		Outcome: uint32(outcome),
-	})
-}
-
-// sendRunning tells each router that counts runs of this one which go on.
-func (c *Core) sendRunning(now time.Duration) {
-	byRouter := make(map[string][]uint64)
-	for request, run := range c.runs {
-		for _, to := range run.told {
-			byRouter[to] = append(byRouter[to], request)
-		}
-	}
-	for _, owner := range c.owners {
-		c.counting = append(c.counting, owner)
-	}
-	for _, to := range c.counting {
-		if _, ok := byRouter[to]; !ok && to != c.config.Self && to != "" {
-			byRouter[to] = nil
-		}
-	}
-	c.counting = c.counting[:0]
-	for to, requests := range byRouter {
-		c.box(now, to).packet.Running = encodeRunning(requests)
-		if len(requests) > 0 {
-			c.counting = append(c.counting, to)
-		}
-	}
-}
-
 // Tick does what time demands.
 func (c *Core) Tick(now time.Duration) {
 	c.now = now
@@ -512,42 +297,6 @@
 	}
 }
 
-// SetLag says how late this process runs what is due. An answer that is late
-// by that does not count against the owner.
-func (c *Core) SetLag(lag time.Duration) {
-	c.lag = lag
-}
-
-func (c *Core) expiry(q question) time.Duration {
-	return q.until + _lagFactor*c.lag
-}
-
-// Expire decides here what the owner did not answer in time.
-func (c *Core) Expire(now time.Duration) {
-	for id, q := range c.questions {
-		if now < c.expiry(q) {
-			continue
-		}
-		delete(c.questions, id)
-		c.stats.Missed++
-		d := c.distrusted[q.owner]
-		d.misses++
-		d.until = now + _missPause
-		c.distrusted[q.owner] = d
-		c.decide(now, q.request, q.second)
-	}
-}
-
-// NextExpiry returns when Expire has to be called next.
-func (c *Core) NextExpiry() (at time.Duration, ok bool) {
-	for _, q := range c.questions {
-		if expiry := c.expiry(q); !ok || expiry < at {
-			at, ok = expiry, true
-		}
-	}
-	return at, ok
-}
-
 // SetSeeds takes other addresses to begin with.
 func (c *Core) SetSeeds(seeds []string) {
 	c.config.Seeds = seeds
