--- a/internal/qlfeed/qlfeed_test.go
+++ b/internal/qlfeed/qlfeed_test.go
@@ -39,8 +39,20 @@
 		{routers: 390, zones: 6, readers: 18},
 	} {
 		readers, told, most := audiences(t, c.routers, c.zones)
-		if readers != c.readers {
-			t.Errorf("%d routers in %d zones: got %d readers, want %d", c.routers, c.zones, readers, c.readers)
+		if len(readers) != c.readers {
+			t.Errorf("%d routers in %d zones: got %d readers, want %d", c.routers, c.zones, len(readers), c.readers)
+		}
+		inZone := make(map[string]int)
+		for _, zone := range readers {
+			inZone[zone]++
+		}
+		for zone, count := range inZone {
+			if want := c.readers / c.zones; count != want {
+				t.Errorf("%d routers: got %d readers in %s, want %d", c.routers, count, zone, want)
+			}
+		}
+		if len(inZone) != c.zones {
+			t.Errorf("%d routers: got readers in %d zones, want in all %d", c.routers, len(inZone), c.zones)
 		}
 		if got, want := len(told), c.routers-c.readers; got != want {
 			t.Errorf("%d routers: got %d told, want %d", c.routers, got, want)
@@ -56,9 +68,9 @@
 	}
 }
 
-// audiences returns how many readers there are, how many of them tell each
-// other router, and the most that one tells.
-func audiences(t *testing.T, routers, zones int) (readers int, told map[string]int, most int) {
+// audiences returns the readers' zones, how many readers tell each other
+// router, and the most that one tells.
+func audiences(t *testing.T, routers, zones int) (readers []string, told map[string]int, most int) {
 	t.Helper()
 	feeds, _ := fleet(routers, zones, equal)
 	told = make(map[string]int)
@@ -69,7 +81,7 @@
 			}
 			continue
 		}
-		readers++
+		readers = append(readers, feed.zone)
 		most = max(most, len(feed.Audience()))
 		for _, member := range feed.Members() {
 			told[member]++
