A claim that the code did not keep: callers are not asked to close while a router is not ready

Found on the last read: qlshed worked out a moment that nobody used. Change: the unused moment and the words go; 'rest' is 'withdrawn', the usual term for a router that leaves a balancer's rotation; where qlshed's figures come from. The test's check of the moment goes with it. Behaviour is as before.

--- a/internal/qledge/operations.go
+++ b/internal/qledge/operations.go
@@ -56,8 +56,7 @@
 
 // ready reports whether the balancer should send callers here.
 func (e *Edge) ready() bool {
-	rests, _ := e.shedder.Rests(e.clock())
-	return e.known.Load() && !e.stopping.Load() && !rests
+	return e.known.Load() && !e.stopping.Load() && !e.shedder.Withdrawn()
 }
 
 // answerVars writes counters and histograms as one JSON object.
--- a/internal/qlshed/qlshed.go
+++ b/internal/qlshed/qlshed.go
@@ -22,6 +22,8 @@
 	"time"
 )
 
+// Figures without another source are those that the test's load and the days
+// in docs/PLATFORM.md were played with; none was searched for.
 const (
 	// _target is the lag that is aimed at: below it a request loses a small
 	// part of any objective.
@@ -39,14 +41,12 @@
 	// many steps they are forgotten.
 	_window = time.Second
 	_slots  = 5
-	// _restPart is the part that is refused from which on, after _restAfter,
-	// a router rests; it does until it refused nothing for _calm.
-	_restPart  = 0.5
-	_restAfter = time.Second
-	_calm      = 3 * time.Second
-	// _noticed is how long the balancer takes to see that a router rests: it
-	// asks once a second and takes two misses.
-	_noticed = 2200 * time.Millisecond
+	// _withdrawPart is the refused part from which on, after _withdrawAfter, a
+	// router withdraws from the balancer's rotation, until it refused nothing
+	// for _calm.
+	_withdrawPart  = 0.5
+	_withdrawAfter = time.Second
+	_calm          = 3 * time.Second
 )
 
 // Shedder is one router's. It is safe for several goroutines.
@@ -63,9 +63,8 @@
 
 	busySince time.Duration
 	calmSince time.Duration
-	restSince time.Duration
 	busy      bool
-	rests     bool
+	withdrawn bool
 }
 
 // New returns a shedder that admits everything.
@@ -85,11 +84,11 @@
 	} else {
 		s.refused = max(s.refused+_fall*excess, 0)
 	}
-	s.setRest(now)
+	s.setWithdrawn(now)
 }
 
-func (s *Shedder) setRest(now time.Duration) {
-	if s.refused < _restPart {
+func (s *Shedder) setWithdrawn(now time.Duration) {
+	if s.refused < _withdrawPart {
 		s.busy = false
 	} else if !s.busy {
 		s.busy, s.busySince = true, now
@@ -98,19 +97,18 @@
 		s.calmSince = now
 	}
 	switch {
-	case !s.rests && s.busy && now-s.busySince >= _restAfter:
-		s.rests, s.restSince = true, now
-	case s.rests && now-s.calmSince >= _calm:
-		s.rests = false
+	case !s.withdrawn && s.busy && now-s.busySince >= _withdrawAfter:
+		s.withdrawn = true
+	case s.withdrawn && now-s.calmSince >= _calm:
+		s.withdrawn = false
 	}
 }
 
-// Rests reports whether the balancer should send new callers elsewhere, and
-// whether it does by now.
-func (s *Shedder) Rests(now time.Duration) (rests, noticed bool) {
+// Withdrawn reports whether the balancer should send new callers elsewhere.
+func (s *Shedder) Withdrawn() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.rests, s.rests && now-s.restSince >= _noticed
+	return s.withdrawn
 }
 
 // Part returns the part of requests that is refused.
--- a/internal/qlshed/qlshed_test.go
+++ b/internal/qlshed/qlshed_test.go
@@ -92,8 +92,8 @@
 	}
 }
 
-// TestOverloadedRouterRests has a load last for two seconds.
-func TestOverloadedRouterRests(t *testing.T) {
+// TestOverloadedRouterWithdraws has a load last for two seconds.
+func TestOverloadedRouterWithdraws(t *testing.T) {
 	s := New()
 	const tick = 50 * time.Millisecond
 	began, ended := time.Duration(-1), time.Duration(-1)
@@ -103,22 +103,19 @@
 			lag = 200 * time.Millisecond
 		}
 		s.Sample(now, lag)
-		rests, noticed := s.Rests(now)
-		if rests && began < 0 {
+		withdrawn := s.Withdrawn()
+		if withdrawn && began < 0 {
 			began = now
 		}
-		if !rests && began >= 0 && ended < 0 {
+		if !withdrawn && began >= 0 && ended < 0 {
 			ended = now
 		}
-		if noticed && now-began < _noticed {
-			t.Fatalf("noticed %v after the rest began, want %v", now-began, _noticed)
-		}
 	}
-	if began < _restAfter || began > _restAfter+500*time.Millisecond {
-		t.Errorf("the rest began at %v, want soon after %v", began, _restAfter)
+	if began < _withdrawAfter || began > _withdrawAfter+500*time.Millisecond {
+		t.Errorf("it withdrew at %v, want soon after %v", began, _withdrawAfter)
 	}
 	// The refused part falls to 0 within 1.6 s of the load's end.
 	if ended < 2*time.Second+_calm || ended > 2*time.Second+_calm+2*time.Second {
-		t.Errorf("the rest ended at %v, want %v after the last refusal", ended, _calm)
+		t.Errorf("it came back at %v, want %v after the last refusal", ended, _calm)
 	}
 }
