--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -146,7 +146,7 @@
 			Seeds:       peerAddresses(settings, e.log),
 			Revisions:   e.revisions,
 			Behind:      e.behind,
-			News:        e.takeNews,
+			Update:      e.takeUpdate,
 			Changed:     e.setRouters,
 			Local:       settings.Placement != qlsetting.PlacementOwner,
 			Policy:      policyOf(settings.Placement),
--- a/internal/qledge/reader_test.go
+++ b/internal/qledge/reader_test.go
@@ -159,8 +159,8 @@
 	}
 }
 
-// TestGapInTheNewsIsFetched has a router miss a change and hear of the next.
-func TestGapInTheNewsIsFetched(t *testing.T) {
+// TestGapInTheUpdatesIsFetched has a router miss a change and hear of the next.
+func TestGapInTheUpdatesIsFetched(t *testing.T) {
 	store := newFakeStore()
 	fleet := startFleet(t, store, newFakeStore())
 	fleet[0].edge.fleet.Call(func(now time.Duration) {
@@ -187,12 +187,12 @@
 	fleet[1].await(t, "1 u2")
 }
 
-// TestReaderPassesOtherReadersNewsOn: what the reader tells next begins where
+// TestReaderPassesOtherReadersUpdatesOn: what the reader tells next begins where
 // it stands, so its members must stand there, too.
-func TestReaderPassesOtherReadersNewsOn(t *testing.T) {
+func TestReaderPassesOtherReadersUpdatesOn(t *testing.T) {
 	fleet := startFleet(t, newFakeStore(), newFakeStore())
 	fleet[0].edge.fleet.Call(func(now time.Duration) {
-		fleet[0].edge.takeNews(now, "", &qlfleetwire.News{
+		fleet[0].edge.takeUpdate(now, "", &qlfleetwire.Update{
 			After:    10,
 			Revision: 30,
 			Settled:  true,
@@ -230,13 +230,13 @@
 		}
 	})
 	fleet[1].awaitCount(t, len(ids))
-	store.put("w" + strings.Repeat(long, _newsBytes/len(long)+1))
+	store.put("w" + strings.Repeat(long, _updateBytes/len(long)+1))
 	fleet[1].awaitCount(t, len(ids)+1)
 }
 
-// TestBlindReaderPassesNewsOn has the store turn a reader away; it hears from
+// TestBlindReaderPassesUpdatesOn has the store turn a reader away; it hears from
 // the reader of another zone, and tells its own.
-func TestBlindReaderPassesNewsOn(t *testing.T) {
+func TestBlindReaderPassesUpdatesOn(t *testing.T) {
 	store, other := newFakeStore(), newFakeStore()
 	fleet := startFleet(t, store, other)
 	store.set(func() { store.down = true })
@@ -244,7 +244,7 @@
 		fleet[0].edge.fleet.Call(func(time.Duration) { away = fleet[0].edge.feed.Away() })
 	}
 	fleet[0].edge.fleet.Call(func(now time.Duration) {
-		fleet[0].edge.takeNews(now, "", &qlfleetwire.News{
+		fleet[0].edge.takeUpdate(now, "", &qlfleetwire.Update{
 			After:    10,
 			Revision: 30,
 			Settled:  true,
--- a/internal/qledge/update.go
+++ b/internal/qledge/update.go
@@ -10,12 +10,12 @@
 )
 
 const (
-	// _fetchDelay lets a reader's news come before a router is asked that only
+	// _fetchDelay lets a reader's update come before a router is asked that only
 	// a probe told to be ahead.
 	_fetchDelay = 200 * time.Millisecond
-	// _newsBytes bounds the documents in one datagram; what does not fit is
+	// _updateBytes bounds the documents in one datagram; what does not fit is
 	// fetched.
-	_newsBytes = 1200
+	_updateBytes = 1200
 )
 
 // tell sends what the store said to those that this router reads for. The
@@ -24,22 +24,22 @@
 	if !e.feed.Reads() {
 		return
 	}
-	e.send(e.feed.Audience(), e.news(now, items, after, revision))
+	e.send(e.feed.Audience(), e.updates(now, items, after, revision))
 }
 
-func (e *Edge) send(routers []string, packets []*qlfleetwire.News) {
+func (e *Edge) send(routers []string, packets []*qlfleetwire.Update) {
 	for _, to := range routers {
-		for _, news := range packets {
-			e.fleet.Core().Tell(to, news)
+		for _, update := range packets {
+			e.fleet.Core().SendUpdate(to, update)
 		}
 	}
 }
 
-// news puts changes into as many messages as they need: each begins where the
+// updates puts changes into as many messages as they need: each begins where the
 // one before ends, and a receiver that lacks one fetches the documents.
-func (e *Edge) news(now time.Duration, items []Item, after, revision uint64) []*qlfleetwire.News {
-	message := func(after, revision uint64) *qlfleetwire.News {
-		return &qlfleetwire.News{
+func (e *Edge) updates(now time.Duration, items []Item, after, revision uint64) []*qlfleetwire.Update {
+	message := func(after, revision uint64) *qlfleetwire.Update {
+		return &qlfleetwire.Update{
 			After:    after,
 			Revision: revision,
 			AgeMs:    uint32(e.feed.Age(now).Milliseconds()),
@@ -47,13 +47,13 @@
 		}
 	}
 	last := message(after, revision)
-	packets := []*qlfleetwire.News{last}
+	packets := []*qlfleetwire.Update{last}
 	size := 0
 	for _, item := range items {
-		if len(item.Value) > _newsBytes {
-			return []*qlfleetwire.News{message(revision, revision)}
+		if len(item.Value) > _updateBytes {
+			return []*qlfleetwire.Update{message(revision, revision)}
 		}
-		if size += len(item.Value); size > _newsBytes {
+		if size += len(item.Value); size > _updateBytes {
 			last.Revision = last.GetItems()[len(last.GetItems())-1].GetRevision()
 			last = message(last.GetRevision(), revision)
 			packets = append(packets, last)
@@ -96,25 +96,25 @@
 	return decoded
 }
 
-// takeNews takes what a reader tells. It runs in the control goroutine.
-func (e *Edge) takeNews(now time.Duration, from string, news *qlfleetwire.News) {
+// takeUpdate takes what a reader tells. It runs in the control goroutine.
+func (e *Edge) takeUpdate(now time.Duration, from string, update *qlfleetwire.Update) {
 	known := e.catalog.Revision()
 	switch {
-	case news.GetRevision() < known:
+	case update.GetRevision() < known:
 		// The sender is behind this router.
 		return
-	case news.GetAfter() > known || !e.catalog.Known():
+	case update.GetAfter() > known || !e.catalog.Known():
 		e.fetch(from, 0)
 		return
 	}
-	e.heard(now, news.GetAgeMs(), news.GetSettled())
-	e.apply(now, decodeItems(news.GetItems()), from)
-	e.catalog.Advance(news.GetRevision())
+	e.heard(now, update.GetAgeMs(), update.GetSettled())
+	e.apply(now, decodeItems(update.GetItems()), from)
+	e.catalog.Advance(update.GetRevision())
 	e.refresh(now)
 	// What this reader tells its members next begins where it stands now, so
 	// they need all that brought it here.
-	if e.feed.Reads() && (news.GetRevision() > known || e.feed.Away()) {
-		e.send(e.feed.Members(), []*qlfleetwire.News{news})
+	if e.feed.Reads() && (update.GetRevision() > known || e.feed.Away()) {
+		e.send(e.feed.Members(), []*qlfleetwire.Update{update})
 	}
 }
 
--- a/internal/qlowner/packet.go
+++ b/internal/qlowner/packet.go
@@ -162,8 +162,8 @@
 	for _, note := range packet.GetNotes() {
 		c.receiveNote(now, from, note)
 	}
-	if news := packet.GetNews(); news != nil {
-		c.config.News(now, source, news)
+	if update := packet.GetUpdate(); update != nil {
+		c.config.Update(now, source, update)
 	}
 	if running := packet.GetRunning(); running != nil {
 		c.placer.Retain(now, from, decodeRunning(running), _runSlack)
--- a/internal/qlowner/qlowner.go
+++ b/internal/qlowner/qlowner.go
@@ -97,8 +97,8 @@
 	Revisions func() (configuration, list uint64)
 	// Behind is called when a router has newer documents.
 	Behind func(address string, configuration, list uint64)
-	// News is called with what a reader of the platform's store tells.
-	News func(now time.Duration, address string, news *qlfleetwire.News)
+	// Update is called with what a reader of the platform's store tells.
+	Update func(now time.Duration, address string, update *qlfleetwire.Update)
 	// Changed is called with the live routers when they changed.
 	Changed func(live []qlring.Node)
 	// OwnerChanged is called when this router turns to another owner.
@@ -302,13 +302,13 @@
 	c.config.Seeds = seeds
 }
 
-// Tell sends news to a router. Datagrams may be lost.
-func (c *Core) Tell(to string, news *qlfleetwire.News) {
+// SendUpdate sends an update to a router. Datagrams may be lost.
+func (c *Core) SendUpdate(to string, update *qlfleetwire.Update) {
 	router := c.routers[to]
 	if router == nil {
 		return
 	}
 	packet := c.newPacket()
-	packet.News = news
+	packet.Update = update
 	c.send(router.GetAddress(), packet)
 }
