Rejected connections: one text of the refusal, errors logged, usual names

Change: qlforward.RawRefusal makes it from the code and the constant; errors are logged; limitListener, connections-rejected; the figure is said to be an estimate.

--- a/internal/qledge/connection.go
+++ b/internal/qledge/connection.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/quetzallane/quetzallane/internal/qlconn"
+	"github.com/quetzallane/quetzallane/internal/qlforward"
+	"go.uber.org/zap"
 )
 
 const (
@@ -18,12 +20,12 @@
 	// _fullPart is the part from which on idle connections are closed, those
 	// that were idle for longest first.
 	_fullPart = 0.6
-	// _mostPart is the part from which on new connections are turned away:
+	// _mostPart is the part from which on new connections are rejected:
 	// their callers come to another router.
 	_mostPart = 0.85
 	// _connectionPart is the part of the memory that callers' connections may
-	// take; each takes _connectionBytes, of which half are buffers and stacks
-	// here and half what the kernel holds of a prompt that was not read yet.
+	// take; each takes _connectionBytes, an estimate: half for buffers and
+	// stacks here, half for a prompt of the users' sheets in the kernel.
 	_connectionPart  = 0.5
 	_connectionBytes = 32 << 10
 )
@@ -40,9 +42,9 @@
 	open int
 	idle *list.List
 	// places holds each idle connection's place in the list.
-	places map[net.Conn]*list.Element
-	closed uint64
-	turned uint64
+	places   map[net.Conn]*list.Element
+	closed   uint64
+	rejected uint64
 }
 
 func newCallerConnections(descriptors, megabytes int) *callerConnections {
@@ -64,11 +66,11 @@
 }
 
 // counts returns the open connections, how many idle ones were closed and how
-// many new ones turned away.
-func (c *callerConnections) counts() (open int, closed, turned uint64) {
+// many new ones rejected.
+func (c *callerConnections) counts() (open int, closed, rejected uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.open, c.closed, c.turned
+	return c.open, c.closed, c.rejected
 }
 
 // takes reports whether to keep a new connection.
@@ -78,7 +80,7 @@
 	if c.open < c.most {
 		return true
 	}
-	c.turned++
+	c.rejected++
 	return false
 }
 
@@ -134,42 +136,49 @@
 }
 
 const (
-	// _turnWait is how long a request is waited for on a connection for which
-	// there is no room, and _turnRead how much of it is read.
-	_turnWait = time.Millisecond
-	_turnRead = 64 << 10
-	// _turnAnswer refuses whatever was sent: nothing of it has run.
-	_turnAnswer = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.04\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// _rejectWait is how long a request is waited for on a connection for which
+	// there is no room, and _rejectRead how much of it is read.
+	_rejectWait = time.Millisecond
+	_rejectRead = 64 << 10
 )
 
-// gate is a listener that turns away connections for which there is no room.
-type gate struct {
+// limitListener is a listener that rejects connections for which there is no
+// room.
+type limitListener struct {
 	net.Listener
 	takes func() bool
+	log   *zap.Logger
 	// buffer is used by Accept alone.
-	buffer [_turnRead]byte
+	buffer [_rejectRead]byte
 }
 
 // Accept returns the next connection that is kept.
-func (g *gate) Accept() (net.Conn, error) {
+func (l *limitListener) Accept() (net.Conn, error) {
 	for {
-		conn, err := g.Listener.Accept()
-		if err != nil || g.takes() {
+		conn, err := l.Listener.Accept()
+		if err != nil || l.takes() {
 			return conn, err
 		}
-		g.turnAway(conn)
+		l.reject(conn)
 	}
 }
 
-// turnAway refuses a request that has come, so that its caller need not guess;
-// a caller that sent nothing yet turns elsewhere by itself. Errors mean that it
-// is gone.
-func (g *gate) turnAway(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
-	if err := conn.SetDeadline(time.Now().Add(_turnWait)); err != nil {
-		return
+// reject refuses a request that has come, so that its caller need not guess; a
+// caller that sent nothing yet finds the connection closed and unused.
+func (l *limitListener) reject(conn net.Conn) {
+	err := conn.SetDeadline(time.Now().Add(_rejectWait))
+	n := 0
+	if err == nil {
+		n, err = conn.Read(l.buffer[:])
 	}
-	if n, _ := conn.Read(g.buffer[:]); n > 0 {
-		_, _ = io.WriteString(conn, _turnAnswer)
+	if n > 0 {
+		_, err = io.WriteString(conn, qlforward.RawRefusal())
+	}
+	if closeErr := conn.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		// Most often nothing came in time; counts tells how many there were.
+		l.log.Debug("connection-rejected", zap.Stringer("caller", conn.RemoteAddr()), zap.Error(err))
 	}
 }
--- a/internal/qledge/operations.go
+++ b/internal/qledge/operations.go
@@ -62,7 +62,7 @@
 // answerVars writes counters and histograms as one JSON object.
 func (e *Edge) answerVars(w http.ResponseWriter, _ *http.Request) {
 	packets, packetBytes := e.fleet.Traffic()
-	open, closed, turned := e.callers.counts()
+	open, closed, rejected := e.callers.counts()
 	numbers := []struct {
 		name  string
 		value int64
@@ -75,7 +75,7 @@
 		{name: "routers-live", value: int64(e.fleet.Live())},
 		{name: "caller-connections", value: int64(open)},
 		{name: "idle-connections-closed", value: int64(closed)},
-		{name: "connections-turned-away", value: int64(turned)},
+		{name: "connections-rejected", value: int64(rejected)},
 		{name: "refused-by-processor", value: int64(e.shedder.Shed())},
 	}
 	if e.config.Lines != nil {
--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -4,7 +4,7 @@
 //
 // One control goroutine, that of the fleet, owns the documents and all
 // decision code about engines. One goroutine calls the platform's store when
-// it is this router's turn and hands what it reads to control. Callers' requests have
+// this router has to and hands what it reads to control. Callers' requests have
 // a goroutine each; they read an immutable view of configuration and
 // upstreams, and ask control by a channel.
 //
@@ -274,9 +274,10 @@
 		zap.String("peers", e.settings.PeerAddress), zap.Strings("seeds", e.settings.Seeds))
 	server := e.callerServer(ctx)
 	go func() {
-		if err := server.Serve(&gate{
+		if err := server.Serve(&limitListener{
 			Listener: callers,
 			takes:    e.callers.takes,
+			log:      e.log,
 		}); !errors.Is(err, http.ErrServerClosed) {
 			e.log.Error("callers-not-served", zap.Error(err))
 		}
@@ -375,12 +376,12 @@
 // logLoad writes a line while this VM is short of something.
 func (e *Edge) logLoad(lag time.Duration) {
 	part, shed := e.shedder.Part(), e.shedder.Shed()
-	open, closed, turned := e.callers.counts()
+	open, closed, rejected := e.callers.counts()
 	if part == 0 && shed == e.shed && !e.callers.isCrowded() {
 		return
 	}
 	e.log.Info("router-overloaded", zap.Duration("lag", lag), zap.Float64("refused-part", part),
-		zap.Uint64("refused", shed-e.shed), zap.Int("connections", open), zap.Uint64("idle-closed", closed), zap.Uint64("turned-away", turned),
+		zap.Uint64("refused", shed-e.shed), zap.Int("connections", open), zap.Uint64("idle-closed", closed), zap.Uint64("connections-rejected", rejected),
 		zap.Int64("active", e.forwarder.Active()), zap.Int64("memory-held", e.forwarder.Held()))
 	e.shed = shed
 }
--- a/internal/qlforward/answer.go
+++ b/internal/qlforward/answer.go
@@ -78,3 +78,12 @@
 	}
 	f.fail(x, code, errors.Cause(err).Error())
 }
+
+// RawRefusal returns the answer of an overloaded router as it is written to a
+// connection that no server reads.
+func RawRefusal() string {
+	code := qlcode.RouterOverloaded
+	body := code.Title() + "\n"
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %d\r\nRetry-After: %.3f\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s",
+		code.HTTPStatus(), http.StatusText(code.HTTPStatus()), _resultHeader, int(code), _overloadedRetry.Seconds(), len(body), body)
+}
