How long the store is waited for is qlfeed's decision; one sleep, one way of taking a reply

Cause: found on the last read: the growing wait for whole reads was worked out in the goroutine that calls the store, beside qlfeed's pauses; two functions slept; taking a reply repeated four calls; 'patience', 'turn', 'rest' and 'wake'. Change: qlfeed.ReadWait, with its test; nextCall, pause, callNow; takeReply has one way through.

--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -97,8 +97,8 @@
 	callers   *callerConnections
 	shedder   *qlshed.Shedder
 	known     atomic.Bool
-	// wake ends a rest between calls to the store.
-	wake     chan struct{}
+	// callNow ends a pause between calls to the store.
+	callNow  chan struct{}
 	stopping atomic.Bool
 
 	// What follows belongs to the control goroutine.
@@ -127,7 +127,7 @@
 		started:  time.Now(),
 		catalog:  qlcatalog.New(),
 		feed:     qlfeed.New(settings.ID, settings.Zone),
-		wake:     make(chan struct{}, 1),
+		callNow:  make(chan struct{}, 1),
 		shedder:  qlshed.New(),
 		random:   newRandom(),
 		callers:  newCallerConnections(settings.Descriptors, settings.Memory),
--- a/internal/qledge/reader.go
+++ b/internal/qledge/reader.go
@@ -10,37 +10,39 @@
 	"go.uber.org/zap"
 )
 
-const (
-	// _callInterval is the least time between calls: changes that come in quick
-	// succession share one.
-	_callInterval = 150 * time.Millisecond
-	// _firstPatience and _mostPatience bound how much longer a whole read may
-	// take to begin after one that failed: a store that a whole fleet reads at
-	// once is busy for seconds, and repeats would keep it so.
-	_firstPatience = 700 * time.Millisecond
-	_mostPatience  = 6 * time.Second
-)
+// _callInterval is the least time between calls: changes that come in quick
+// succession share one.
+const _callInterval = 150 * time.Millisecond
+
+// nextCall is what the next call to the store is.
+type nextCall struct {
+	// after is the revision up to which this router has the documents, 0 when
+	// it has none and reads all.
+	after uint64
+	// wait is how long this router may leave the store to the readers.
+	wait time.Duration
+	// readWait is how long a read of all documents may take to begin.
+	readWait time.Duration
+}
 
-// follow calls the store whenever it is this router's turn, until the context
-// ends.
+// follow calls the store whenever this router has to, until the context ends.
 func (e *Edge) follow(ctx context.Context) {
 	lost, whole := false, false
-	patience := time.Duration(0)
 	for ctx.Err() == nil {
-		after, wait := e.turn()
-		if wait > 0 {
+		next := e.nextCall()
+		if next.wait > 0 {
 			whole = false
-			e.rest(ctx, wait)
+			e.pause(ctx, next.wait)
 			continue
 		}
 		if whole {
-			after = 0
+			next.after = 0
 		}
 		began := time.Now()
-		revision, err := e.call(ctx, after, patience)
+		revision, err := e.call(ctx, next)
 		switch {
 		case err == nil:
-			whole, patience = false, 0
+			whole = false
 			if lost {
 				lost = false
 				e.log.Info("store-regained", zap.Uint64("revision", revision))
@@ -48,7 +50,7 @@
 			sleep(ctx, _callInterval-time.Since(began))
 			continue
 		case errors.Is(err, ErrHistoryLost):
-			e.log.Info("store-history-lost", zap.Uint64("revision", after))
+			e.log.Info("store-history-lost", zap.Uint64("revision", next.after))
 			whole = true
 			continue
 		case ctx.Err() != nil:
@@ -56,42 +58,38 @@
 		}
 		if !lost {
 			lost = true
-			e.log.Warn("store-lost", zap.Uint64("revision", after), zap.Duration("waited", time.Since(began)), zap.Error(err))
+			e.log.Warn("store-lost", zap.Uint64("revision", next.after), zap.Duration("waited", time.Since(began)), zap.Error(err))
 		}
-		patience = min(max(2*patience, _firstPatience), _mostPatience)
-		e.rest(ctx, e.spread(e.storeFailed()))
+		e.pause(ctx, e.spread(e.storeFailed()))
 	}
 }
 
-// turn returns the revision up to which this router has the documents, 0 when
-// it has none, and how long it may leave the store to others.
-func (e *Edge) turn() (after uint64, wait time.Duration) {
+func (e *Edge) nextCall() (next nextCall) {
 	e.fleet.Call(func(now time.Duration) {
 		if e.catalog.Known() {
-			after = e.catalog.Revision()
+			next.after = e.catalog.Revision()
 		}
-		wait = e.feed.Wait(now)
+		next.wait, next.readWait = e.feed.Wait(now), e.feed.ReadWait()
 	})
-	return after, wait
+	return next
 }
 
-// call reads all documents, whose answer may take the patience to begin, or
-// waits for changes after the revision.
-func (e *Edge) call(ctx context.Context, after uint64, patience time.Duration) (uint64, error) {
+// call reads all documents, or waits for changes after the revision.
+func (e *Edge) call(ctx context.Context, next nextCall) (uint64, error) {
 	source := &e.config.Source
-	if after == 0 {
-		items, revision, err := source.Read(ctx, patience)
+	if next.after == 0 {
+		items, revision, err := source.Read(ctx, next.readWait)
 		if err != nil {
 			return 0, errors.Trace(err)
 		}
 		e.fleet.Post(func(now time.Duration) { e.takeAll(now, items, revision) })
 		return revision, nil
 	}
-	items, revision, err := source.Watch(ctx, after, qlfeed.WatchWait)
+	items, revision, err := source.Watch(ctx, next.after, qlfeed.WatchWait)
 	if err != nil {
 		return 0, errors.Trace(err)
 	}
-	e.fleet.Post(func(now time.Duration) { e.takeChanges(now, items, after, revision) })
+	e.fleet.Post(func(now time.Duration) { e.takeChanges(now, items, next.after, revision) })
 	return revision, nil
 }
 
@@ -119,31 +117,32 @@
 	}
 }
 
-// callStore ends a rest.
+// callStore ends a pause.
 func (e *Edge) callStore() {
 	select {
-	case e.wake <- struct{}{}:
+	case e.callNow <- struct{}{}:
 	default:
-		// A rest is ended already.
+		// A pause is ended already.
 	}
 }
 
-// rest waits, but no longer than until the next callStore.
-func (e *Edge) rest(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-e.wake:
-	case <-ctx.Done():
-	}
+// pause waits, but no longer than until the next callStore.
+func (e *Edge) pause(ctx context.Context, d time.Duration) {
+	sleepUntil(ctx, d, e.callNow)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
+	sleepUntil(ctx, d, nil)
+}
+
+// sleepUntil waits for the time, the context's end or a value, if there is a
+// channel.
+func sleepUntil(ctx context.Context, d time.Duration, early <-chan struct{}) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+	case <-early:
 	case <-ctx.Done():
 	}
 }
--- a/internal/qledge/update.go
+++ b/internal/qledge/update.go
@@ -179,22 +179,17 @@
 	if len(reply.GetConfiguration()) > 0 {
 		e.adoptConfiguration(reply.GetConfiguration(), from)
 	}
-	if reply.GetPartial() {
-		e.heard(now, reply.GetAgeMs(), reply.GetSettled())
-		e.apply(now, decodeItems(reply.GetItems()), from)
-		e.catalog.Advance(reply.GetComplete())
-		e.refresh(now)
-		return
-	}
-	entries := e.decodeUpstreams(decodeItems(reply.GetItems()))
+	items := decodeItems(reply.GetItems())
 	if reply.GetComplete() == 0 {
-		e.catalog.Merge(entries, reply.GetListRevision(), reply.GetSettled())
+		e.catalog.Merge(e.decodeUpstreams(items), reply.GetListRevision(), reply.GetSettled())
 		e.refresh(now)
 		return
 	}
 	e.heard(now, reply.GetAgeMs(), reply.GetSettled())
-	if len(reply.GetItems()) > 0 {
-		e.catalog.Replace(now, entries, reply.GetComplete())
+	if reply.GetPartial() {
+		e.apply(now, items, from)
+	} else if len(items) > 0 {
+		e.catalog.Replace(now, e.decodeUpstreams(items), reply.GetComplete())
 	}
 	e.catalog.Advance(reply.GetComplete())
 	e.refresh(now)
--- a/internal/qlfeed/qlfeed.go
+++ b/internal/qlfeed/qlfeed.go
@@ -45,6 +45,12 @@
 	_readerPause = 600 * time.Millisecond
 	_otherFirst  = 500 * time.Millisecond
 	_otherPause  = 2 * time.Second
+	// _readFirst and _readMost bound how much longer a read of all documents
+	// may take to begin after a call that failed; it doubles from one to the
+	// other. A store that a whole fleet reads at once is busy for seconds, and
+	// repeats would keep it so.
+	_readFirst = 700 * time.Millisecond
+	_readMost  = 6 * time.Second
 )
 
 // Feed is one router's part. It is not safe for several goroutines.
@@ -61,6 +67,7 @@
 	told      time.Duration
 	wasTold   bool
 	failures  int
+	readWait  time.Duration
 }
 
 // New returns the part of a router that knows no other, and so reads.
@@ -168,7 +175,7 @@
 
 // Answered says that the store answered a call of this router.
 func (f *Feed) Answered(now time.Duration) {
-	f.failures = 0
+	f.failures, f.readWait = 0, 0
 	f.confirm(now)
 }
 
@@ -193,9 +200,16 @@
 		}
 	}
 	f.failures++
+	f.readWait = min(max(2*f.readWait, _readFirst), _readMost)
 	return pause
 }
 
+// ReadWait returns how long a read of all documents may take to begin, beside
+// what a call may.
+func (f *Feed) ReadWait() time.Duration {
+	return f.readWait
+}
+
 // Away reports whether the last call of this router failed.
 func (f *Feed) Away() bool {
 	return f.failures > 0
--- a/internal/qlfeed/qlfeed_test.go
+++ b/internal/qlfeed/qlfeed_test.go
@@ -187,7 +187,13 @@
 	if !reader.Away() {
 		t.Error("the store is not taken for away after failures")
 	}
+	if got, want := reader.ReadWait(), _readMost; got != want {
+		t.Errorf("wait for a read after six failures: got %v, want %v", got, want)
+	}
 	reader.Answered(time.Second)
+	if got := reader.ReadWait(); got != 0 {
+		t.Errorf("wait for a read after an answer: got %v, want none", got)
+	}
 	if got, want := reader.Failed(), _readerFirst; got != want {
 		t.Errorf("pause after an answer: got %v, want %v", got, want)
 	}
