--- a/internal/qledge/reader_test.go
+++ b/internal/qledge/reader_test.go
@@ -187,12 +187,10 @@
 	fleet[1].await(t, "1 u2")
 }
 
-// TestReaderPassesOtherReadersUpdatesOn: what the reader tells next begins where
-// it stands, so its members must stand there, too.
-func TestReaderPassesOtherReadersUpdatesOn(t *testing.T) {
-	fleet := startFleet(t, newFakeStore(), newFakeStore())
-	fleet[0].edge.fleet.Call(func(now time.Duration) {
-		fleet[0].edge.takeUpdate(now, "", &qlfleetwire.Update{
+// hearOfU2 has the router take another reader's update of upstream u2.
+func (r *running) hearOfU2() {
+	r.edge.fleet.Call(func(now time.Duration) {
+		r.edge.takeUpdate(now, "", &qlfleetwire.Update{
 			After:    10,
 			Revision: 30,
 			Settled:  true,
@@ -203,6 +201,13 @@
 			}},
 		})
 	})
+}
+
+// TestReaderPassesOtherReadersUpdatesOn: what the reader tells next begins where
+// it stands, so its members must stand there, too.
+func TestReaderPassesOtherReadersUpdatesOn(t *testing.T) {
+	fleet := startFleet(t, newFakeStore(), newFakeStore())
+	fleet[0].hearOfU2()
 	fleet[1].await(t, "1 u1 u2")
 	fleet[1].edge.fleet.Call(func(time.Duration) {
 		if got, want := fleet[1].edge.catalog.Revision(), uint64(30); got != want {
@@ -243,18 +248,7 @@
 	for away := false; !away; time.Sleep(time.Millisecond) {
 		fleet[0].edge.fleet.Call(func(time.Duration) { away = fleet[0].edge.feed.Away() })
 	}
-	fleet[0].edge.fleet.Call(func(now time.Duration) {
-		fleet[0].edge.takeUpdate(now, "", &qlfleetwire.Update{
-			After:    10,
-			Revision: 30,
-			Settled:  true,
-			Items: []*qlfleetwire.Item{{
-				Id:       "u2",
-				Value:    []byte("u2"),
-				Revision: 30,
-			}},
-		})
-	})
+	fleet[0].hearOfU2()
 	fleet[1].await(t, "1 u1 u2")
 }
 
