Logs tell late first events by router, refusals by customer and reason, and engines taken for overdue

Added: late-first-events and router-refusals lines, and load, overdue and refused in placement-state, ratio and least ratio in share-state; the dump has the same. No decision changes: the tests of the packages touched pass.

--- a/internal/qledge/operations.go
+++ b/internal/qledge/operations.go
@@ -15,6 +15,9 @@
 	"go.uber.org/zap"
 )
 
+// _stateCustomers is of how many customers a dump tells what was refused.
+const _stateCustomers = 20
+
 // serveOperations serves the balancer's question, metrics and dumps.
 func (e *Edge) serveOperations() error {
 	ready := mux.NewRouter()
@@ -115,6 +118,8 @@
 			"members":                e.fleet.Core().Members(),
 			"decisions":              e.fleet.Core().Stats(),
 			"engines":                e.fleet.Core().Placer().State(now),
+			"first-events":           e.fleet.Core().Placer().Routers(),
+			"refusals":               e.shedder.Refusals(now, _stateCustomers),
 			"upstreams":              upstreamState(e.catalog.Entries()),
 		}
 	})
--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -108,10 +108,7 @@
 	feed     *qlfeed.Feed
 	fetching bool
 	pruneAt  time.Duration
-	// decided is how many decisions for others were logged, shed how many
-	// refusals of an overloaded processor.
-	decided uint64
-	shed    uint64
+	logged   logged
 
 	randomMu sync.Mutex
 	random   *rand.Rand
@@ -243,7 +240,7 @@
 		e.pruneAt = now + _pruneInterval
 		e.forwarder.Prune()
 		e.logPlacement(now)
-		e.logLoad(lag)
+		e.logLoad(now, lag)
 	}
 }
 
@@ -372,51 +369,3 @@
 	e.log.Info("settings-reloaded", zap.Strings("seeds", settings.Seeds))
 	e.fleet.Post(func(time.Duration) { e.fleet.Core().SetSeeds(peerAddresses(settings, e.log)) })
 }
-
-// logLoad writes a line while this VM is short of something.
-func (e *Edge) logLoad(lag time.Duration) {
-	part, shed := e.shedder.Part(), e.shedder.Shed()
-	open, closed, rejected := e.callers.counts()
-	if part == 0 && shed == e.shed && !e.callers.isCrowded() {
-		return
-	}
-	e.log.Info("router-overloaded", zap.Duration("lag", lag), zap.Float64("refused-part", part),
-		zap.Uint64("refused", shed-e.shed), zap.Int("connections", open), zap.Uint64("idle-closed", closed), zap.Uint64("connections-rejected", rejected),
-		zap.Int64("active", e.forwarder.Active()), zap.Int64("memory-held", e.forwarder.Held()))
-	e.shed = shed
-}
-
-// logPlacement writes a line for each service of engines that this router
-// decides about.
-func (e *Edge) logPlacement(now time.Duration) {
-	stats := e.fleet.Core().Stats()
-	if stats.ForOthers == e.decided {
-		return
-	}
-	e.decided = stats.ForOthers
-	for group, shares := range e.fleet.Core().Placer().Shares() {
-		for _, customer := range shares.State() {
-			if customer.Asked > shares.Level() {
-				e.log.Info("share-state", zap.Int("group", group), zap.String("customer", customer.Customer),
-					zap.Float64("asked", customer.Asked), zap.Float64("granted", customer.Granted), zap.Float64("level", shares.Level()))
-			}
-		}
-	}
-	for _, pool := range e.fleet.Core().Placer().State(now) {
-		running, waiting, unread, slowness := 0, 0, 0, 0.0
-		for _, engine := range pool.Engines {
-			running += engine.Running
-			waiting += engine.Waiting
-			unread += engine.Unread
-			slowness += engine.Slowness / float64(len(pool.Engines))
-		}
-		if len(pool.Engines) == 0 {
-			continue
-		}
-		e.log.Info("placement-state", zap.String("service", pool.Service), zap.Int("group", pool.Group), zap.Int("engines", len(pool.Engines)),
-			zap.Int("running", running), zap.Int("waiting", waiting), zap.Int("unread", unread),
-			zap.Float64("slowness", slowness), zap.Float64("margin", pool.Margin),
-			zap.Uint64("in-time", pool.InTime), zap.Uint64("late", pool.Late), zap.Uint64("tokens-read-again", pool.Reread),
-			zap.Uint64("decided-for-others", stats.ForOthers), zap.Int("routers", e.fleet.Core().Live()))
-	}
-}
--- a/internal/qlengine/qlengine.go
+++ b/internal/qlengine/qlengine.go
@@ -427,6 +427,12 @@
 	return load * ratio
 }
 
+// Overdue returns how much longer than predicted the first event takes that has
+// been awaited longest.
+func (e *Engine) Overdue(now time.Duration) time.Duration {
+	return e.overdue(now)
+}
+
 // Faults returns the rate of failed runs, which fades with time.
 func (e *Engine) Faults(now time.Duration) float64 {
 	if e.faults == 0 {
--- a/internal/qlplace/admit.go
+++ b/internal/qlplace/admit.go
@@ -192,7 +192,8 @@
 	return score
 }
 
-func (p *Placer) refuse(reason Reason, best *option, terms *terms) Verdict {
+func (p *Placer) refuse(pool *pool, reason Reason, best *option, terms *terms) Verdict {
+	pool.refused[reason]++
 	verdict := Verdict{
 		Reason:     reason,
 		Predicted:  best.forecast.First,
--- a/internal/qlplace/qlplace.go
+++ b/internal/qlplace/qlplace.go
@@ -187,6 +187,8 @@
 	meanLoadAt time.Duration
 	late       uint64
 	inTime     uint64
+	// refused counts refusals by reason.
+	refused [Full + 1]uint64
 	// reread counts the tokens of shared parts that placed requests lacked.
 	reread uint64
 }
@@ -210,6 +212,8 @@
 	pools   map[string][]*pool
 	engines map[string]*engine
 	runs    map[qlengine.Key]placed
+	// routers counts first events by the router that told of them.
+	routers map[string]*RouterState
 	// shares are the fair shares of each group.
 	shares   []*qlshare.Window
 	capacity float64
@@ -227,6 +231,7 @@
 		pools:   make(map[string][]*pool),
 		engines: make(map[string]*engine),
 		runs:    make(map[qlengine.Key]placed),
+		routers: make(map[string]*RouterState),
 		shares:  []*qlshare.Window{newWindow()},
 		others:  1,
 	}
@@ -354,7 +359,7 @@
 	terms := p.terms(now, pool, request)
 	best := p.best(now, pool, request, &terms)
 	if best.engine == nil {
-		return p.refuse(NoEngine, &best, &terms)
+		return p.refuse(pool, NoEngine, &best, &terms)
 	}
 	pool.usualRead += time.Duration(_usualWeight * float64(best.forecast.Read-pool.usualRead))
 	if !best.admissible && !request.Again {
@@ -362,7 +367,7 @@
 		if !best.forecast.Fits {
 			reason = Full
 		}
-		return p.refuse(reason, &best, &terms)
+		return p.refuse(pool, reason, &best, &terms)
 	}
 	shares.Granted(now, request.Customer, cost)
 	pool.reread += uint64(best.forecast.Missing)
@@ -420,11 +425,14 @@
 	}
 	pool := run.engine.pool
 	pool.observe(now, float64(took)/float64(max(predicted, time.Millisecond)))
+	router := p.router(key.Router)
 	if took > run.goal {
 		pool.late++
+		router.Late++
 		return
 	}
 	pool.inTime++
+	router.InTime++
 }
 
 // observe follows the quantile of observed against predicted times.
@@ -454,6 +462,7 @@
 
 // Drop forgets the runs of a router that is gone.
 func (p *Placer) Drop(now time.Duration, router string) {
+	delete(p.routers, router)
 	for key, run := range p.runs {
 		if key.Router == router {
 			delete(p.runs, key)
--- a/internal/qlplace/state.go
+++ b/internal/qlplace/state.go
@@ -1,6 +1,7 @@
 package qlplace
 
 import (
+	"sort"
 	"time"
 
 	"github.com/quetzallane/quetzallane/internal/qlshare"
@@ -13,15 +14,53 @@
 
 // PoolState is one group of a service's engines, for dumps.
 type PoolState struct {
-	Service string        `json:"service"`
-	Group   int           `json:"group"`
-	Margin  float64       `json:"margin"`
-	InTime  uint64        `json:"in-time"`
-	Late    uint64        `json:"late"`
-	Reread  uint64        `json:"tokens-read-again"`
+	Service string  `json:"service"`
+	Group   int     `json:"group"`
+	Margin  float64 `json:"margin"`
+	InTime  uint64  `json:"in-time"`
+	Late    uint64  `json:"late"`
+	Reread  uint64  `json:"tokens-read-again"`
+	// Refused counts refusals by reason.
+	Refused map[string]uint64 `json:"refused"`
+	// Load is the engines' mean load.
+	Load    float64       `json:"load"`
 	Engines []EngineState `json:"engines"`
 }
 
+// RouterState counts the first events that a router told of.
+type RouterState struct {
+	Router string `json:"router"`
+	InTime uint64 `json:"in-time"`
+	Late   uint64 `json:"late"`
+}
+
+func (p *Placer) router(id string) *RouterState {
+	state := p.routers[id]
+	if state == nil {
+		state = &RouterState{
+			Router: id,
+		}
+		p.routers[id] = state
+	}
+	return state
+}
+
+// Routers returns the routers that told of first events, those that told of
+// the most late ones first.
+func (p *Placer) Routers() []RouterState {
+	states := make([]RouterState, 0, len(p.routers))
+	for _, state := range p.routers {
+		states = append(states, *state)
+	}
+	sort.Slice(states, func(i, j int) bool {
+		if states[i].Late != states[j].Late {
+			return states[i].Late > states[j].Late
+		}
+		return states[i].Router < states[j].Router
+	})
+	return states
+}
+
 // EngineState is one engine, for dumps.
 type EngineState struct {
 	ID       string  `json:"id"`
@@ -29,7 +68,9 @@
 	Waiting  int     `json:"waiting"`
 	Unread   int     `json:"unread-tokens"`
 	Slowness float64 `json:"slowness"`
-	Faults   float64 `json:"faults"`
+	// Overdue is how late the first event is that has been awaited longest.
+	Overdue time.Duration `json:"overdue-ns"`
+	Faults  float64       `json:"faults"`
 }
 
 // State returns what is believed of the engines.
@@ -51,6 +92,13 @@
 		InTime:  p.inTime,
 		Late:    p.late,
 		Reread:  p.reread,
+		Refused: make(map[string]uint64),
+		Load:    p.meanLoad,
+	}
+	for reason, count := range p.refused {
+		if count > 0 {
+			state.Refused[Reason(reason).String()] = count
+		}
 	}
 	for _, e := range p.engines {
 		state.Engines = append(state.Engines, EngineState{
@@ -59,6 +107,7 @@
 			Waiting:  e.model.Waiting(),
 			Unread:   e.model.Unread(),
 			Slowness: e.model.Slowness(now),
+			Overdue:  e.model.Overdue(now),
 			Faults:   e.model.Faults(now),
 		})
 	}
--- a/internal/qlshare/qlshare.go
+++ b/internal/qlshare/qlshare.go
@@ -188,6 +188,8 @@
 	Customer string  `json:"customer"`
 	Asked    float64 `json:"asked"`
 	Granted  float64 `json:"granted"`
+	// Ratio is what was granted against what is due.
+	Ratio float64 `json:"ratio"`
 }
 
 // State returns the customers that asked lately, sorted by name.
@@ -198,6 +200,7 @@
 			Customer: name,
 			Asked:    sum(&u.asked),
 			Granted:  sum(&u.granted),
+			Ratio:    w.ratio(u),
 		})
 	}
 	sort.Slice(states, func(i, j int) bool { return states[i].Customer < states[j].Customer })
--- a/internal/qlshed/qlshed.go
+++ b/internal/qlshed/qlshed.go
@@ -17,6 +17,7 @@
 package qlshed
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -53,7 +54,7 @@
 type Shedder struct {
 	mu        sync.Mutex
 	refused   float64
-	customers map[string]*[_slots]float64
+	customers map[string]*requests
 	slot      int64
 	// level is how many requests in the window each customer may have.
 	level    float64
@@ -67,10 +68,16 @@
 	withdrawn bool
 }
 
+// requests are one customer's in the window.
+type requests struct {
+	counts  [_slots]float64
+	refused [_slots]float64
+}
+
 // New returns a shedder that admits everything.
 func New() *Shedder {
 	return &Shedder{
-		customers: make(map[string]*[_slots]float64),
+		customers: make(map[string]*requests),
 	}
 }
 
@@ -131,12 +138,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.advance(now)
-	counts := s.customers[customer]
-	if counts == nil {
-		counts = &[_slots]float64{}
-		s.customers[customer] = counts
+	r := s.customers[customer]
+	if r == nil {
+		r = &requests{}
+		s.customers[customer] = r
 	}
-	counts[s.slot%_slots]++
+	r.counts[s.slot%_slots]++
 	if s.refused == 0 {
 		return true
 	}
@@ -144,9 +151,10 @@
 		s.level = s.computeLevel()
 		s.levelAt, s.levelFor = s.slot, s.refused
 	}
-	if chance*sum(counts) < s.level {
+	if chance*sum(&r.counts) < s.level {
 		return true
 	}
+	r.refused[s.slot%_slots]++
 	s.shed++
 	return false
 }
@@ -155,9 +163,10 @@
 func (s *Shedder) advance(now time.Duration) {
 	slot := int64(now / (_window / _slots))
 	for step := max(s.slot+1, slot-_slots+1); step <= slot; step++ {
-		for name, counts := range s.customers {
-			counts[step%_slots] = 0
-			if sum(counts) == 0 {
+		for name, r := range s.customers {
+			r.counts[step%_slots] = 0
+			r.refused[step%_slots] = 0
+			if sum(&r.counts) == 0 {
 				delete(s.customers, name)
 			}
 		}
@@ -177,8 +186,8 @@
 func (s *Shedder) computeLevel() float64 {
 	sums := make([]float64, 0, len(s.customers))
 	left := 0.0
-	for _, counts := range s.customers {
-		total := sum(counts)
+	for _, r := range s.customers {
+		total := sum(&r.counts)
 		sums = append(sums, total)
 		left += total
 	}
@@ -193,3 +202,31 @@
 	}
 	return left
 }
+
+// Refusals are one customer's requests of the last second, for logs and dumps.
+type Refusals struct {
+	Customer string `json:"customer"`
+	Requests int    `json:"requests"`
+	Refused  int    `json:"refused"`
+}
+
+// Refusals returns the customers that were refused most, so many at most.
+func (s *Shedder) Refusals(now time.Duration, most int) []Refusals {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.advance(now)
+	var states []Refusals
+	for customer, r := range s.customers {
+		if refused := sum(&r.refused); refused > 0 {
+			states = append(states, Refusals{
+				Customer: customer,
+				Requests: int(sum(&r.counts)),
+				Refused:  int(refused),
+			})
+		}
+	}
+	slices.SortFunc(states, func(a, b Refusals) int {
+		return cmp.Or(cmp.Compare(b.Refused, a.Refused), cmp.Compare(a.Customer, b.Customer))
+	})
+	return states[:min(most, len(states))]
+}
