What a late router tells does not time engines

Cause: the owner timed first events by when they were told. A router that runs 0.5 to 1.8 s late tells late, so the owner's margin and the engines' slowness rose, and engines whose runs it was silent about were taken for overdue (53 of 59).

Packets now say that their sender is late; its first events are taken for come when predicted and nothing is learned from them.

--- a/internal/qledge/load.go
+++ b/internal/qledge/load.go
@@ -97,7 +97,8 @@
 		if before := e.logged.late[router.Router]; router.Late > before && lines < _loggedRouters {
 			lines++
 			e.log.Info("late-first-events", zap.String("told-by", router.Router), zap.Uint64("late", router.Late-before),
-				zap.Uint64("late-in-all", router.Late), zap.Uint64("in-time-in-all", router.InTime))
+				zap.Uint64("late-in-all", router.Late), zap.Uint64("untimed-in-all", router.Untimed),
+				zap.Uint64("in-time-in-all", router.InTime))
 		}
 	}
 	e.logged.late = late
--- a/internal/qlengine/qlengine.go
+++ b/internal/qlengine/qlengine.go
@@ -131,6 +131,8 @@
 	unread    int
 	memory    int
 	first     bool
+	// untimed is set when the first event's time is not known.
+	untimed bool
 }
 
 // Engine is the model. It is not safe for several goroutines.
@@ -369,6 +371,27 @@
 	return took, true
 }
 
+// FirstUntimed takes a run's first event whose time is not known: nothing is
+// learned from it. It reports whether the run was waiting for it.
+func (e *Engine) FirstUntimed(now time.Duration, key Key) bool {
+	r, ok := e.runs[key]
+	if !ok || r.first {
+		return false
+	}
+	progressAt := e.progressAt
+	e.markRead(now, r.unread)
+	e.progressAt = progressAt
+	r.first, r.untimed = true, true
+	e.runs[key] = r
+	return true
+}
+
+// FirstDue returns when a run's first event was predicted, if it is awaited.
+func (e *Engine) FirstDue(key Key) (due time.Duration, ok bool) {
+	r, ok := e.runs[key]
+	return r.placedAt + r.predicted, ok && !r.first
+}
+
 func (e *Engine) observe(now time.Duration, ratio float64) {
 	current := e.slowness(now)
 	ratio = min(max(ratio*current, _minRatio), _maxRatio)
@@ -394,7 +417,7 @@
 	if !r.first {
 		e.markRead(now, r.unread)
 	}
-	if outcome == Completed {
+	if outcome == Completed && !r.untimed {
 		e.usual += time.Duration(_durationWeight * float64(now-r.placedAt-e.usual))
 	}
 	delete(e.runs, key)
--- a/internal/qlowner/ask.go
+++ b/internal/qlowner/ask.go
@@ -126,6 +126,15 @@
 // by that does not count against the owner.
 func (c *Core) SetLag(lag time.Duration) {
 	c.lag = lag
+	if lag > _lateLag {
+		c.lateUntil = c.now + lag + _lateFor
+	}
+}
+
+// isLate reports whether this process handles its events late, or did when
+// what it tells now came.
+func (c *Core) isLate() bool {
+	return c.now < c.lateUntil
 }
 
 func (c *Core) expiry(q question) time.Duration {
--- a/internal/qlowner/packet.go
+++ b/internal/qlowner/packet.go
@@ -30,6 +30,7 @@
 	return &qlfleetwire.Packet{
 		From:        c.config.Self,
 		Incarnation: c.config.Incarnation,
+		Late:        c.isLate(),
 	}
 }
 
@@ -153,6 +154,9 @@
 		c.receiveMembership(now, from, packet.GetMembership())
 	}
 	c.members.Note(now, from)
+	if packet.GetLate() {
+		c.placer.NoteLate(now, from)
+	}
 	for _, ask := range packet.GetAsks() {
 		c.answer(now, from, ask)
 	}
--- a/internal/qlowner/qlowner.go
+++ b/internal/qlowner/qlowner.go
@@ -73,6 +73,11 @@
 	// _lagFactor is how many times its own lag a router waits longer for an
 	// answer: the way out and the way in are late by as much.
 	_lagFactor = 2
+	// _lateLag is the lag from which on this router's times say nothing about
+	// engines: a tenth of the strictest objective on the users' sheets. _lateFor
+	// is how long that holds on: what waited meanwhile is still to be told.
+	_lateLag = 30 * time.Millisecond
+	_lateFor = time.Second
 	// _fallbackLoad is how much of the others' load a router that decides by
 	// itself assumes, in parts of its own for each other router.
 	_fallbackLoad = 1.0
@@ -168,6 +173,7 @@
 	expireAt    time.Duration
 	now         time.Duration
 	lag         time.Duration
+	lateUntil   time.Duration
 	stats       Stats
 }
 
@@ -288,6 +294,10 @@
 // Tick does what time demands.
 func (c *Core) Tick(now time.Duration) {
 	c.now = now
+	if c.isLate() {
+		c.placer.NoteAllLate(now)
+	}
+	c.placer.PresumeFirst(now)
 	c.members.Tick(now)
 	c.introduce(now)
 	if now >= c.expireAt {
--- a/internal/qlplace/qlplace.go
+++ b/internal/qlplace/qlplace.go
@@ -80,6 +80,9 @@
 	_usualWeight = 0.01
 	// _runAge is when a run whose end was never told is forgotten.
 	_runAge = 30 * time.Second
+	// _lateFor is how long a router is taken for late after it said so: what it
+	// tells next was held up, too.
+	_lateFor = time.Second
 	// _shareSpan is the window of fair shares, as the users' sheets state it.
 	_shareSpan = 4 * time.Second
 	// _outputWeight is the cost of a generated token against a read one, as the
@@ -214,6 +217,10 @@
 	runs    map[qlengine.Key]placed
 	// routers counts first events by the router that told of them.
 	routers map[string]*RouterState
+	// lateUntil tells until when routers are taken for late, and allLateUntil
+	// until when all are, since this one is.
+	lateUntil    map[string]time.Duration
+	allLateUntil time.Duration
 	// shares are the fair shares of each group.
 	shares   []*qlshare.Window
 	capacity float64
@@ -227,13 +234,14 @@
 // New returns a placer without engines.
 func New(config Config) *Placer {
 	return &Placer{
-		config:  config,
-		pools:   make(map[string][]*pool),
-		engines: make(map[string]*engine),
-		runs:    make(map[qlengine.Key]placed),
-		routers: make(map[string]*RouterState),
-		shares:  []*qlshare.Window{newWindow()},
-		others:  1,
+		config:    config,
+		pools:     make(map[string][]*pool),
+		engines:   make(map[string]*engine),
+		runs:      make(map[qlengine.Key]placed),
+		routers:   make(map[string]*RouterState),
+		lateUntil: make(map[string]time.Duration),
+		shares:    []*qlshare.Window{newWindow()},
+		others:    1,
 	}
 }
 
@@ -418,6 +426,10 @@
 	if !ok {
 		return
 	}
+	if p.isLate(now, key.Router) {
+		p.firstUntimed(now, key, run)
+		return
+	}
 	predicted, _ := run.engine.model.Predicted(key)
 	took, ok := run.engine.model.First(now, key)
 	if !ok || run.goal == 0 {
--- a/internal/qlplace/state.go
+++ b/internal/qlplace/state.go
@@ -32,6 +32,8 @@
 	Router string `json:"router"`
 	InTime uint64 `json:"in-time"`
 	Late   uint64 `json:"late"`
+	// Untimed counts first events that the router was too late to time.
+	Untimed uint64 `json:"untimed"`
 }
 
 func (p *Placer) router(id string) *RouterState {
