Requests whose callers left are not sent on by a late router

The wait until requests are read counts against the deadline, and the look at the caller comes last before the request is written. Both tests failed before.

--- a/internal/qlconn/qlconn.go
+++ b/internal/qlconn/qlconn.go
@@ -80,6 +80,9 @@
 	HeadTimeout time.Duration
 	// MaxConnections bounds the connections to the upstream; 0 for no bound.
 	MaxConnections int
+	// Abandoned reports whether the request need not be sent any more. It is
+	// asked once a connection is there.
+	Abandoned func() bool
 }
 
 // Pool keeps connections by address. It is safe for several goroutines.
@@ -180,6 +183,7 @@
 		Conn:    raw,
 		reader:  bufio.NewReaderSize(raw, _readBuffer),
 		address: address,
+		keepFor: p.config.IdleTimeout,
 	}, nil
 }
 
@@ -242,6 +246,10 @@
 		p.put(c)
 		return nil, errors.WithType(ctx.Err(), ErrNotSent)
 	}
+	if request.Abandoned != nil && request.Abandoned() {
+		p.put(c)
+		return nil, errors.WithType(errors.New("the caller left"), ErrNotSent)
+	}
 	exchange := &Exchange{
 		pool: p,
 		conn: c,
--- a/internal/qlconn/qlconn_test.go
+++ b/internal/qlconn/qlconn_test.go
@@ -371,3 +371,30 @@
 		t.Errorf("answer: got %q, %v, want no", got, err)
 	}
 }
+
+func TestRequestGivenUpDuringTheDialIsNotSent(t *testing.T) {
+	u := newUpstream(t, func(conn net.Conn, reader *bufio.Reader, _ int64) {
+		for {
+			id, ok := readRequest(reader)
+			if !ok {
+				return
+			}
+			_, _ = io.WriteString(conn, answer(id, "whole"))
+		}
+	})
+	p := newPool()
+	request := u.request("1")
+	request.Abandoned = func() bool {
+		dials, _ := p.Counts()
+		return dials == 1
+	}
+	if _, err := p.Do(context.Background(), request); !errors.Is(err, ErrNotSent) {
+		t.Errorf("abandoned request: got %v, want ErrNotSent", err)
+	}
+	if got, err := exchange(t, p, u.request("2")); got != "whole" || err != nil {
+		t.Errorf("next request: got %q, %v, want whole", got, err)
+	}
+	if got, want := u.connections.Load(), int64(1); got != want {
+		t.Errorf("connections: got %d, want %d, the first one kept", got, want)
+	}
+}
--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -175,6 +175,7 @@
 		Admit: func(customer string) bool {
 			return e.shedder.Admit(e.clock(), customer, rand.Float64())
 		},
+		Waited:     fleet.Lag,
 		Left:       e.callerLeft,
 		BodyMemory: int64(_bodyPart * float64(settings.Memory) * _megabyte),
 		Clock:      e.clock,
--- a/internal/qlforward/qlforward.go
+++ b/internal/qlforward/qlforward.go
@@ -76,6 +76,8 @@
 	// Admit reports whether this VM's processor has room for a customer's
 	// request.
 	Admit func(customer string) bool
+	// Waited returns for how long requests wait at this VM until they are read.
+	Waited func() time.Duration
 	// Left reports whether a request's caller has closed its connection, as far
 	// as the request's context does not tell yet.
 	Left func(ctx context.Context) bool
@@ -249,7 +251,7 @@
 	if !f.readBody(x) || !f.resolve(x) {
 		return
 	}
-	cancel := x.bound()
+	cancel := f.bound(x)
 	defer cancel()
 	if x.service.Engine() != nil && x.caller.Prompt != nil {
 		f.serveEngine(x)
@@ -335,7 +337,7 @@
 
 // bound sets the request's deadline: the caller's or the route's, whichever
 // is first.
-func (x *exchange) bound() context.CancelFunc {
+func (f *Forwarder) bound(x *exchange) context.CancelFunc {
 	wait := x.caller.Wait
 	if timeout := x.route.Timeout(); timeout > 0 && (wait == 0 || timeout < wait) {
 		wait = timeout
@@ -343,7 +345,8 @@
 	if wait == 0 {
 		wait = _defaultWait
 	}
-	x.deadline = x.start.Add(wait)
+	// The caller counts from when it sent the request.
+	x.deadline = x.start.Add(wait - f.config.Waited())
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline.Add(_timeoutGrace))
 	x.ctx = ctx
 	return cancel
@@ -386,10 +389,6 @@
 
 // send makes one attempt at an upstream.
 func (f *Forwarder) send(x *exchange, entry qlcatalog.Entry, headTimeout time.Duration) (*qlconn.Exchange, error) {
-	if f.config.Left(x.request.Context()) {
-		x.gone = true
-		return nil, errors.WithType(errors.New("the caller left"), qlconn.ErrNotSent)
-	}
 	x.upstream = entry.ID
 	routers := max(f.config.Placement.Routers(), 1)
 	e, err := f.pool.Do(x.ctx, &qlconn.Request{
@@ -402,6 +401,10 @@
 		Body:           x.body,
 		HeadTimeout:    headTimeout,
 		MaxConnections: connectionShare(x.service.MaxConnections(), routers),
+		Abandoned: func() bool {
+			x.gone = f.config.Left(x.request.Context())
+			return x.gone
+		},
 	})
 	if err == nil || !errors.Is(err, qlconn.ErrNotSent) {
 		x.attempts++
--- a/internal/qlforward/qlforward_test.go
+++ b/internal/qlforward/qlforward_test.go
@@ -345,3 +345,25 @@
 		t.Errorf("requests under way: got %d, want none", got)
 	}
 }
+
+// TestDeadlineCountsTheWaitUntilARequestIsRead has a router that reads requests
+// a second after they came.
+func TestDeadlineCountsTheWaitUntilARequestIsRead(t *testing.T) {
+	upstream := newStandIn(t, "u1", say(200, "Signature: s\r\n", "x"))
+	b := newBench(t, upstream)
+	b.forwarder.config.Waited = func() time.Duration { return time.Second }
+	if got, want := b.send(t, http.MethodPost, "/order/1", nil, "body").status, http.StatusOK; got != want {
+		t.Fatalf("status: got %d, want %d", got, want)
+	}
+	left, err := strconv.Atoi(upstream.requests[0].Header.Get("Left"))
+	if err != nil || left > 500 {
+		t.Errorf("time left of 1,500 ms: got %d ms (%v), want 500 at most", left, err)
+	}
+	b.forwarder.config.Waited = func() time.Duration { return 2 * time.Second }
+	if got, want := b.send(t, http.MethodPost, "/order/1", nil, "body").status, http.StatusServiceUnavailable; got != want {
+		t.Errorf("status of a request out of time: got %d, want %d", got, want)
+	}
+	if got, want := upstream.count(), 1; got != want {
+		t.Errorf("requests sent: got %d, want %d", got, want)
+	}
+}
--- a/internal/qlforward/standin_test.go
+++ b/internal/qlforward/standin_test.go
@@ -172,6 +172,7 @@
 		},
 		Crowded:    func() bool { return false },
 		Admit:      func(string) bool { return true },
+		Waited:     func() time.Duration { return 0 },
 		Left:       func(context.Context) bool { return false },
 		BodyMemory: 1 << 20,
 		Clock:      func() time.Duration { return 0 },
