An overloaded VM sends its callers to others once these take them

Callers saw: a refused request came back after 40 ms to the same VM and was refused again, so each request loaded it twice, for as long as the balancer sent new connections there; connections that were kept stayed there for longer.

A refusal's Retry-After now says when another router takes the caller: as long as the overload lasts already, or until the balancer has turned away (2 s after the router reported not ready). From then on refusals ask to connect anew; what is served keeps its connection.

--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -175,6 +175,9 @@
 		Admit: func(customer string) bool {
 			return e.shedder.Admit(e.clock(), customer, rand.Float64())
 		},
+		Backoff: func() (time.Duration, bool) {
+			return e.shedder.Backoff(e.clock(), rand.Float64())
+		},
 		Waited:     fleet.Lag,
 		Left:       e.callerLeft,
 		BodyMemory: int64(_bodyPart * float64(settings.Memory) * _megabyte),
--- a/internal/qlforward/answer.go
+++ b/internal/qlforward/answer.go
@@ -85,5 +85,5 @@
 	code := qlcode.RouterOverloaded
 	body := code.Title() + "\n"
 	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %d\r\nRetry-After: %.3f\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s",
-		code.HTTPStatus(), http.StatusText(code.HTTPStatus()), _resultHeader, int(code), _overloadedRetry.Seconds(), len(body), body)
+		code.HTTPStatus(), http.StatusText(code.HTTPStatus()), _resultHeader, int(code), _rejectedRetry.Seconds(), len(body), body)
 }
--- a/internal/qlforward/qlforward.go
+++ b/internal/qlforward/qlforward.go
@@ -47,9 +47,8 @@
 	_notReadyRetry = 500 * time.Millisecond
 	// _shedRetry is when callers return to a service that is full.
 	_shedRetry = 200 * time.Millisecond
-	// _overloadedRetry is when callers turn to another router, give or take a
-	// half: at once, but not all together.
-	_overloadedRetry = 40 * time.Millisecond
+	// _rejectedRetry is when callers whose connection was rejected return.
+	_rejectedRetry = 40 * time.Millisecond
 	// _pacedRetry is when callers return to a service that answers late.
 	_pacedRetry = 300 * time.Millisecond
 	// _dialTimeout bounds a connection's making; the longest path between
@@ -76,6 +75,9 @@
 	// Admit reports whether this VM's processor has room for a customer's
 	// request.
 	Admit func(customer string) bool
+	// Backoff returns when callers that Admit refused should return, and whether
+	// new connections reach other routers by now.
+	Backoff func() (retryAfter time.Duration, elsewhere bool)
 	// Waited returns for how long requests wait at this VM until they are read.
 	Waited func() time.Duration
 	// Left reports whether a request's caller has closed its connection, as far
@@ -300,8 +302,11 @@
 	if f.config.Admit(x.customer) {
 		return true
 	}
-	part := 0.5 + rand.Float64()
-	f.refuse(x, qlcode.RouterOverloaded, time.Duration(part*float64(_overloadedRetry)), "the processor is overloaded")
+	retryAfter, elsewhere := f.config.Backoff()
+	if elsewhere {
+		x.w.Header().Set("Connection", "close")
+	}
+	f.refuse(x, qlcode.RouterOverloaded, retryAfter, "the processor is overloaded")
 	return false
 }
 
--- a/internal/qlforward/qlforward_test.go
+++ b/internal/qlforward/qlforward_test.go
@@ -273,6 +273,7 @@
 		customers += customer
 		return false
 	}
+	b.forwarder.config.Backoff = func() (time.Duration, bool) { return 70 * time.Millisecond, true }
 	request, err := http.NewRequest(http.MethodPost, b.server.URL+"/order/1", strings.NewReader("body"))
 	if err != nil {
 		t.Fatal(err)
@@ -289,9 +290,11 @@
 	if got, want := response.Header.Get(_resultHeader), "216"; got != want {
 		t.Errorf("code: got %s, want %s", got, want)
 	}
-	wait, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
-	if bound := 2 * _overloadedRetry.Seconds(); err != nil || wait <= 0 || wait > bound {
-		t.Errorf("Retry-After: got %v (%v), want up to %v", wait, err, bound)
+	if got, want := response.Header.Get("Retry-After"), "0.070"; got != want {
+		t.Errorf("Retry-After: got %s, want %s", got, want)
+	}
+	if !response.Close {
+		t.Error("the caller was not asked to connect anew, though another router takes it")
 	}
 	if upstream.count() != 0 || customers != "depot" {
 		t.Errorf("got %d requests sent and customer %q asked for, want none and depot", upstream.count(), customers)
--- a/internal/qlforward/standin_test.go
+++ b/internal/qlforward/standin_test.go
@@ -172,6 +172,7 @@
 		},
 		Crowded:    func() bool { return false },
 		Admit:      func(string) bool { return true },
+		Backoff:    func() (time.Duration, bool) { return time.Second, false },
 		Waited:     func() time.Duration { return 0 },
 		Left:       func(context.Context) bool { return false },
 		BodyMemory: 1 << 20,
--- a/internal/qlshed/qlshed.go
+++ b/internal/qlshed/qlshed.go
@@ -50,6 +50,12 @@
 	_withdrawPart  = 0.5
 	_withdrawAfter = time.Second
 	_calm          = 3 * time.Second
+	// _balancerTurns is how long the users' balancer takes to turn to other
+	// routers: it asks once a second, and twice.
+	_balancerTurns = 2 * time.Second
+	// _soon is when callers return to a router that admits most of them, or turn
+	// to another, give or take a half: at once, but not all together.
+	_soon = 40 * time.Millisecond
 )
 
 // Shedder is one router's. It is safe for several goroutines.
@@ -70,6 +76,8 @@
 	calmSince time.Duration
 	busy      bool
 	withdrawn bool
+	// withdrawnAt is when the balancer was first told.
+	withdrawnAt time.Duration
 }
 
 // requests are one customer's in the window.
@@ -112,7 +120,7 @@
 	}
 	switch {
 	case !s.withdrawn && s.busy && now-s.busySince >= _withdrawAfter:
-		s.withdrawn = true
+		s.withdrawn, s.withdrawnAt = true, now
 	case s.withdrawn && now-s.calmSince >= _calm:
 		s.withdrawn = false
 	}
@@ -125,6 +133,25 @@
 	return s.withdrawn
 }
 
+// Backoff returns when a refused caller should return, and whether a new
+// connection reaches another router by now. While most are refused here and
+// new connections still come here, an early return would be refused again and
+// take the room of others. chance is uniform below 1.
+func (s *Shedder) Backoff(now time.Duration, chance float64) (retryAfter time.Duration, elsewhere bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	retryAfter = time.Duration((0.5 + chance) * float64(_soon))
+	switch {
+	case s.withdrawn:
+		turns := s.withdrawnAt + _balancerTurns
+		return retryAfter + max(turns-now, 0), now >= turns
+	case s.busy:
+		// What has lasted for a while may last as long again.
+		return retryAfter + now - s.busySince, false
+	}
+	return retryAfter, false
+}
+
 // Part returns the part of requests that is refused.
 func (s *Shedder) Part() float64 {
 	s.mu.Lock()
--- a/internal/qlshed/qlshed_test.go
+++ b/internal/qlshed/qlshed_test.go
@@ -157,3 +157,31 @@
 		t.Errorf("served in 10 s: got %d, want %d at least", got, least)
 	}
 }
+
+// TestBackoffSendsCallersWhereThereIsRoom follows an overload from its begin to
+// when the balancer has turned to other routers.
+func TestBackoffSendsCallersWhereThereIsRoom(t *testing.T) {
+	s := New()
+	sample := func(from, to time.Duration) {
+		for now := from; now < to; now += 50 * time.Millisecond {
+			s.Sample(now, time.Second)
+		}
+	}
+	const half = 0.5
+	if after, elsewhere := s.Backoff(0, half); after != _soon || elsewhere {
+		t.Errorf("without load: got %v, %v, want %v, false", after, elsewhere, _soon)
+	}
+	sample(0, _withdrawAfter)
+	busy := s.busySince
+	if after, elsewhere := s.Backoff(_withdrawAfter, half); after != _soon+_withdrawAfter-busy || elsewhere {
+		t.Errorf("before it withdraws: got %v, %v, want %v, false", after, elsewhere, _soon+_withdrawAfter-busy)
+	}
+	sample(_withdrawAfter, 2*time.Second)
+	at := s.withdrawnAt
+	if after, elsewhere := s.Backoff(at, half); after != _soon+_balancerTurns || elsewhere {
+		t.Errorf("as it withdraws: got %v, %v, want %v, false", after, elsewhere, _soon+_balancerTurns)
+	}
+	if after, elsewhere := s.Backoff(at+_balancerTurns, half); after != _soon || !elsewhere {
+		t.Errorf("when the balancer has turned: got %v, %v, want %v, true", after, elsewhere, _soon)
+	}
+}
