A late router blames neither its owner nor upstreams for its own lateness

Cause: after a hold-up timers end before what has come is read, and the lag that excuses a miss is that of the last moment.

While a router is late, and for a second after, its misses do not count against the owner, its timeouts not against upstreams, and its times not against services. Left: dial errors other than timeouts, and membership's suspicion, which other routers' words refute.

--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -182,6 +182,7 @@
 			return e.shedder.Backoff(e.clock(), rand.Float64())
 		},
 		Waited:     fleet.Lag,
+		Late:       fleet.Late,
 		Left:       e.callerLeft,
 		BodyMemory: int64(_bodyPart * float64(settings.Memory) * _megabyte),
 		Clock:      e.clock,
--- a/internal/qlfleet/qlfleet.go
+++ b/internal/qlfleet/qlfleet.go
@@ -77,6 +77,7 @@
 	sent     atomic.Int64
 	bytes    atomic.Int64
 	echo     echo
+	late     atomic.Bool
 	// waiters belongs to the control goroutine.
 	waiters map[uint64]chan qlplace.Verdict
 }
@@ -135,6 +136,12 @@
 	return f.echo.lag(f.config.Clock())
 }
 
+// Late reports whether this process handles its events late, or did a moment
+// ago.
+func (f *Fleet) Late() bool {
+	return f.late.Load()
+}
+
 // Traffic returns the datagrams and bytes sent.
 func (f *Fleet) Traffic() (packets, bytes int64) {
 	return f.sent.Load(), f.bytes.Load()
@@ -172,6 +179,7 @@
 				})
 			}
 			f.core.SetLag(lag)
+			f.late.Store(f.core.IsLate())
 			f.core.Tick(now)
 			f.config.Tick(now, lag)
 		case <-timer.C:
--- a/internal/qlforward/engine.go
+++ b/internal/qlforward/engine.go
@@ -182,7 +182,7 @@
 func (f *Forwarder) attempt(x *exchange, entry qlcatalog.Entry, run uint64) (result attemptResult, err error) {
 	outcome := qlengine.Failed
 	defer func() {
-		if x.callerGone() {
+		if x.callerGone() || f.isOwnTimeout(err) {
 			outcome = qlengine.Abandoned
 		}
 		f.config.Placement.End(run, outcome)
--- a/internal/qlforward/plain.go
+++ b/internal/qlforward/plain.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -183,7 +184,7 @@
 		if errors.Is(err, qlconn.ErrNotSent) {
 			outcome = qlbalance.Unreached
 		}
-		if errors.Is(err, qlconn.ErrTooMany) || x.callerGone() {
+		if errors.Is(err, qlconn.ErrTooMany) || x.callerGone() || f.isOwnTimeout(err) {
 			outcome = qlbalance.Left
 		}
 		return nil, err
@@ -214,10 +215,19 @@
 	balancer.End(now, id, outcome)
 	if got != nil && got.answer.HasLoad {
 		balancer.Report(now, id, got.answer.Running, got.answer.Waiting)
-		f.pacer(x.service.Name()).Answered(took, x.route.Goal(), got.answer.Waiting)
+		if !f.config.Late() {
+			f.pacer(x.service.Name()).Answered(took, x.route.Goal(), got.answer.Waiting)
+		}
 	}
 }
 
+// isOwnTimeout reports whether an upstream's silence may be this process's
+// own: timers end before what has come is read.
+func (f *Forwarder) isOwnTimeout(err error) bool {
+	var failure net.Error
+	return f.config.Late() && errors.As(err, &failure) && failure.Timeout()
+}
+
 // readWhole reads an answer; what is longer than _wholeAnswer is an error, as
 // is one without a signature that does not say that it was not run.
 func (f *Forwarder) readWhole(e *qlconn.Exchange, answer Answer) (*reply, error) {
--- a/internal/qlforward/qlforward.go
+++ b/internal/qlforward/qlforward.go
@@ -83,6 +83,9 @@
 	// Left reports whether a request's caller has closed its connection, as far
 	// as the request's context does not tell yet.
 	Left func(ctx context.Context) bool
+	// Late reports whether this process handles its events late: the times that
+	// it takes say nothing about upstreams then.
+	Late func() bool
 	// BodyMemory bounds the memory of all requests under way, in bytes.
 	BodyMemory int64
 	Clock      func() time.Duration
--- a/internal/qlforward/standin_test.go
+++ b/internal/qlforward/standin_test.go
@@ -175,6 +175,7 @@
 		Admit:      func(context.Context, string) bool { return true },
 		Backoff:    func() (time.Duration, bool) { return time.Second, false },
 		Waited:     func() time.Duration { return 0 },
+		Late:       func() bool { return false },
 		Left:       func(context.Context) bool { return false },
 		BodyMemory: 1 << 20,
 		Clock:      func() time.Duration { return 0 },
--- a/internal/qlowner/ask.go
+++ b/internal/qlowner/ask.go
@@ -131,9 +131,9 @@
 	}
 }
 
-// isLate reports whether this process handles its events late, or did when
+// IsLate reports whether this process handles its events late, or did when
 // what it tells now came.
-func (c *Core) isLate() bool {
+func (c *Core) IsLate() bool {
 	return c.now < c.lateUntil
 }
 
@@ -149,14 +149,21 @@
 		}
 		delete(c.questions, id)
 		c.stats.Missed++
-		d := c.distrusted[q.owner]
-		d.misses++
-		d.until = now + _missPause
-		c.distrusted[q.owner] = d
+		if !c.IsLate() {
+			c.distrust(now, q.owner)
+		}
 		c.decide(now, q.request, q.second)
 	}
 }
 
+// distrust counts an answer that its router missed.
+func (c *Core) distrust(now time.Duration, router string) {
+	d := c.distrusted[router]
+	d.misses++
+	d.until = now + _missPause
+	c.distrusted[router] = d
+}
+
 // NextExpiry returns when Expire has to be called next.
 func (c *Core) NextExpiry() (at time.Duration, ok bool) {
 	for _, q := range c.questions {
--- a/internal/qlowner/late_test.go
+++ b/internal/qlowner/late_test.go
@@ -105,3 +105,29 @@
 		t.Errorf("margin: got %.2f, want %.2f at most, as it began", state.Margin, most)
 	}
 }
+
+// TestLateRouterKeepsItsOwner has a router read its owner's answers 0.4 s late.
+func TestLateRouterKeepsItsOwner(t *testing.T) {
+	n := newNetwork(t, 3)
+	owner := n.owner()
+	asker := (owner + 1) % 3
+	const lag = 400 * time.Millisecond
+	for request := range uint64(10) {
+		n.ask(asker, 2*request)
+		n.ask(asker, 2*request+1)
+		// It is held up, and its timers run before it reads what has come.
+		n.cores[asker].SetLag(lag)
+		n.cores[asker].SetLag(time.Millisecond)
+		n.cores[asker].Expire(n.now + lag)
+		n.ask(asker, 1000+request)
+		n.run(_testGap)
+	}
+	if got, want := n.cores[asker].Owners()[_ownerKey], n.ids[owner]; got != want {
+		t.Errorf("owner that the late router asks: got %s, want %s", got, want)
+	}
+	for request := range uint64(10) {
+		if got, want := n.verdicts[n.ids[asker]][1000+request].Decider, n.ids[owner]; got != want {
+			t.Errorf("request after a hold-up: got decided by %s, want %s", got, want)
+		}
+	}
+}
--- a/internal/qlowner/packet.go
+++ b/internal/qlowner/packet.go
@@ -30,7 +30,7 @@
 	return &qlfleetwire.Packet{
 		From:        c.config.Self,
 		Incarnation: c.config.Incarnation,
-		Late:        c.isLate(),
+		Late:        c.IsLate(),
 	}
 }
 
--- a/internal/qlowner/qlowner.go
+++ b/internal/qlowner/qlowner.go
@@ -294,7 +294,7 @@
 // Tick does what time demands.
 func (c *Core) Tick(now time.Duration) {
 	c.now = now
-	if c.isLate() {
+	if c.IsLate() {
 		c.placer.NoteAllLate(now)
 	}
 	c.placer.PresumeFirst(now)
--- a/internal/qlplace/load_test.go
+++ b/internal/qlplace/load_test.go
@@ -193,3 +193,24 @@
 		t.Errorf("part of its requests served: got %.2f, want 0.9 at least", got)
 	}
 }
+
+// TestCustomersAboveTheirShareGetTheSame plays three that ask for very
+// different multiples of their share, with as many engines as the stated
+// throughput needs and with a third of them.
+func TestCustomersAboveTheirShareGetTheSame(t *testing.T) {
+	for _, engines := range []int{6, 2} {
+		s := newSim(engines, 400_000)
+		for _, customer := range []string{"a", "b", "c", "d"} {
+			s.arrive(customer, 10, 0, 16*time.Second)
+		}
+		s.arrive("most", 500, 2*time.Second, 16*time.Second)
+		s.arrive("much", 150, 2*time.Second, 16*time.Second)
+		s.arrive("more", 75, 2*time.Second, 16*time.Second)
+		s.run()
+		for _, customer := range []string{"much", "more"} {
+			if got := s.granted[customer] / s.granted["most"]; got < 0.7 {
+				t.Errorf("%d engines, %s against most: got %.2f, want 0.7 at least", engines, customer, got)
+			}
+		}
+	}
+}
