--- a/internal/qledge/load.go
+++ b/internal/qledge/load.go
@@ -1,9 +1,12 @@
 package qledge
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/quetzallane/quetzallane/internal/qlplace"
+	"github.com/quetzallane/quetzallane/internal/qlshare"
 	"go.uber.org/zap"
 )
 
@@ -11,6 +14,9 @@
 	// _loggedCustomers is of how many customers an overloaded router logs what
 	// it refused.
 	_loggedCustomers = 3
+	// _loggedShares is of how many customers, those that ask for most, the owner
+	// logs the share: as many lines as the logger writes of an event in a second.
+	_loggedShares = 40
 	// _loggedRouters is of how many routers the owner logs late first events.
 	_loggedRouters = 5
 )
@@ -53,12 +59,12 @@
 	e.logged.decided = stats.ForOthers
 	placer := e.fleet.Core().Placer()
 	for group, shares := range placer.Shares() {
-		for _, customer := range shares.State() {
-			if customer.Asked > shares.Level() {
-				e.log.Info("share-state", zap.Int("group", group), zap.String("customer", customer.Customer),
-					zap.Float64("asked", customer.Asked), zap.Float64("granted", customer.Granted), zap.Float64("level", shares.Level()),
-					zap.Float64("ratio", customer.Ratio), zap.Float64("least-ratio", shares.Least()))
-			}
+		customers := shares.State()
+		slices.SortStableFunc(customers, func(a, b qlshare.CustomerState) int { return cmp.Compare(b.Asked, a.Asked) })
+		for _, customer := range customers[:min(_loggedShares, len(customers))] {
+			e.log.Info("share-state", zap.Int("group", group), zap.String("customer", customer.Customer),
+				zap.Float64("asked", customer.Asked), zap.Float64("granted", customer.Granted), zap.Float64("level", shares.Level()),
+				zap.Float64("ratio", customer.Ratio), zap.Float64("least-ratio", shares.Least()))
 		}
 	}
 	for _, pool := range placer.State(now) {
