A reply without a list does not empty the list of upstreams

Cause: a router that restarts while the store tells nothing (its history was dropped) has the list and an older configuration. It fetches from a router that has a newer configuration and the same list, which therefore sends none; the store being silent, the reply is not complete, but settled, and its empty list was taken for the whole one.

What is sent without a newer list now leaves the list alone. The test failed before: state "1" instead of "1 u1".

--- a/internal/qledge/reader_test.go
+++ b/internal/qledge/reader_test.go
@@ -263,3 +263,21 @@
 		t.Errorf("whole reads: got %d, want %d at most", got, most)
 	}
 }
+
+// TestReplyWithoutAListEmptiesNone has a router that knows a newer configuration
+// and the same list answer a fetch while the store tells it nothing.
+func TestReplyWithoutAListEmptiesNone(t *testing.T) {
+	r := start(t, "r1", newFakeStore(), nil)
+	r.await(t, "1 u1")
+	r.edge.fleet.Call(func(now time.Duration) {
+		request := r.edge.lacking()
+		r.edge.takeReply(now, "r2", request, &qlfleetwire.FetchReply{
+			ListRevision: request.GetListRevision(),
+			Settled:      true,
+		})
+	})
+	r.await(t, "1 u1")
+	if got, want := r.state(), "1 u1"; got != want {
+		t.Errorf("documents in force: got %q, want %q", got, want)
+	}
+}
--- a/internal/qledge/update.go
+++ b/internal/qledge/update.go
@@ -154,13 +154,8 @@
 }
 
 func (e *Edge) fetchFrom(address string) {
-	request := &qlfleetwire.FetchRequest{}
-	e.fleet.Call(func(time.Duration) {
-		request.ConfigurationRevision, _ = e.revisions()
-		if e.catalog.Known() {
-			request.ListRevision = e.catalog.Revision()
-		}
-	})
+	var request *qlfleetwire.FetchRequest
+	e.fleet.Call(func(time.Duration) { request = e.lacking() })
 	reply, err := e.fleet.Fetch(context.Background(), address, request)
 	if err != nil {
 		e.log.Info("fetch-failed", zap.String("from", address), zap.Error(err))
@@ -170,25 +165,40 @@
 		})
 		return
 	}
-	e.fleet.Post(func(now time.Duration) { e.takeReply(now, address, reply) })
+	e.fleet.Post(func(now time.Duration) { e.takeReply(now, address, request, reply) })
+}
+
+// lacking asks for all beyond the documents in force.
+func (e *Edge) lacking() *qlfleetwire.FetchRequest {
+	request := &qlfleetwire.FetchRequest{}
+	request.ConfigurationRevision, _ = e.revisions()
+	if e.catalog.Known() {
+		request.ListRevision = e.catalog.Revision()
+	}
+	return request
 }
 
 // takeReply takes what another router sent. A reply that is complete stands
 // for the store's: what its list lacks is gone.
-func (e *Edge) takeReply(now time.Duration, from string, reply *qlfleetwire.FetchReply) {
+func (e *Edge) takeReply(now time.Duration, from string, request *qlfleetwire.FetchRequest, reply *qlfleetwire.FetchReply) {
 	if len(reply.GetConfiguration()) > 0 {
 		e.adoptConfiguration(reply.GetConfiguration(), from)
 	}
 	items := decodeItems(reply.GetItems())
+	// A router that has no newer list sends none.
+	listed := reply.GetListRevision() > request.GetListRevision()
 	if reply.GetComplete() == 0 {
-		e.catalog.Merge(e.decodeUpstreams(items), reply.GetListRevision(), reply.GetSettled())
-		e.refresh(now)
+		if listed {
+			e.catalog.Merge(e.decodeUpstreams(items), reply.GetListRevision(), reply.GetSettled())
+			e.refresh(now)
+		}
 		return
 	}
 	e.heard(now, reply.GetAgeMs(), reply.GetSettled())
-	if reply.GetPartial() {
+	switch {
+	case reply.GetPartial():
 		e.apply(now, items, from)
-	} else if len(items) > 0 {
+	case listed:
 		e.catalog.Replace(now, e.decodeUpstreams(items), reply.GetComplete())
 	}
 	e.catalog.Advance(reply.GetComplete())
