Customers above their share divide among them what the others leave

Cause: such a customer was held back by its lead over the least served, counted as 1 at least. One small customer short of its share made that 1, so all above theirs were held back alike, by 2 to 4, whatever they had against each other, and engines idled.

The lead is now over what an even division of all that was granted would have given: who has less than that is hardly held back, who has more gives way at once. Limits for those above their share are stricter, so that the others lose nothing.

--- a/internal/qledge/load.go
+++ b/internal/qledge/load.go
@@ -64,7 +64,7 @@
 		for _, customer := range customers[:min(_loggedShares, len(customers))] {
 			e.log.Info("share-state", zap.Int("group", group), zap.String("customer", customer.Customer),
 				zap.Float64("asked", customer.Asked), zap.Float64("granted", customer.Granted), zap.Float64("level", shares.Level()),
-				zap.Float64("ratio", customer.Ratio), zap.Float64("least-ratio", shares.Least()))
+				zap.Float64("ratio", customer.Ratio), zap.Float64("reached", shares.Reached()))
 		}
 	}
 	for _, pool := range placer.State(now) {
--- a/internal/qlplace/admit.go
+++ b/internal/qlplace/admit.go
@@ -32,11 +32,8 @@
 	}
 	shares := p.shares[pool.group]
 	if ratio := shares.Ratio(now, request.Customer); ratio > 1 {
-		lead := 1.0
-		if least := shares.Least(); least > 0 {
-			lead = max(ratio/least, 1)
-		}
-		t.load = min(max(2*_overLoad-pool.meanLoad, _leastOverLoad), 1) / lead
+		lead := shares.Lead(request.Customer)
+		t.load = min(max(2*_overLoad-pool.meanLoad, _leastOverLoad), 1) / math.Pow(lead, _loadPower)
 		t.factor, t.reason = overFactor(lead), OverShare
 	}
 	return t
@@ -150,8 +147,8 @@
 	return o.engine.hash.Beats(affinity, other.engine.hash)
 }
 
-// overFactor scales the wait allowed to a customer above its share, by how far
-// it is above the least served of those that want more than theirs.
+// overFactor scales the wait allowed to a customer above its share, by its lead
+// over an even division of what was granted.
 func overFactor(lead float64) float64 {
 	return max(_overFactor/math.Pow(lead, _overPower), _leastFactor)
 }
--- a/internal/qlplace/load_test.go
+++ b/internal/qlplace/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"maps"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -214,3 +215,34 @@
 		}
 	}
 }
+
+// TestCustomersAboveTheirShareShareWhatIsLeft has one come while others are far
+// above theirs: they get the same, use the engines, and leave the rest alone.
+func TestCustomersAboveTheirShareShareWhatIsLeft(t *testing.T) {
+	const engines = 9
+	const span = 16 * time.Second
+	s := newSim(engines, 400_000)
+	for _, customer := range []string{"a", "b", "c", "d"} {
+		s.arrive(customer, 20, 0, span)
+	}
+	s.arrive("most", 600, 2*time.Second, span)
+	s.arrive("much", 200, 2*time.Second, span)
+	s.arrive("new", 120, 8*time.Second, span)
+	before, after := map[string]float64{}, map[string]float64{}
+	s.at(8*time.Second, func(time.Duration) { maps.Copy(before, s.granted) })
+	s.at(12*time.Second, func(time.Duration) { maps.Copy(after, s.granted) })
+	s.run()
+	for _, customer := range []string{"much", "new"} {
+		if got := (after[customer] - before[customer]) / (after["most"] - before["most"]); got < 0.9 {
+			t.Errorf("%s against most from 8 to 12 s: got %.2f, want 0.9 at least", customer, got)
+		}
+	}
+	for _, customer := range []string{"a", "b", "c", "d"} {
+		if got := s.granted[customer] / s.asked[customer]; got < 0.95 {
+			t.Errorf("part of %s's requests served: got %.2f, want 0.95 at least", customer, got)
+		}
+	}
+	if got := float64(s.read) / (engines * _simRate * span.Seconds()); got < 0.8 {
+		t.Errorf("part of the time that engines read: got %.2f, want 0.8 at least", got)
+	}
+}
--- a/internal/qlplace/qlplace.go
+++ b/internal/qlplace/qlplace.go
@@ -46,17 +46,18 @@
 	_marginStep   = 0.02
 	_marginMemory = 10 * time.Second
 	// _overFactor scales the wait that is allowed to customers above their
-	// fair share. It falls by _overPower of how far they are above the others
-	// that want more than theirs, to _leastFactor.
-	_overFactor  = 0.8
-	_overPower   = 1.5
+	// fair share. It falls by _overPower of their lead over an even division of
+	// what was granted, to _leastFactor.
+	_overFactor  = 0.6
+	_overPower   = 4
 	_leastFactor = 0.1
 	// _overLoad is up to which load engines are used for them: beyond it the
 	// streams that run become too slow for their callers. While the engines'
 	// mean is below it, single engines may be above it by as much, and the
-	// other way round, down to _leastOverLoad.
-	_overLoad      = 0.6
-	_leastOverLoad = 0.4
+	// other way round, down to _leastOverLoad. A lead lowers it by _loadPower.
+	_overLoad      = 0.5
+	_leastOverLoad = 0.35
+	_loadPower     = 2
 	// _meanLoadFor is how long a computed mean is used.
 	_meanLoadFor = 10 * time.Millisecond
 	// _faultPrice is what a rate of failures of 1 weighs against the
--- a/internal/qlshare/qlshare.go
+++ b/internal/qlshare/qlshare.go
@@ -20,9 +20,6 @@
 
 const (
 	_buckets = 16
-	// _wantsMore is the part of its requests up to which a customer counts as
-	// wanting more.
-	_wantsMore = 0.9
 )
 
 // Config configures a Window.
@@ -44,7 +41,7 @@
 	customers map[string]*usage
 	current   int64
 	level     float64
-	least     float64
+	reached   float64
 	levelAt   int64
 }
 
@@ -114,7 +111,7 @@
 	if w.levelAt != w.current {
 		w.level = w.computeLevel()
 		w.levelAt = w.current
-		w.least = w.computeLeast()
+		w.reached = w.computeReached()
 	}
 	u := w.customers[customer]
 	if u == nil {
@@ -131,24 +128,28 @@
 	return sum(&u.granted) / due
 }
 
-// Least returns the least ratio of the customers that ask for clearly more
-// than they get, 1 at least; 0 when there is none.
-func (w *Window) Least() float64 {
-	return w.least
+// Lead returns what the customer was granted against the even part of what all
+// were granted, 1 at least.
+func (w *Window) Lead(customer string) float64 {
+	u := w.customers[customer]
+	if u == nil || w.reached <= 0 {
+		return 1
+	}
+	return max(sum(&u.granted)/w.reached, 1)
+}
+
+// Reached returns the most that a customer would have been granted, had what
+// was granted been divided by max-min.
+func (w *Window) Reached() float64 {
+	return w.reached
 }
 
-func (w *Window) computeLeast() float64 {
-	least := 0.0
+func (w *Window) computeReached() float64 {
+	granted := 0.0
 	for _, u := range w.customers {
-		if sum(&u.granted) > _wantsMore*sum(&u.asked) {
-			continue
-		}
-		ratio := max(w.ratio(u), 1)
-		if least == 0 || ratio < least {
-			least = ratio
-		}
+		granted += sum(&u.granted)
 	}
-	return least
+	return w.divide(granted)
 }
 
 // Level returns the most that a customer is due in the window.
@@ -159,15 +160,16 @@
 // computeLevel divides what can be granted by max-min fairness: who asks for
 // less than the level gets all of it, the others get the level.
 func (w *Window) computeLevel() float64 {
+	if w.config.Capacity == 0 {
+		return w.computeReached()
+	}
+	return w.divide(w.config.Capacity * w.config.Span.Seconds())
+}
+
+func (w *Window) divide(capacity float64) float64 {
 	asked := make([]float64, 0, len(w.customers))
-	granted := 0.0
 	for _, u := range w.customers {
 		asked = append(asked, sum(&u.asked))
-		granted += sum(&u.granted)
-	}
-	capacity := w.config.Capacity * w.config.Span.Seconds()
-	if capacity == 0 {
-		capacity = granted
 	}
 	sort.Float64s(asked)
 	for i, demand := range asked {
--- a/internal/qlshare/qlshare_test.go
+++ b/internal/qlshare/qlshare_test.go
@@ -33,7 +33,7 @@
 	}
 }
 
-func TestRatioAndLeast(t *testing.T) {
+func TestRatioAndLead(t *testing.T) {
 	w := New(Config{
 		Span:     time.Second,
 		Capacity: 100,
@@ -51,14 +51,17 @@
 			t.Errorf("ratio of %s: got %v, want %v", customer, got, want)
 		}
 	}
-	if got, want := w.Least(), 2.0; got != want {
-		t.Errorf("least ratio of those that want more: got %v, want %v", got, want)
+	// 235 were granted: small asked for 10, the others might have had 112.5 each.
+	for customer, want := range map[string]float64{"small": 1, "large": 1, "huge": 1.2, "new": 1} {
+		if got := w.Lead(customer); math.Abs(got-want) > 1e-9 {
+			t.Errorf("lead of %s: got %v, want %v", customer, got, want)
+		}
 	}
 }
 
-// TestLeastCountsWhoIsShort plays the fault by which a customer that was just
-// below its share did not hold back one that had many times its own.
-func TestLeastCountsWhoIsShort(t *testing.T) {
+// TestWhoIsShortHoldsBackTheLargest plays the fault by which a customer that was
+// just below its share did not hold back one that had many times its own.
+func TestWhoIsShortHoldsBackTheLargest(t *testing.T) {
 	w := New(Config{
 		Span:     time.Second,
 		Capacity: 100,
@@ -67,9 +70,13 @@
 	w.Granted(0, "short", 49)
 	w.Asked(0, "huge", 3000)
 	w.Granted(0, "huge", 400)
+	// 449 were granted, 200 of which the short one asked for.
 	w.Ratio(0, "huge")
-	if got, want := w.Least(), 1.0; got != want {
-		t.Errorf("least: got %v, want %v", got, want)
+	if got, want := w.Lead("huge"), 400.0/249; math.Abs(got-want) > 1e-9 {
+		t.Errorf("lead of the largest: got %v, want %v", got, want)
+	}
+	if got, want := w.Lead("short"), 1.0; got != want {
+		t.Errorf("lead of the one that is short: got %v, want %v", got, want)
 	}
 }
 
