--- a/internal/qlconn/qlconn.go
+++ b/internal/qlconn/qlconn.go
@@ -248,7 +248,7 @@
 	}
 	if request.Abandoned != nil && request.Abandoned() {
 		p.put(c)
-		return nil, errors.WithType(errors.New("the caller left"), ErrNotSent)
+		return nil, errors.WithType(errors.New("abandoned before it was sent"), ErrNotSent)
 	}
 	exchange := &Exchange{
 		pool: p,
--- a/internal/qlplace/late.go
+++ b/internal/qlplace/late.go
@@ -13,12 +13,12 @@
 
 // NoteLate takes that a router handles its events late.
 func (p *Placer) NoteLate(now time.Duration, router string) {
-	p.lateUntil[router] = now + _lateFor
+	p.lateUntil[router] = now + _lateWordFor
 }
 
 // NoteAllLate takes that this router handles late what the others tell.
 func (p *Placer) NoteAllLate(now time.Duration) {
-	p.allLateUntil = now + _lateFor
+	p.allLateUntil = now + _lateWordFor
 }
 
 func (p *Placer) isLate(now time.Duration, router string) bool {
--- a/internal/qlplace/qlplace.go
+++ b/internal/qlplace/qlplace.go
@@ -81,9 +81,9 @@
 	_usualWeight = 0.01
 	// _runAge is when a run whose end was never told is forgotten.
 	_runAge = 30 * time.Second
-	// _lateFor is how long a router is taken for late after it said so: what it
-	// tells next was held up, too.
-	_lateFor = time.Second
+	// _lateWordFor is how long a router's word that it is late holds, unless it
+	// repeats it: its packets may be lost.
+	_lateWordFor = time.Second
 	// _shareSpan is the window of fair shares, as the users' sheets state it.
 	_shareSpan = 4 * time.Second
 	// _outputWeight is the cost of a generated token against a read one, as the
--- a/internal/qlshare/qlshare.go
+++ b/internal/qlshare/qlshare.go
@@ -11,6 +11,7 @@
 //	window.Asked(now, customer, cost)
 //	window.Granted(now, customer, cost)
 //	ratio := window.Ratio(now, customer) // above 1: more than its share
+//	lead := window.Lead(customer)        // above 1: more than the others beyond theirs
 package qlshare
 
 import (
