A request that the intake has read keeps its connection open

Since the intake, bytes may have been read while the server has not seen a request yet, longest while a refused body is drained. Connections now tell that; the test failed before.

--- a/internal/qledge/connection.go
+++ b/internal/qledge/connection.go
@@ -94,17 +94,24 @@
 	}
 	c.mu.Unlock()
 	for _, conn := range idle {
-		if qlconn.Unread(conn) {
+		if holdsRequest(conn) {
 			return true
 		}
 	}
 	return false
 }
 
+// holdsRequest reports whether a connection that looks idle has a request that
+// its server has not seen yet.
+func holdsRequest(conn net.Conn) bool {
+	taken, ok := conn.(*qlintake.Conn)
+	return ok && taken.Busy() || qlconn.Unread(conn)
+}
+
 // changed follows the states of the server's connections.
 func (c *callerConnections) changed(conn net.Conn, state http.ConnState) {
 	// One that holds a request is not idle: the server is late to read it.
-	if victim := c.follow(conn, state); victim != nil && !qlconn.Unread(victim) {
+	if victim := c.follow(conn, state); victim != nil && !holdsRequest(victim) {
 		// The server notices and reports the connection closed.
 		_ = victim.Close()
 	}
--- a/internal/qledge/connection_test.go
+++ b/internal/qledge/connection_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/quetzallane/quetzallane/internal/qlconn"
 	"github.com/quetzallane/quetzallane/internal/qlforward"
 	"github.com/quetzallane/quetzallane/internal/qlintake"
 	"github.com/quetzallane/quetzallane/internal/qlshed"
@@ -174,3 +175,39 @@
 		t.Errorf("counts: got %d open, %d closed and %d rejected, want 6, 1 and 0", open, closed, rejected)
 	}
 }
+
+// TestRequestBeingRefusedKeepsItsConnection has the intake hold a request whose
+// body has not come: to the server its connection is idle.
+func TestRequestBeingRefusedKeepsItsConnection(t *testing.T) {
+	caller, accepted := tcpPair(t)
+	intake := qlintake.New(qlintake.Config{
+		Overloaded:  func() bool { return true },
+		Refuse:      func(qlintake.Head) ([]byte, bool) { return qlforward.RawRefusal(), false },
+		IdleTimeout: func() time.Duration { return time.Minute },
+	})
+	conn := intake.Wrap(accepted)
+	c := newCallerConnections(100, 1000)
+	c.follow(conn, http.StateNew)
+	c.follow(conn, http.StateIdle)
+	go func() { _, _ = conn.Read(make([]byte, 100)) }()
+	if _, err := caller.Write([]byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nb")); err != nil {
+		t.Fatal(err)
+	}
+	taken, _ := conn.(*qlintake.Conn)
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end) && (!taken.Busy() || qlconn.Unread(conn)); time.Sleep(time.Millisecond) {
+	}
+	if !c.anyUnread() {
+		t.Error("a request that is being refused does not keep its connection")
+	}
+	if _, err := caller.Write([]byte("ody")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := caller.Read(make([]byte, 10)); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end) && c.anyUnread(); time.Sleep(time.Millisecond) {
+	}
+	if c.anyUnread() {
+		t.Error("a connection whose request was refused is not idle")
+	}
+}
--- a/internal/qlintake/qlintake.go
+++ b/internal/qlintake/qlintake.go
@@ -23,6 +23,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -101,6 +102,8 @@
 	asked bool
 	// begun is set when the server has the first of the unread bytes.
 	begun bool
+	// busy is set while a request that was read is being refused or passed on.
+	busy atomic.Bool
 	// blind is set once requests cannot be told apart.
 	blind bool
 }
@@ -110,6 +113,13 @@
 	return c.asked
 }
 
+// Busy reports whether a request was read that is neither refused nor seen by
+// the server yet, for which the connection still looks idle. It may be asked by
+// any goroutine.
+func (c *Conn) Busy() bool {
+	return c.busy.Load()
+}
+
 // Read passes on what the server is to serve.
 func (c *Conn) Read(p []byte) (int, error) {
 	if len(p) == 0 {
@@ -165,6 +175,7 @@
 // next waits for a request that is to be served and refuses those before it.
 func (c *Conn) next() error {
 	for {
+		c.busy.Store(len(c.unread) > 0)
 		if len(c.unread) == 0 {
 			if err := c.fill(); err != nil {
 				return err
@@ -225,6 +236,7 @@
 			}
 		}
 		if readErr == nil && n > 0 {
+			c.busy.Store(true)
 			c.buffer, c.unread = buffer, (*buffer)[:n]
 			return true
 		}
