--- a/internal/qledge/connection_test.go
+++ b/internal/qledge/connection_test.go
@@ -176,6 +176,13 @@
 	}
 }
 
+// awaitTrue waits for a condition, two seconds at most.
+func awaitTrue(condition func() bool) {
+	for end := time.Now().Add(2 * time.Second); !condition() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // TestRequestBeingRefusedKeepsItsConnection has the intake hold a request whose
 // body has not come: to the server its connection is idle.
 func TestRequestBeingRefusedKeepsItsConnection(t *testing.T) {
@@ -194,8 +201,7 @@
 		t.Fatal(err)
 	}
 	taken, _ := conn.(*qlintake.Conn)
-	for end := time.Now().Add(2 * time.Second); time.Now().Before(end) && (!taken.Busy() || qlconn.Unread(conn)); time.Sleep(time.Millisecond) {
-	}
+	awaitTrue(func() bool { return taken.Busy() && !qlconn.Unread(conn) })
 	if !c.anyUnread() {
 		t.Error("a request that is being refused does not keep its connection")
 	}
@@ -205,8 +211,7 @@
 	if _, err := caller.Read(make([]byte, 10)); err != nil {
 		t.Fatal(err)
 	}
-	for end := time.Now().Add(2 * time.Second); time.Now().Before(end) && c.anyUnread(); time.Sleep(time.Millisecond) {
-	}
+	awaitTrue(func() bool { return !c.anyUnread() })
 	if c.anyUnread() {
 		t.Error("a connection whose request was refused is not idle")
 	}
