Connections whose requests cannot be told apart are not taken for busy; a test waits for what it needs

Found on the way: a connection that the intake leaves to the server counted as busy for good, so a stop would have waited its most for it.

--- a/internal/qlintake/qlintake.go
+++ b/internal/qlintake/qlintake.go
@@ -127,6 +127,7 @@
 	}
 	switch {
 	case c.blind:
+		c.busy.Store(false)
 		return c.pass(p)
 	case c.left > 0:
 		n, err := c.pass(p[:min(len(p), c.left)])
--- a/internal/qlintake/qlintake_test.go
+++ b/internal/qlintake/qlintake_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/quetzallane/quetzallane/internal/qlconn"
 )
 
 const _refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\n\r\nno"
@@ -18,6 +20,8 @@
 type listener struct {
 	net.Listener
 	intake *Intake
+	// accepted tells of each connection.
+	accepted chan net.Conn
 }
 
 func (l *listener) Accept() (net.Conn, error) {
@@ -25,15 +29,16 @@
 	if err != nil {
 		return nil, err
 	}
+	l.accepted <- conn
 	return l.intake.Wrap(conn), nil
 }
 
 // serve runs a server that echoes bodies behind an intake that refuses requests
-// with a field Refuse, and returns a connection to it. The channel tells when
-// the server is done with a request.
-func serve(t *testing.T, closes bool) (net.Conn, <-chan struct{}) {
+// with a field Refuse, and returns a caller of it.
+func serve(t *testing.T, closes bool) *caller {
 	t.Helper()
 	done := make(chan struct{}, 16)
+	accepted := make(chan net.Conn, 1)
 	inner, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -59,6 +64,7 @@
 	go func() {
 		_ = server.Serve(&listener{
 			Listener: inner,
+			accepted: accepted,
 			intake: New(Config{
 				Overloaded: func() bool { return true },
 				Refuse: func(head Head) ([]byte, bool) {
@@ -80,7 +86,13 @@
 	if err := conn.SetDeadline(time.Now().Add(5 * time.Second)); err != nil {
 		t.Fatal(err)
 	}
-	return conn, done
+	return &caller{
+		t:      t,
+		conn:   conn,
+		reader: bufio.NewReader(conn),
+		server: <-accepted,
+		done:   done,
+	}
 }
 
 func post(path, fields string, body int) string {
@@ -92,23 +104,17 @@
 	t      *testing.T
 	conn   net.Conn
 	reader *bufio.Reader
+	// server is the other end, and done tells when it is done with a request.
+	server net.Conn
+	done   <-chan struct{}
 }
 
-func newCaller(t *testing.T, conn net.Conn) *caller {
-	t.Helper()
-	return &caller{
-		t:      t,
-		conn:   conn,
-		reader: bufio.NewReader(conn),
-	}
-}
-
-// send writes the pieces, a moment apart.
+// send writes the pieces, each once the one before was read.
 func (c *caller) send(pieces ...string) {
 	c.t.Helper()
 	for i, piece := range pieces {
-		if i > 0 {
-			time.Sleep(5 * time.Millisecond)
+		for end := time.Now().Add(2 * time.Second); i > 0 && qlconn.Unread(c.server) && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
 		}
 		if _, err := io.WriteString(c.conn, piece); err != nil {
 			c.t.Fatal(err)
@@ -147,14 +153,13 @@
 		{name: "a head in pieces", requests: [][]string{{refused[:20], refused[20:]}, {refused}}, want: []string{"/r 9200", "/r 9200"}},
 		{name: "chunked", requests: [][]string{{chunked}, {post("/a", "", 5)}}, want: []string{"/c 3", "/a 5"}},
 	} {
-		conn, done := serve(t, false)
-		caller := newCaller(t, conn)
+		caller := serve(t, false)
 		var got []string
 		for _, pieces := range c.requests {
 			caller.send(pieces...)
 			got = append(got, caller.answer())
 			if got[len(got)-1] != "no" {
-				<-done
+				<-caller.done
 			}
 		}
 		if strings.Join(got, ",") != strings.Join(c.want, ",") {
@@ -164,8 +169,7 @@
 }
 
 func TestRequestsSentAheadAreAllServed(t *testing.T) {
-	conn, _ := serve(t, false)
-	caller := newCaller(t, conn)
+	caller := serve(t, false)
 	caller.send(post("/a", "", 5) + post("/b", "", 7) + post("/c", "", 9200) + post("/d", "", 0))
 	for _, want := range []string{"/a 5", "/b 7", "/c 9200", "/d 0"} {
 		if got := caller.answer(); got != want {
@@ -175,29 +179,26 @@
 }
 
 func TestRefusalMayCloseTheConnection(t *testing.T) {
-	conn, _ := serve(t, true)
-	caller := newCaller(t, conn)
+	caller := serve(t, true)
 	caller.send(post("/r", "Refuse: 1\r\n", 100))
 	if got, want := caller.answer(), "no"; got != want {
 		t.Errorf("answer: got %q, want %q", got, want)
 	}
-	if _, err := conn.Read(make([]byte, 1)); err != io.EOF {
+	if _, err := caller.conn.Read(make([]byte, 1)); err != io.EOF {
 		t.Errorf("after the refusal: got %v, want %v", err, io.EOF)
 	}
 }
 
 func TestServerSeesItsCallerLeaveBehindAnIntake(t *testing.T) {
-	conn, _ := serve(t, false)
-	if _, err := io.WriteString(conn, post("/h", "Hold: 1\r\n", 9200)); err != nil {
-		t.Fatal(err)
-	}
+	caller := serve(t, false)
+	caller.send(post("/h", "Hold: 1\r\n", 9200))
 	time.Sleep(20 * time.Millisecond)
-	tcp, _ := conn.(*net.TCPConn)
+	tcp, _ := caller.conn.(*net.TCPConn)
 	if err := tcp.CloseWrite(); err != nil {
 		t.Fatal(err)
 	}
 	// The handler returns when its context ends, and the server then closes.
-	if _, err := io.ReadAll(conn); err != nil {
+	if _, err := io.ReadAll(caller.conn); err != nil {
 		t.Errorf("the server did not notice: %v", err)
 	}
 }
