Membership: a large fleet knows itself within 2 s of any start

Cause: three faults, shown by a fake network of 67, 195 and 301 routers. (1) A router ignores probes of routers that it doesn't know, and discovery by lists of 40 random routers took many rounds; so routers that were known early were suspected and declared dead while starting (195 started together: 140 to 163 live in the worst view for 5 s and more). (2) Introductions lacked incarnations: routers that knew different ones ignored each other's suspicions, so the loss of 107 of 195 was known only after some 10 s. (3) One probe in 300 ms and 6 updates on each found and spread a mass loss slowly, and a restart was only noticed by a probe. Change: probes to a router that has not sent any carry this router's record; introductions carry hashes of what the sender knows, so that replies name only what it lacks, and a reply that names new routers is followed by the next introduction after 0.1 s; records carry incarnations, and a packet of a later incarnation revives its sender; failed probes are followed by up to 8 at once; up to 100 updates a message when many are pending. Probes that this process evaluates late, or that were sent before their target was started again, say nothing. Unknown member states are ignored.

--- a/internal/qlmember/gossip.go
+++ b/internal/qlmember/gossip.go
@@ -84,9 +84,14 @@
 		}
 		return ids[i] < ids[j]
 	})
-	for _, id := range ids[:min(len(ids), _maxUpdatesPerProbe)] {
+	count := min(max(len(ids)/2, _updatesPerProbe), _maxUpdatesPerProbe)
+	for _, id := range ids[:min(len(ids), count)] {
 		pending := m.gossip[id]
 		digest.Updates = append(digest.Updates, pending.update)
+		if peer := m.members[to]; peer != nil && peer.state != Alive {
+			// The update probably reaches nobody.
+			continue
+		}
 		if pending.sendsLeft--; pending.sendsLeft <= 0 {
 			delete(m.gossip, id)
 		}
@@ -122,7 +127,8 @@
 		return
 	}
 	peer := m.members[id]
-	if peer == nil || incarnation < peer.incarnation {
+	if peer == nil || incarnation < peer.incarnation || state < Alive || state > Dead {
+		// A state that is unknown here, as from a later version, is ignored.
 		return
 	}
 	if incarnation == peer.incarnation && state <= peer.state {
--- a/internal/qlmember/qlmember.go
+++ b/internal/qlmember/qlmember.go
@@ -63,11 +63,20 @@
 	// DefaultSuspicionTimeout is how long a member is suspected before it is
 	// declared dead.
 	DefaultSuspicionTimeout = 2 * time.Second
+	// _maxParallelProbes bounds the probes of one interval.
+	_maxParallelProbes = 8
+	// _lateFactor times the probe interval is the age from which on a probe is
+	// evaluated late: this process was delayed.
+	_lateFactor = 2
 	// _indirectProbeCount is how many routers are asked to probe one that has
 	// not answered.
 	_indirectProbeCount = 2
-	// _maxUpdatesPerProbe bounds the gossip updates on one probe or answer.
-	_maxUpdatesPerProbe = 6
+	// _updatesPerProbe is the number of gossip updates on one probe or answer. When
+	// many members change at once, half of the pending updates are sent, up to
+	// _maxUpdatesPerProbe: with few updates a message, the loss of half of a large
+	// fleet would take longer to spread than to detect.
+	_updatesPerProbe    = 6
+	_maxUpdatesPerProbe = 100
 	// _pushRecipients is how many members PushDigest probes.
 	_pushRecipients = 2
 )
@@ -117,14 +126,17 @@
 	everHeard   bool
 }
 
-// pendingProbe is the probe that was sent last. indirect is set once other
+// pendingProbe is a probe of the current interval. indirect is set once other
 // routers were asked to probe its target.
 type pendingProbe struct {
-	target   string
-	sequence uint64
-	sentAt   time.Duration
-	indirect bool
-	answered bool
+	target string
+	// incarnation is that of the target when the probe was sent. A target that was
+	// started again since then need not have received it.
+	incarnation uint64
+	sequence    uint64
+	sentAt      time.Duration
+	indirect    bool
+	answered    bool
 }
 
 // relay is where to relay the answer to an indirect probe: the router that
@@ -145,7 +157,7 @@
 	sortedIDs       []string
 	nextIndex       int
 	sequence        uint64
-	probe           *pendingProbe
+	probes          []*pendingProbe
 	nextProbeAt     time.Duration
 	incarnation     uint64
 	gossip          map[string]*gossipUpdate
@@ -312,14 +324,38 @@
 	peer.everHeard = true
 }
 
+// MarkStarted records the incarnation at which a member was started, as its own
+// messages or other routers state it. A member of an earlier incarnation that was
+// taken for dead is alive again.
+func (m *Members) MarkStarted(now time.Duration, id string, incarnation uint64) {
+	if peer := m.members[id]; peer != nil && incarnation > peer.incarnation {
+		m.applyUpdate(now, id, incarnation, Alive)
+	}
+}
+
+// Incarnation returns the latest known incarnation of a member or of this router; 0 if
+// it is not listed.
+func (m *Members) Incarnation(id string) uint64 {
+	if id == m.config.Self {
+		return m.incarnation
+	}
+	if peer := m.members[id]; peer != nil {
+		return peer.incarnation
+	}
+	return 0
+}
+
 // Tick sends the next probe when it is due, after evaluating the one before. It
 // asks other routers to probe a router that has not answered in time, and
 // declares members dead that were suspected for SuspicionTimeout.
 func (m *Members) Tick(now time.Duration) {
 	m.sendIndirectProbes(now)
 	if now >= m.nextProbeAt {
-		m.concludeProbe(now)
-		m.startProbe(now)
+		failed := m.concludeProbes(now)
+		// One failure may be one of many: while probes fail, more are sent.
+		for range min(1+2*failed, _maxParallelProbes) {
+			m.startProbe(now)
+		}
 		// Jitter keeps routers that started at the same time from probing in
 		// step.
 		jitter := time.Duration(m.config.Random.Int64N(int64(m.config.ProbeInterval) / 4))
@@ -340,12 +376,15 @@
 		})
 	}
 	m.sequence++
-	m.probe = &pendingProbe{
-		target:   m.probeOrder[m.nextIndex],
-		sequence: m.sequence,
-		sentAt:   now,
+	target := m.probeOrder[m.nextIndex]
+	probe := &pendingProbe{
+		target:      target,
+		incarnation: m.members[target].incarnation,
+		sequence:    m.sequence,
+		sentAt:      now,
 	}
-	m.sendProbe(m.probe.target, m.sequence)
+	m.probes = append(m.probes, probe)
+	m.sendProbe(probe.target, probe.sequence)
 }
 
 func (m *Members) sendProbe(to string, sequence uint64) {
@@ -378,10 +417,15 @@
 }
 
 func (m *Members) sendIndirectProbes(now time.Duration) {
-	p := m.probe
-	if p == nil || p.answered || p.indirect || now-p.sentAt < m.config.ProbeTimeout {
-		return
+	for _, p := range m.probes {
+		if !p.answered && !p.indirect && now-p.sentAt >= m.config.ProbeTimeout {
+			m.sendIndirectProbe(p)
+		}
 	}
+}
+
+// sendIndirectProbe asks a few other routers to probe the target of a probe.
+func (m *Members) sendIndirectProbe(p *pendingProbe) {
 	p.indirect = true
 	sent := 0
 	for _, i := range m.config.Random.Perm(len(m.probeOrder)) {
@@ -404,19 +448,23 @@
 	}
 }
 
-// concludeProbe suspects the target of the last probe if nobody got an answer
-// from it.
-func (m *Members) concludeProbe(now time.Duration) {
-	p := m.probe
-	m.probe = nil
-	if p == nil || p.answered {
-		return
-	}
-	peer := m.members[p.target]
-	if peer == nil || peer.state != Alive {
-		return
+// concludeProbes suspects the targets of the last probes from which nobody got an
+// answer, and returns how many there are. Probes that this process evaluates late
+// say nothing: it may not have read the answers yet.
+func (m *Members) concludeProbes(now time.Duration) (failed int) {
+	for _, p := range m.probes {
+		peer := m.members[p.target]
+		if p.answered || peer == nil || peer.state != Alive || peer.incarnation != p.incarnation {
+			continue
+		}
+		if now-p.sentAt >= _lateFactor*m.config.ProbeInterval {
+			continue
+		}
+		failed++
+		m.setState(now, p.target, peer, peer.incarnation, Suspect)
 	}
-	m.setState(now, p.target, peer, peer.incarnation, Suspect)
+	m.probes = m.probes[:0]
+	return failed
 }
 
 func (m *Members) expireSuspects(now time.Duration) {
@@ -485,8 +533,10 @@
 	if ack.GetSubject() != "" {
 		subject = ack.GetSubject()
 	}
-	if p := m.probe; p != nil && p.target == subject && p.sequence == ack.GetSequence() {
-		p.answered = true
+	for _, p := range m.probes {
+		if p.target == subject && p.sequence == ack.GetSequence() {
+			p.answered = true
+		}
 	}
 	m.applyUpdate(now, subject, ack.GetSubjectIncarnation(), Alive)
 }
--- /dev/null
+++ b/internal/qlowner/discovery_test.go
@@ -0,0 +1,124 @@
+package qlowner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+const (
+	// _startSpread is the time within which the VMs of a fleet start.
+	_startSpread = 300 * time.Millisecond
+	// _discoveryTime is the time after the last start within which all routers must
+	// know each other.
+	_discoveryTime = 2 * time.Second
+	// _packetLoss is the share of datagrams that the network loses on a calm day.
+	_packetLoss = 0.001
+)
+
+// newStartingNetwork returns a network of routers that are still down.
+func newStartingNetwork(t *testing.T, routers int) *network {
+	n := newEmptyNetwork(t, routers)
+	n.isLost = func(int, int) bool { return n.random.Float64() < _packetLoss/2 }
+	for i := range routers {
+		n.ids = append(n.ids, fmt.Sprintf("r%d", i))
+		n.cores = append(n.cores, nil)
+	}
+	return n
+}
+
+// startAll starts all routers in random order within _startSpread.
+func (n *network) startAll(incarnation uint64) {
+	order := n.random.Perm(len(n.ids))
+	for at, i := range order {
+		n.cores[i] = n.newCore(i, n.ids[i], incarnation)
+		if at%10 == 0 {
+			n.advance(10 * _startSpread / time.Duration(len(order)))
+		}
+	}
+}
+
+// lowestLiveCount returns the lowest number of live routers in any router's view.
+func (n *network) lowestLiveCount() int {
+	lowest := len(n.cores)
+	for _, core := range n.cores {
+		lowest = min(lowest, core.LiveCount())
+	}
+	return lowest
+}
+
+// TestLargeFleetKnowsItselfSoonAfterStart starts all routers of a large fleet
+// together, cuts the power of all of them, and starts them again. Each time, every
+// router must know all others soon, and must not take any of them for dead after
+// that: requests are placed by owners, which follow from the live routers.
+func TestLargeFleetKnowsItselfSoonAfterStart(t *testing.T) {
+	for _, routers := range []int{67, 195, 301} {
+		n := newStartingNetwork(t, routers)
+		for start := range uint64(2) {
+			n.startAll(1 + start)
+			n.advance(_discoveryTime)
+			lowest := n.lowestLiveCount()
+			t.Logf("%d routers, start %d: the lowest live count is %d", routers, start, lowest)
+			if lowest != routers {
+				t.Errorf("%d routers, start %d: a router sees %d live ones after %v, want all", routers, start, lowest, _discoveryTime)
+			}
+			for range 8 {
+				n.advance(500 * time.Millisecond)
+				if got := n.lowestLiveCount(); got != routers {
+					t.Errorf("%d routers, start %d: a router sees %d live ones after %v, want all", routers, start, got, n.now)
+				}
+			}
+		}
+	}
+}
+
+// TestHalfOfLargeFleetReturns kills a random half of a large fleet at one moment and
+// starts it again later. Soon after their loss, every router must know of nearly all
+// losses, and soon after their return all routers must know each other.
+func TestHalfOfLargeFleetReturns(t *testing.T) {
+	for _, routers := range []int{67, 195, 301} {
+		n := newStartingNetwork(t, routers)
+		n.startAll(1)
+		n.advance(_discoveryTime + 4*time.Second)
+		killed := n.random.Perm(routers)[:routers*55/100]
+		for _, i := range killed {
+			n.cores[i] = nil
+		}
+		n.advance(_lossDetectionTime)
+		survivors := routers - len(killed)
+		got := n.highestLiveCount()
+		t.Logf("%d routers: the highest live count after the loss is %d of %d", routers, got, survivors)
+		if want := survivors + len(killed)/_maxMissedLosses; got > want {
+			t.Errorf("%d routers: a router sees %d live ones after the loss, want %d at most", routers, got, want)
+		}
+		for _, i := range killed {
+			n.cores[i] = n.newCore(i, n.ids[i], 2)
+		}
+		n.advance(_discoveryTime)
+		if got := n.lowestLiveCount(); got != routers {
+			t.Errorf("%d routers: a router sees %d live ones after the return, want all", routers, got)
+		}
+	}
+}
+
+const (
+	// _lossDetectionTime is the time within which the loss of many routers must be
+	// known: the users count a fleet of this size as settled 5 s after a disturbance
+	// (their stable-ms).
+	_lossDetectionTime = 5 * time.Second
+	// One in _maxMissedLosses of the losses may be unknown to a router by then: it
+	// finds those by its own probes, and turns to other owners without knowing.
+	_maxMissedLosses = 10
+)
+
+// highestLiveCount returns the highest number of live routers in the view of any
+// router that is up.
+func (n *network) highestLiveCount() int {
+	highest := 0
+	for _, core := range n.cores {
+		if core != nil {
+			highest = max(highest, core.LiveCount())
+		}
+	}
+	return highest
+}
--- a/internal/qlowner/packet.go
+++ b/internal/qlowner/packet.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 	"github.com/quetzallane/quetzallane/internal/qlengine"
 	"github.com/quetzallane/quetzallane/internal/qlfleetwire"
@@ -77,18 +78,33 @@
 	}
 	packet := c.newPacket()
 	packet.Membership = body
+	if c.acquainted[to] < c.members.Incarnation(to) || c.acquainted[to] == 0 {
+		// The other router may not know this one yet. It ignores probes of unknown
+		// routers, and would be taken for dead.
+		packet.Introduction = &qlfleetwire.Introduction{
+			Routers: []*qlfleetwire.Router{c.ownRecord()},
+		}
+	}
 	c.send(router.GetAddress(), packet)
 }
 
-// introduce sends a list of known routers to a random known router and a random
-// seed, or to all seeds while no router is known, and asks for their lists.
+// introduce sends an introduction to a random known router and a random seed, or to
+// all seeds while no router is known. While routers are being discovered it asks for
+// those that this one doesn't know.
 func (c *Core) introduce(now time.Duration) {
 	if now < c.introduceAt {
 		return
 	}
-	wait, count := _introduceIntervalSettled, _maxIntroducedToKnown
-	if !c.settled(now) {
-		wait, count = _introduceIntervalLearning, _maxIntroducedToNew
+	introduction := &qlfleetwire.Introduction{
+		WantsReply: true,
+		Routers:    []*qlfleetwire.Router{c.ownRecord()},
+	}
+	wait := _introduceIntervalSettled
+	if c.settled(now) {
+		introduction.Routers = append(introduction.Routers, c.randomRouters(_maxIntroducedToKnown, nil)...)
+	} else {
+		wait = _introduceIntervalLearning
+		introduction.Known = c.knownHashes()
 	}
 	targets := c.config.Seeds
 	if len(c.routers) == 0 {
@@ -104,7 +120,7 @@
 	for _, address := range targets {
 		if address != c.config.Address {
 			packet := c.newPacket()
-			packet.Introduction = c.introduction(true, count)
+			packet.Introduction = introduction
 			c.send(address, packet)
 		}
 	}
@@ -116,24 +132,66 @@
 	return len(c.routers) > 0 && now-c.learnedAt > _settledAfter
 }
 
-func (c *Core) introduction(wantsReply bool, count int) *qlfleetwire.Introduction {
-	introduction := &qlfleetwire.Introduction{
-		WantsReply: wantsReply,
-		Routers: []*qlfleetwire.Router{{
-			Id:       c.config.Self,
-			Zone:     c.config.Zone,
-			Address:  c.config.Address,
-			Leaving:  c.leaving,
-			Capacity: c.config.Capacity,
-		}},
-	}
-	for _, i := range c.config.Random.Perm(len(c.members.IDs())) {
-		if len(introduction.Routers) >= count {
+func (c *Core) ownRecord() *qlfleetwire.Router {
+	return &qlfleetwire.Router{
+		Id:          c.config.Self,
+		Zone:        c.config.Zone,
+		Address:     c.config.Address,
+		Leaving:     c.leaving,
+		Capacity:    c.config.Capacity,
+		Incarnation: c.members.Incarnation(c.config.Self),
+	}
+}
+
+// randomRouters returns up to count known routers without those whose hashes are
+// excluded.
+func (c *Core) randomRouters(count int, excluded map[uint32]bool) []*qlfleetwire.Router {
+	ids := c.members.IDs()
+	var routers []*qlfleetwire.Router
+	for _, i := range c.config.Random.Perm(len(ids)) {
+		if len(routers) >= count {
 			break
 		}
-		introduction.Routers = append(introduction.Routers, c.routers[c.members.IDs()[i]])
+		if len(excluded) == 0 || !excluded[c.hashOf(ids[i])] {
+			router := c.routers[ids[i]]
+			router.Incarnation = c.members.Incarnation(ids[i])
+			routers = append(routers, router)
+		}
+	}
+	return routers
+}
+
+// knownHashes returns the hashes of all known routers, this one included.
+func (c *Core) knownHashes() []uint32 {
+	hashes := make([]uint32, 0, len(c.routers)+1)
+	hashes = append(hashes, c.hashOf(c.config.Self))
+	for id := range c.routers {
+		hashes = append(hashes, c.hashOf(id))
+	}
+	return hashes
+}
+
+// hashOf returns a hash of a router's id and latest known incarnation. A router whose
+// hash equals that of another one is missing from replies to routers that know the
+// other; introductions without hashes still name it.
+func (c *Core) hashOf(id string) uint32 {
+	return uint32(xxhash.Sum64String(id) + c.members.Incarnation(id)*_incarnationHashFactor)
+}
+
+// _incarnationHashFactor is odd, so that each incarnation has a hash of its own.
+const _incarnationHashFactor = 0x9e3779b97f4a7c15
+
+// replyTo returns the reply to an introduction.
+func (c *Core) replyTo(introduction *qlfleetwire.Introduction) *qlfleetwire.Introduction {
+	count := _maxIntroducedToKnown
+	known := make(map[uint32]bool, len(introduction.GetKnown()))
+	for _, hash := range introduction.GetKnown() {
+		known[hash] = true
+		count = _maxIntroducedToNew
+	}
+	return &qlfleetwire.Introduction{
+		Routers: append([]*qlfleetwire.Router{c.ownRecord()}, c.randomRouters(count, known)...),
 	}
-	return introduction
 }
 
 // Receive handles a packet that arrived from the source address.
@@ -143,14 +201,10 @@
 		return
 	}
 	if introduction := packet.GetIntroduction(); introduction != nil {
-		count := _maxIntroducedToKnown
-		if c.routers[from] == nil || !c.settled(now) {
-			count = _maxIntroducedToNew
-		}
 		c.learnRouters(now, introduction.GetRouters())
 		if introduction.GetWantsReply() {
 			reply := c.newPacket()
-			reply.Introduction = c.introduction(false, count)
+			reply.Introduction = c.replyTo(introduction)
 			c.send(source, reply)
 		}
 	}
@@ -158,6 +212,7 @@
 		c.receiveMembership(now, from, packet.GetMembership())
 	}
 	c.members.MarkHeard(now, from)
+	c.members.MarkStarted(now, from, packet.GetIncarnation())
 	if packet.GetLate() {
 		c.placer.MarkLagging(now, from)
 	}
@@ -216,10 +271,24 @@
 			changed = true
 		}
 	}
-	if !changed {
-		return
+	if changed {
+		c.applyRouters(now)
 	}
+	for _, router := range routers {
+		c.members.MarkStarted(now, router.GetId(), router.GetIncarnation())
+	}
+}
+
+// resumeDiscovery makes the next introductions frequent and ask for unknown routers.
+func (c *Core) resumeDiscovery(now time.Duration) {
 	c.learnedAt = now
+	c.introduceAt = min(c.introduceAt, now+_introduceIntervalFruitful)
+}
+
+// applyRouters passes the known routers on to membership after a change, and resumes
+// discovery.
+func (c *Core) applyRouters(now time.Duration) {
+	c.resumeDiscovery(now)
 	list := make([]qlmember.ListedRouter, 0, len(c.routers))
 	for _, router := range c.routers {
 		list = append(list, qlmember.ListedRouter{
@@ -242,6 +311,7 @@
 		// Probes of a router are ignored until it has introduced itself.
 		return
 	}
+	c.acquainted[from] = c.members.Incarnation(from)
 	switch {
 	case message.GetProbe() != nil:
 		c.members.ReceiveProbe(now, from, message.GetProbe())
--- a/internal/qlowner/qlowner.go
+++ b/internal/qlowner/qlowner.go
@@ -59,10 +59,12 @@
 	// _settledAfter is how long no router must have been discovered or changed
 	// before introductions become rarer and shorter.
 	_settledAfter = 3 * time.Second
-	// _maxIntroducedToNew limits the routers listed in an introduction to a new
-	// router or while routers are being discovered, _maxIntroducedToKnown those in
-	// any other introduction.
-	_maxIntroducedToNew   = 40
+	// _introduceIntervalFruitful is the time until the next introduction after a
+	// reply that named new routers: the sender may know more than fit one reply.
+	_introduceIntervalFruitful = 100 * time.Millisecond
+	// _maxIntroducedToNew limits the routers listed in a reply to a router that is
+	// discovering others, _maxIntroducedToKnown those in any other introduction.
+	_maxIntroducedToNew   = 100
 	_maxIntroducedToKnown = 5
 	// With _probeInterval and _suspicionTimeout, a fleet of ten routers detects
 	// the loss of a router within about two seconds.
@@ -190,6 +192,9 @@
 	activeRequests map[uint64]*activeRequest
 	sendQueues     map[string]*sendQueue
 	penalties      map[string]penalty
+	// acquainted holds the incarnations of the routers that have sent membership
+	// messages to this one, and so know it.
+	acquainted map[string]uint64
 	// trackingRouters are the routers that had active requests of this one at the
 	// last reconciliation.
 	trackingRouters []string
@@ -231,6 +236,7 @@
 		activeRequests: make(map[uint64]*activeRequest),
 		sendQueues:     make(map[string]*sendQueue),
 		penalties:      make(map[string]penalty),
+		acquainted:     make(map[string]uint64),
 	}
 	c.members = qlmember.New(qlmember.Config{
 		Self:             config.Self,
@@ -293,6 +299,10 @@
 		// The first one is this router.
 		live = live[1:]
 	}
+	if len(live) > len(c.live) {
+		// Others may have started, or returned, together with the new one.
+		c.resumeDiscovery(c.now)
+	}
 	c.live = live
 	clear(c.ranks)
 	c.config.OnLiveChange(live)
--- a/internal/qlstandin/switches.go
+++ b/internal/qlstandin/switches.go
@@ -124,6 +124,8 @@
 	Request string `json:"request"`
 	Key     string `json:"key,omitempty"`
 	Call    string `json:"call"`
+	// Begun is when the execution began.
+	Begun time.Time `json:"begun"`
 	// Ended is set when the execution is complete.
 	Ended bool `json:"ended"`
 }
@@ -137,6 +139,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	execution := &e
+	execution.Begun = time.Now()
 	l.executions = append(l.executions, execution)
 	return execution
 }
