Placement: up to 192 engines are one group

Cause: a service of 140 engines was divided into four groups of 35. Change: _maxSingleGroup 192 (128). The table in TestGroupsFollowTheNumberOfEngines moves with the limit: 192 engines are one group, 193 are four.

--- a/internal/qlplace/group.go
+++ b/internal/qlplace/group.go
@@ -14,7 +14,7 @@
 	// several; up to _maxSingleGroup engines form a single group. A decision
 	// on that many engines takes less than 5 us.
 	_groupSize      = 64
-	_maxSingleGroup = 128
+	_maxSingleGroup = 192
 	// _shrinkThreshold is the fraction of _groupSize that the mean number of
 	// engines in a group must not exceed for the number of groups to be
 	// reduced. Thus a few engines more or less don't move all groups.
--- a/internal/qlplace/group_test.go
+++ b/internal/qlplace/group_test.go
@@ -14,7 +14,8 @@
 		{engines: 0, previous: 0, want: 1},
 		{engines: 60, previous: 1, want: 1},
 		{engines: 128, previous: 1, want: 1},
-		{engines: 129, previous: 1, want: 4},
+		{engines: 192, previous: 1, want: 1},
+		{engines: 193, previous: 1, want: 4},
 		{engines: 3100, previous: 1, want: 64},
 		{engines: 3100, previous: 64, want: 64},
 		// Slightly fewer engines keep the number of groups, considerably fewer
