Placement learns how fast a service's engines are

Change: qlengine.Speed learns both by regression of first events on prefilled tokens: of requests that found an engine with nothing to prefill and, where engines are never idle, of prompts prefilled one after the other. Only a router that knows the whole load learns; after 5 s without observations the initial speed is used again, and until the speed is known an idle engine is tried. The load limit for customers above their share was tuned with loads that were measured at 0.6 to 0.7 of the true ones, so it follows: 0.7, 0.48 to 1.5 (0.5, 0.35 to 1). Forecast fills a struct of the caller: a decision that can skip no engine took 6 us otherwise.

--- a/internal/qlengine/qlengine.go
+++ b/internal/qlengine/qlengine.go
@@ -146,6 +146,10 @@
 	pendingTokens  int
 	reservedTokens int
 	firstReceived  bool
+	// alone is set if the request was placed while the engine had no other prompt
+	// to prefill, and modelDecode is the decode time that the model then predicted.
+	alone       bool
+	modelDecode time.Duration
 	// untimed is set when the time of the first event is not known.
 	untimed bool
 }
@@ -153,6 +157,7 @@
 // Engine is the model of one engine. It is not safe for concurrent use.
 type Engine struct {
 	config         Config
+	speed          *Speed
 	active         map[Key]activeRequest
 	waiting        int
 	pendingTokens  int
@@ -164,6 +169,8 @@
 	// reported, a request ended before its first event, or the engine began
 	// work after being idle.
 	progressAt time.Duration
+	// lastFirstEventAt is when a first event was reported last.
+	lastFirstEventAt time.Duration
 	// earliestDue is the earliest predicted time of the first events still
 	// awaited; valid while dueKnown is set.
 	earliestDue time.Duration
@@ -191,6 +198,7 @@
 func New(config Config) *Engine {
 	return &Engine{
 		config:           config,
+		speed:            NewSpeed(),
 		active:           make(map[Key]activeRequest),
 		cache:            newCache(config.KVCacheTokens, nil),
 		observedSlowness: 1,
@@ -216,21 +224,25 @@
 	Fits bool
 }
 
+// MinWait returns a lower bound of the wait that Forecast predicts.
+func (e *Engine) MinWait(now time.Duration) time.Duration {
+	return max(e.prefillDoneAt-now, 0)
+}
+
 // Forecast predicts the effect of placing the prompt now, where missing is
-// the number of its shared tokens that the engine does not cache.
-func (e *Engine) Forecast(now time.Duration, prompt *Prompt, missing int) Forecast {
+// the number of its shared tokens that the engine does not cache. It stores the
+// result in forecast.
+func (e *Engine) Forecast(now time.Duration, prompt *Prompt, missing int, forecast *Forecast) {
 	load, slowness := e.current(now)
-	decodeTime := float64(e.decodeTime(load)) * slowness
+	decodeTime := float64(e.modelDecodeTime(load)) * e.speed.latencyScale * slowness
 	wait := max(e.prefillWait(now, slowness, decodeTime), e.slotWait()) + e.overdue(now)
-	prefill := float64(prefillTime(prompt.UniqueTokens()+missing)) * slowness
-	return Forecast{
-		Wait:          wait,
-		Prefill:       time.Duration(prefill),
-		FirstEvent:    wait + time.Duration(prefill+decodeTime),
-		Load:          load * slowness,
-		MissingTokens: missing,
-		Fits:          e.fits(prompt, missing),
-	}
+	prefill := float64(e.speed.PrefillTime(prompt.UniqueTokens()+missing)) * slowness
+	forecast.Wait = wait
+	forecast.Prefill = time.Duration(prefill)
+	forecast.FirstEvent = wait + time.Duration(prefill+decodeTime)
+	forecast.Load = load * slowness
+	forecast.MissingTokens = missing
+	forecast.Fits = e.fits(prompt, missing)
 }
 
 // current returns the load and the slowness. They are recomputed only every
@@ -250,7 +262,7 @@
 // after the prefill; the decode time and the time since the last report are
 // therefore deducted.
 func (e *Engine) prefillWait(now time.Duration, slowness, decodeTime float64) time.Duration {
-	pending := float64(prefillTime(e.pendingTokens)) * slowness
+	pending := float64(e.speed.PrefillTime(e.pendingTokens)) * slowness
 	unreported := decodeTime + float64(now-e.progressAt)
 	return max(e.prefillDoneAt-now, time.Duration(pending-unreported), 0)
 }
@@ -265,22 +277,23 @@
 	return time.Duration(ahead) * e.meanDuration / time.Duration(e.config.Slots)
 }
 
-// PrefillTime returns the time that an engine of the usual speed needs to
-// prefill the tokens.
-func PrefillTime(tokens int) time.Duration {
-	return prefillTime(tokens)
-}
-
-func prefillTime(tokens int) time.Duration {
-	return time.Duration(tokens) * _tokenPrefillTime
+// UseSpeed makes the engine use a speed that it shares with others.
+func (e *Engine) UseSpeed(speed *Speed) {
+	e.speed = speed
+	e.currentKnown = false
 }
 
 // decodeTime returns the time from the end of a prompt's prefill to its first
-// event at the usual speed. Each of the event's tokens takes a step, in which
-// chunks of other prompts are prefilled, too.
+// event at the usual speed.
 func (e *Engine) decodeTime(load float64) time.Duration {
+	return time.Duration(float64(e.modelDecodeTime(load)) * e.speed.LatencyScale())
+}
+
+// modelDecodeTime returns the decode time at the initial speed. Each of the event's
+// tokens takes a step, in which chunks of other prompts are prefilled, too.
+func (e *Engine) modelDecodeTime(load float64) time.Duration {
 	step := _stepTime + time.Duration(len(e.active))*_stepTimePerRequest
-	step += time.Duration(min(load, 1) * float64(prefillTime(_prefillChunkTokens)))
+	step += time.Duration(min(load, 1) * float64(e.speed.PrefillTime(_prefillChunkTokens)))
 	return _baseLatency + time.Duration(e.config.TokensPerEvent)*step
 }
 
@@ -295,7 +308,7 @@
 // addLoad adds placed tokens to the load.
 func (e *Engine) addLoad(now time.Duration, tokens int) {
 	e.currentKnown = false
-	e.load = e.decayedLoad(now) + float64(prefillTime(tokens))/float64(_loadDecay)
+	e.load = e.decayedLoad(now) + float64(e.speed.PrefillTime(tokens))/float64(_loadDecay)
 	e.loadAt = now
 }
 
@@ -337,8 +350,12 @@
 	if e.Has(key) {
 		return
 	}
-	forecast := e.Forecast(now, prompt, e.MissingTokens(prompt))
+	var forecast Forecast
+	e.Forecast(now, prompt, e.MissingTokens(prompt), &forecast)
 	tokens := prompt.UniqueTokens() + forecast.MissingTokens
+	alone := e.waiting == 0
+	load, _ := e.current(now)
+	modelDecode := e.modelDecodeTime(load)
 	e.addPrefill(now, tokens)
 	e.addLoad(now, tokens)
 	e.add(key, activeRequest{
@@ -346,6 +363,8 @@
 		predicted:      forecast.FirstEvent,
 		pendingTokens:  tokens,
 		reservedTokens: prompt.UniqueTokens() + prompt.MaxOutputTokens,
+		alone:          alone,
+		modelDecode:    modelDecode,
 	})
 	e.cache.use(prompt.Segments)
 }
@@ -376,7 +395,7 @@
 }
 
 func (e *Engine) scaledPrefillTime(now time.Duration, tokens int) time.Duration {
-	return time.Duration(float64(prefillTime(tokens)) * e.slowness(now))
+	return time.Duration(float64(e.speed.PrefillTime(tokens)) * e.slowness(now))
 }
 
 func (e *Engine) add(key Key, r activeRequest) {
@@ -398,6 +417,7 @@
 		return 0, false
 	}
 	took = now - r.placedAt
+	e.lastFirstEventAt = now
 	e.observe(now, float64(took)/float64(max(r.predicted, time.Millisecond)))
 	e.markPrefilled(now, r.pendingTokens)
 	r.firstReceived = true
@@ -405,6 +425,21 @@
 	return took, true
 }
 
+// LearnSpeed adds a request whose first event takes place now to the observations of
+// the speed, if the engine had nothing else to prefill when it was placed, or went on
+// to it from another prompt. It has to be called before FirstEvent, and only if all
+// placements on the engine are known.
+func (e *Engine) LearnSpeed(now time.Duration, key Key) {
+	r, ok := e.active[key]
+	switch {
+	case !ok || r.firstReceived:
+	case r.alone:
+		e.speed.Observe(now, r.pendingTokens, r.modelDecode, now-r.placedAt)
+	case r.placedAt < e.lastFirstEventAt:
+		e.speed.ObserveBusy(now, r.pendingTokens, now-e.lastFirstEventAt)
+	}
+}
+
 // FirstEventUntimed records a first event whose time is not known; nothing is
 // learned from it. It reports whether the first event was still awaited.
 func (e *Engine) FirstEventUntimed(now time.Duration, key Key) bool {
--- a/internal/qlengine/qlengine_test.go
+++ b/internal/qlengine/qlengine_test.go
@@ -32,7 +32,9 @@
 }
 
 func forecast(e *Engine, now time.Duration, p *Prompt) Forecast {
-	return e.Forecast(now, p, e.MissingTokens(p))
+	var f Forecast
+	e.Forecast(now, p, e.MissingTokens(p), &f)
+	return f
 }
 
 func key(n uint64) Key {
@@ -81,7 +83,7 @@
 		t.Errorf("wait on an idle engine: got %v, want none", got)
 	}
 	e.Place(0, key(1), prompt(7, 7000))
-	if got, want := forecast(e, 0, prompt(7, 500)).Wait, PrefillTime(10_000); got != want {
+	if got, want := forecast(e, 0, prompt(7, 500)).Wait, e.speed.PrefillTime(10_000); got != want {
 		t.Errorf("wait behind 10,000 tokens: got %v, want %v", got, want)
 	}
 	if got, want := forecast(e, 40*time.Millisecond, prompt(7, 500)).Wait, 60*time.Millisecond; got != want {
@@ -111,7 +113,7 @@
 		}
 	}
 	pending := e.PendingTokens()
-	if got, minWait := forecast(e, now, prompt(7, 500)).Wait, PrefillTime(pending)/2; got < minWait {
+	if got, minWait := forecast(e, now, prompt(7, 500)).Wait, e.speed.PrefillTime(pending)/2; got < minWait {
 		t.Errorf("wait with %d pending tokens: got %v, want %v at least", pending, got, minWait)
 	}
 	if got := e.Slowness(now); got <= 1 {
--- a/internal/qlplace/admit.go
+++ b/internal/qlplace/admit.go
@@ -37,7 +37,7 @@
 	shares := p.shares[pool.group]
 	if ratio := shares.Ratio(now, request.Customer); ratio > 1 {
 		excess := shares.Excess(request.Customer)
-		l.maxLoad = min(max(2*_overShareLoad-pool.meanLoad, _minOverShareLoad), 1) / math.Pow(excess, _overShareLoadExponent)
+		l.maxLoad = min(max(2*_overShareLoad-pool.meanLoad, _minOverShareLoad), _maxOverShareLoad) / math.Pow(excess, _overShareLoadExponent)
 		l.waitFactor, l.reason = overShareWaitFactor(excess), OverShare
 	}
 	return l
@@ -67,40 +67,47 @@
 // first; others are skipped when the recompute penalty alone exceeds the best
 // score.
 func (p *Placer) best(now time.Duration, pool *pool, request *Request, limits *limits) candidate {
-	var chosen candidate
+	// Two candidates are reused, since copies would take most of the time.
+	var candidates [2]candidate
+	chosen, next := &candidates[0], &candidates[1]
 	affinity, _ := request.Prompt.Affinity()
 	fewestMissing := p.countMissing(pool, request)
 	for _, wantCached := range []bool{true, false} {
 		for i, e := range pool.engines {
-			recomputeCost := _recomputeWeight * qlengine.PrefillTime(p.missingTokens[i]-fewestMissing)
+			recomputeCost := _recomputeWeight * pool.speed.PrefillTime(p.missingTokens[i]-fewestMissing)
 			if (recomputeCost == 0) != wantCached || chosen.admissible && recomputeCost >= chosen.score {
 				continue
 			}
 			if excluded(request.Excluded, e.info.ID) {
 				continue
 			}
-			c := p.candidate(now, e, request, limits, p.missingTokens[i], recomputeCost)
-			if chosen.engine == nil || c.betterThan(&chosen, affinity) {
-				chosen = c
+			if chosen.admissible && recomputeCost+e.model.MinWait(now) >= chosen.score {
+				continue
+			}
+			p.evaluate(next, now, e, request, limits, p.missingTokens[i], recomputeCost)
+			if chosen.engine == nil || next.betterThan(chosen, affinity) {
+				chosen, next = next, chosen
 			}
 		}
 	}
-	return chosen
+	return *chosen
 }
 
-// candidate evaluates placing a request on an engine.
-func (p *Placer) candidate(now time.Duration, e *engine, request *Request, limits *limits, missing int, recomputeCost time.Duration) candidate {
-	c := candidate{
-		engine:   e,
-		forecast: e.model.Forecast(now, &request.Prompt, missing),
-	}
+// evaluate sets a candidate to the placement of a request on an engine.
+func (p *Placer) evaluate(c *candidate, now time.Duration, e *engine, request *Request, limits *limits, missing int, recomputeCost time.Duration) {
+	c.engine = e
+	e.model.Forecast(now, &request.Prompt, missing, &c.forecast)
 	p.applyLoadScale(&c.forecast)
 	// Under load, recomputing a segment takes prefill time from other
 	// requests, so its penalty counts towards the wait, too.
 	wait := c.forecast.Wait + recomputeCost
 	c.admissible = c.forecast.Fits && c.forecast.Load <= limits.maxLoad && wait <= limits.maxWait(&c.forecast)
+	if !c.admissible && !e.pool.speed.Known() && e.model.Waiting() == 0 && c.forecast.Fits && c.forecast.Load <= limits.maxLoad {
+		// Until the engines' speed is known, an idle engine is tried: if the initial
+		// speed were too low, nothing would be admitted and the speed never learned.
+		c.admissible = true
+	}
 	c.score = p.score(now, e, &c.forecast, request) + recomputeCost
-	return c
 }
 
 // refreshLoad recomputes the engines' mean load when it is older than
--- a/internal/qlplace/load_test.go
+++ b/internal/qlplace/load_test.go
@@ -24,6 +24,15 @@
 	_simBaseLatency     = 30 * time.Millisecond
 )
 
+// simSpeed is the speed of the engines of a simulation.
+type simSpeed struct {
+	tokensPerSecond float64
+	stepTime        time.Duration
+	baseLatency     time.Duration
+	// streamTime is the time from the first event of a request to its end.
+	streamTime time.Duration
+}
+
 type simEvent struct {
 	at  time.Duration
 	run func(now time.Duration)
@@ -45,6 +54,8 @@
 // placer's model of them.
 type sim struct {
 	placer           *Placer
+	speed            simSpeed
+	objective        time.Duration
 	engines          map[string]*simEngine
 	queue            simQueue
 	random           *rand.Rand
@@ -59,7 +70,13 @@
 
 func newSim(engines int, capacity float64) *sim {
 	s := &sim{
-		placer:  newPlacer(engines),
+		placer: newPlacer(engines),
+		speed: simSpeed{
+			tokensPerSecond: _simTokensPerSecond,
+			stepTime:        _simStepTime,
+			baseLatency:     _simBaseLatency,
+			streamTime:      time.Second,
+		},
 		engines: map[string]*simEngine{},
 		random:  rand.New(rand.NewPCG(5, 6)),
 		demand:  map[string]float64{},
@@ -101,6 +118,9 @@
 func (s *sim) request(now time.Duration, customer string) {
 	s.lastRequest++
 	r := request(s.lastRequest, customer, 10+s.random.Uint64N(60), 500+s.random.IntN(4000))
+	if s.objective > 0 {
+		r.LatencyObjective = s.objective
+	}
 	cost := costOf(&r.Prompt)
 	s.demand[customer] += cost
 	decision := s.placer.Decide(now, r)
@@ -118,8 +138,8 @@
 		}
 	}
 	s.prefilledTokens += tokens
-	engine.prefillUntil = max(engine.prefillUntil, now) + time.Duration(float64(tokens)/_simTokensPerSecond*float64(time.Second))
-	first := engine.prefillUntil + _simBaseLatency + 5*_simStepTime
+	engine.prefillUntil = max(engine.prefillUntil, now) + time.Duration(float64(tokens)/s.speed.tokensPerSecond*float64(time.Second))
+	first := engine.prefillUntil + s.speed.baseLatency + 5*s.speed.stepTime
 	s.schedule(first, func(at time.Duration) {
 		s.placer.FirstEvent(at, r.Key)
 		if at-now <= r.LatencyObjective {
@@ -128,7 +148,7 @@
 			s.late++
 		}
 	})
-	s.schedule(first+time.Second, func(at time.Duration) {
+	s.schedule(first+s.speed.streamTime, func(at time.Duration) {
 		s.placer.End(at, r.Key, qlengine.Completed)
 	})
 }
@@ -165,6 +185,69 @@
 	}
 }
 
+// TestOverloadOfEnginesOfAnySpeed sends twice what engines of very different speeds
+// can prefill, with objectives that match the speeds. The same must hold as for the
+// usual speed: nothing in the decisions may depend on one kind of engine.
+func TestOverloadOfEnginesOfAnySpeed(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		speed     simSpeed
+		objective time.Duration
+	}{
+		{
+			name: "a tenth",
+			speed: simSpeed{
+				tokensPerSecond: 9_000,
+				stepTime:        40 * time.Millisecond,
+				baseLatency:     100 * time.Millisecond,
+				streamTime:      10 * time.Second,
+			},
+			objective: 4 * time.Second,
+		},
+		{
+			name: "a half",
+			speed: simSpeed{
+				tokensPerSecond: 50_000,
+				stepTime:        3 * time.Millisecond,
+				baseLatency:     15 * time.Millisecond,
+				streamTime:      time.Second,
+			},
+			objective: 500 * time.Millisecond,
+		},
+		{
+			name: "ten times",
+			speed: simSpeed{
+				tokensPerSecond: 900_000,
+				stepTime:        time.Millisecond,
+				baseLatency:     5 * time.Millisecond,
+				streamTime:      100 * time.Millisecond,
+			},
+			objective: 60 * time.Millisecond,
+		},
+	} {
+		s := newSim(6, 0)
+		s.speed, s.objective = c.speed, c.objective
+		// Long enough for the time in which the speed is learned to matter little.
+		span := max(time.Duration(2e6/c.speed.tokensPerSecond*float64(time.Second)), 8*time.Second)
+		for _, customer := range []string{"a", "b", "c", "d"} {
+			s.sendAtRate(customer, 100*c.speed.tokensPerSecond/_simTokensPerSecond, 0, span)
+		}
+		s.run()
+		inTime := 0
+		for _, n := range s.inTime {
+			inTime += n
+		}
+		share := float64(s.prefilledTokens) / (6 * c.speed.tokensPerSecond * span.Seconds())
+		t.Logf("%s: %d in time, %d late, %.2f of the time used", c.name, inTime, s.late, share)
+		if s.late > inTime/10 {
+			t.Errorf("%s, late: got %d of %d, want a tenth at most", c.name, s.late, inTime+s.late)
+		}
+		if share < 0.5 {
+			t.Errorf("%s, share of the time that engines prefill: got %.2f, want 0.5 at least", c.name, share)
+		}
+	}
+}
+
 // TestFloodDoesNotReduceOthersShare has one customer send ten times, and
 // another one three times, as much as all the others together.
 func TestFloodDoesNotReduceOthersShare(t *testing.T) {
--- a/internal/qlplace/qlplace.go
+++ b/internal/qlplace/qlplace.go
@@ -60,12 +60,14 @@
 	// _overShareLoad is the load up to which engines are used for customers
 	// above their fair share: beyond it, the streams already active become
 	// too slow for their callers. The limit for a single engine is higher by
-	// as much as the engines' mean load is below _overShareLoad, up to 1, and
-	// lower by as much as the mean is above it, down to _minOverShareLoad. It
+	// as much as the engines' mean load is below _overShareLoad, up to
+	// _maxOverShareLoad, and lower by as much as the mean is above it, down to
+	// _minOverShareLoad. It
 	// is then divided by the customer's excess to the power of
 	// _overShareLoadExponent.
-	_overShareLoad         = 0.5
-	_minOverShareLoad      = 0.35
+	_overShareLoad         = 0.7
+	_minOverShareLoad      = 0.48
+	_maxOverShareLoad      = 1.5
 	_overShareLoadExponent = 2
 	// _meanLoadTTL is how long a computed mean load is reused.
 	_meanLoadTTL = 10 * time.Millisecond
@@ -203,6 +205,7 @@
 	group             int
 	engines           []*engine
 	cacheIndex        *cacheIndex
+	speed             *qlengine.Speed
 	latencyCorrection float64
 	// strictestObjective follows the lowest latency objective of recent
 	// requests.
@@ -225,6 +228,9 @@
 type activeRequest struct {
 	engine    *engine
 	objective time.Duration
+	// fullyKnown is set if this router decided on the request and knew the load
+	// that all routers place.
+	fullyKnown bool
 }
 
 // Config configures a Placer.
@@ -363,6 +369,7 @@
 	index := newCacheIndex(len(p.engines))
 	p.cacheIndex = index
 	for i, e := range p.engines {
+		e.model.UseSpeed(p.speed)
 		e.model.OnSegmentChange(func(segment uint64, held bool) { index.set(segment, i, held) })
 	}
 }
@@ -372,6 +379,7 @@
 		service:           service,
 		group:             group,
 		cacheIndex:        newCacheIndex(0),
+		speed:             qlengine.NewSpeed(),
 		latencyCorrection: _initialCorrection,
 	}
 }
@@ -412,7 +420,7 @@
 	}
 	shares.AddGrant(now, request.Customer, cost)
 	pool.recomputedTokens += uint64(best.forecast.MissingTokens)
-	p.RecordPlacement(now, request, best.engine.info.ID)
+	p.recordPlacement(now, request, best.engine.info.ID, p.loadScale == 1)
 	return Decision{
 		Engine:        best.engine.info.ID,
 		Predicted:     best.forecast.FirstEvent,
@@ -427,14 +435,19 @@
 // RecordPlacement records that a request was placed on the engine, here or by
 // another router. Unknown engines are ignored.
 func (p *Placer) RecordPlacement(now time.Duration, request *Request, id string) {
+	p.recordPlacement(now, request, id, false)
+}
+
+func (p *Placer) recordPlacement(now time.Duration, request *Request, id string, fullyKnown bool) {
 	e := p.engines[id]
 	if e == nil {
 		return
 	}
 	e.model.Place(now, request.Key, &request.Prompt)
 	p.active[request.Key] = activeRequest{
-		engine:    e,
-		objective: request.LatencyObjective,
+		engine:     e,
+		objective:  request.LatencyObjective,
+		fullyKnown: fullyKnown,
 	}
 }
 
@@ -469,6 +482,9 @@
 		return
 	}
 	predicted, _ := request.engine.model.Predicted(key)
+	if request.fullyKnown {
+		request.engine.model.LearnSpeed(now, key)
+	}
 	took, ok := request.engine.model.FirstEvent(now, key)
 	if !ok || request.objective == 0 {
 		return
@@ -541,6 +557,11 @@
 // Tick removes active requests whose ends were lost. It has to be called
 // regularly.
 func (p *Placer) Tick(now time.Duration) {
+	for _, groups := range p.pools {
+		for _, pool := range groups {
+			pool.speed.Expire(now)
+		}
+	}
 	for _, e := range p.engines {
 		e.model.Expire(now, _activeRequestTTL)
 	}
