Bound heads and events, end streams that drip, survive a panic in control

A head, skipped responses included, is now 256 KiB at most; the connection is closed and the request counts as sent. An event is 256 KiB at most, and the splitter no longer searches the whole incomplete event at each write.

--- a/internal/qlconn/qlconn.go
+++ b/internal/qlconn/qlconn.go
@@ -50,11 +50,14 @@
 	_maxDrainBytes = 64 << 10
 	// _readBufferBytes is the size of a connection's read buffer.
 	_readBufferBytes = 4 << 10
-	// _maxSkippedResponses limits the responses that are skipped before the one
-	// to the request. Informational responses (status 1xx) count as skipped, so
-	// _maxInformationalResponses has no effect while it is the higher limit.
+	// _maxSkippedResponses limits the responses to other requests that are skipped
+	// before the one to the request, _maxInformationalResponses those with status
+	// 1xx.
 	_maxSkippedResponses       = 2
 	_maxInformationalResponses = 5
+	// _maxHeadBytes limits the bytes that are read for the head of a response,
+	// skipped responses included.
+	_maxHeadBytes = 256 << 10
 )
 
 // ErrNotSent marks errors after which no byte of the request has left.
@@ -120,6 +123,7 @@
 type conn struct {
 	net.Conn
 	reader    *bufio.Reader
+	limit     *limitedReader
 	address   string
 	idleSince time.Time
 	// idleTimeout is how long the connection may be idle. If it is not
@@ -205,9 +209,13 @@
 		p.releaseSlot(address)
 		return nil, errors.WithType(err, ErrNotSent)
 	}
+	limit := &limitedReader{
+		reader: raw,
+	}
 	return &conn{
 		Conn:        raw,
-		reader:      bufio.NewReaderSize(raw, _readBufferBytes),
+		reader:      bufio.NewReaderSize(limit, _readBufferBytes),
+		limit:       limit,
 		address:     address,
 		idleTimeout: p.config.IdleTimeout,
 	}, nil
@@ -377,14 +385,17 @@
 	// exchange.
 	e.SetReadTimeout(request.HeadTimeout)
 	defer e.SetReadTimeout(0)
+	e.conn.limit.set(_maxHeadBytes)
+	defer e.conn.limit.remove()
+	informational := 0
 	for skipped := 0; skipped <= _maxSkippedResponses; {
 		response, err := http.ReadResponse(e.conn.reader, methodOnly)
 		if err != nil {
 			return errors.Trace(err)
 		}
 		if response.StatusCode < http.StatusOK {
-			if skipped++; skipped > _maxInformationalResponses {
-				break
+			if informational++; informational > _maxInformationalResponses {
+				return errors.Errorf("more than %d informational responses", _maxInformationalResponses)
 			}
 			continue
 		}
@@ -417,6 +428,35 @@
 	}
 }
 
+// limitedReader bounds the bytes that are read while a limit is set. net/http reads a
+// head of any size.
+type limitedReader struct {
+	reader    io.Reader
+	limited   bool
+	remaining int
+}
+
+func (r *limitedReader) set(limit int) {
+	r.limited, r.remaining = true, limit
+}
+
+func (r *limitedReader) remove() {
+	r.limited = false
+}
+
+// Read implements io.Reader.
+func (r *limitedReader) Read(p []byte) (int, error) {
+	if !r.limited {
+		return r.reader.Read(p)
+	}
+	if r.remaining <= 0 {
+		return 0, errors.Errorf("the head of the response exceeds %d bytes", _maxHeadBytes)
+	}
+	n, err := r.reader.Read(p[:min(len(p), r.remaining)])
+	r.remaining -= n
+	return n, err
+}
+
 // keepAliveTimeout returns how long the upstream keeps idle connections
 // according to its Keep-Alive header.
 func keepAliveTimeout(header http.Header) (time.Duration, bool) {
--- a/internal/qlevent/qlevent.go
+++ b/internal/qlevent/qlevent.go
@@ -22,6 +22,9 @@
 	_idField   = []byte("id:")
 )
 
+// MaxEventBytes is the largest size of an event, in bytes.
+const MaxEventBytes = 256 << 10
+
 // Splitter buffers a stream until its events are complete. Its zero value is
 // ready to use.
 type Splitter struct {
@@ -32,17 +35,26 @@
 // Write adds data of the stream and returns the bytes of all events that are
 // now complete. The caller may retain them.
 func (s *Splitter) Write(data []byte) []byte {
+	// Only the new data can complete an event, except for a blank line that is
+	// divided between two writes.
+	start := max(len(s.incomplete)-len(_blankLine)+1, 0)
 	s.incomplete = append(s.incomplete, data...)
-	end := bytes.LastIndex(s.incomplete, _blankLine)
+	end := bytes.LastIndex(s.incomplete[start:], _blankLine)
 	if end < 0 {
 		return nil
 	}
-	end += len(_blankLine)
+	end += start + len(_blankLine)
 	whole := s.incomplete[:end:end]
 	s.incomplete = append([]byte(nil), s.incomplete[end:]...)
 	return whole
 }
 
+// TooLong reports whether the incomplete event exceeds MaxEventBytes. Its stream is to
+// be ended then: an event without end would take the memory of the process.
+func (s *Splitter) TooLong() bool {
+	return len(s.incomplete) > MaxEventBytes
+}
+
 // Rest returns the bytes of an incomplete event at the end of the data.
 func (s *Splitter) Rest() []byte {
 	return s.incomplete
--- a/internal/qlevent/qlevent_test.go
+++ b/internal/qlevent/qlevent_test.go
@@ -81,3 +81,19 @@
 		}
 	})
 }
+
+// TestEventWithoutEndIsRefused writes an event that never ends.
+func TestEventWithoutEndIsRefused(t *testing.T) {
+	var s Splitter
+	chunk := make([]byte, 8<<10)
+	for written := 0; written <= 2*MaxEventBytes; written += len(chunk) {
+		if s.TooLong() {
+			if written < MaxEventBytes {
+				t.Errorf("refused after %d bytes, want %d at least", written, MaxEventBytes)
+			}
+			return
+		}
+		s.Write(chunk)
+	}
+	t.Errorf("an event of more than %d bytes was buffered", 2*MaxEventBytes)
+}
--- a/internal/qlfleet/qlfleet.go
+++ b/internal/qlfleet/qlfleet.go
@@ -107,6 +107,7 @@
 		return nil, errors.Annotate(err, "listen for packets")
 	}
 	if f.listener, err = net.Listen("tcp4", config.Core.Address); err != nil {
+		_ = f.socket.Close()
 		return nil, errors.Annotate(err, "listen for fetches")
 	}
 	core := config.Core
@@ -176,22 +177,12 @@
 	for {
 		select {
 		case event := <-f.events:
-			event(f.config.Clock())
+			f.handle(event)
 			f.drainEvents()
 		case <-ticker.C:
-			now := f.config.Clock()
-			lag := max(now-due, f.echo.lag(now))
-			due = now + _tickInterval
-			if f.echo.startIfDue(now) {
-				f.send(f.config.Core.Address, &qlfleetwire.Packet{
-					From: f.config.Core.Self,
-					Echo: int64(now),
-				})
-			}
-			f.core.SetLag(lag)
-			f.lagging.Store(f.core.IsLagging())
-			f.core.Tick(now)
-			f.config.OnTick(now, lag)
+			lateBy := f.config.Clock() - due
+			due += lateBy + _tickInterval
+			f.handle(func(now time.Duration) { f.tick(now, lateBy) })
 		case <-timer.C:
 		case <-ctx.Done():
 			f.drainEvents()
@@ -205,13 +196,39 @@
 	}
 }
 
+// tick performs the periodic work. lateBy is how late the timer for it was handled.
+func (f *Fleet) tick(now, lateBy time.Duration) {
+	lag := max(lateBy, f.echo.lag(now))
+	if f.echo.startIfDue(now) {
+		f.send(f.config.Core.Address, &qlfleetwire.Packet{
+			From: f.config.Core.Self,
+			Echo: int64(now),
+		})
+	}
+	f.core.SetLag(lag)
+	f.lagging.Store(f.core.IsLagging())
+	f.core.Tick(now)
+	f.config.OnTick(now, lag)
+}
+
+// handle runs an event. A panic ends the event only: a packet or document that meets
+// a fault must not end the requests of the whole process.
+func (f *Fleet) handle(event func(now time.Duration)) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			f.config.Log.Error("event-panicked", zap.Any("cause", cause), zap.Stack("stack"))
+		}
+	}()
+	event(f.config.Clock())
+}
+
 // drainEvents handles events that are queued already, so that their messages
 // share packets.
 func (f *Fleet) drainEvents() {
 	for range _maxEventBatch {
 		select {
 		case event := <-f.events:
-			event(f.config.Clock())
+			f.handle(event)
 		default:
 			return
 		}
@@ -243,8 +260,8 @@
 func (f *Fleet) Call(event func(now time.Duration)) {
 	ended := make(chan struct{})
 	f.Post(func(now time.Duration) {
+		defer close(ended)
 		event(now)
-		close(ended)
 	})
 	select {
 	case <-ended:
--- a/internal/qlfleet/qlfleet_test.go
+++ b/internal/qlfleet/qlfleet_test.go
@@ -134,3 +134,22 @@
 		t.Errorf("reply: got %v, want the document under revision 7", reply)
 	}
 }
+
+// TestPanicInAnEventEndsNothing has an event panic in the control goroutine, as a
+// malformed packet that meets a fault might make it. The router must go on.
+func TestPanicInAnEventEndsNothing(t *testing.T) {
+	f := startFleets(t, 1)[0]
+	f.Post(func(time.Duration) { panic("fault") })
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	decision := f.Ask(ctx, &qlplace.Request{
+		Key: qlengine.Key{
+			Request: 1,
+		},
+		Service:          "models",
+		LatencyObjective: time.Second,
+	})
+	if got, want := decision.Engine, "e1"; got != want {
+		t.Errorf("engine after the panic: got %q, want %q", got, want)
+	}
+}
--- a/internal/qlforward/engine.go
+++ b/internal/qlforward/engine.go
@@ -274,14 +274,16 @@
 	defer _readBuffers.Put(buffer)
 	var splitter qlevent.Splitter
 	first := true
+	lastEventAt := time.Now()
 	for {
-		f.setSilenceTimeout(x, e)
+		f.setSilenceTimeout(x, e, lastEventAt)
 		n, err := e.Response().Body.Read(*buffer)
 		events := splitter.Write((*buffer)[:n])
 		if err == io.EOF {
 			events = append(events, splitter.Rest()...)
 		}
 		if len(events) > 0 {
+			lastEventAt = time.Now()
 			if first {
 				first = false
 				f.config.Placement.FirstEvent(placementID)
@@ -295,17 +297,20 @@
 			f.completeStream(x)
 			return attemptDone, nil
 		}
+		if err == nil && splitter.TooLong() {
+			err = errors.Errorf("an event exceeds %d bytes", qlevent.MaxEventBytes)
+		}
 		if err != nil {
 			return f.streamFailed(x, err)
 		}
 	}
 }
 
-// setSilenceTimeout limits the wait for the next data of a stream that may be
-// resumed at another engine.
-func (f *Forwarder) setSilenceTimeout(x *exchange, e *qlconn.Exchange) {
+// setSilenceTimeout limits the wait for the next whole event of a stream that may be
+// resumed at another engine. Bytes that complete no event don't extend it.
+func (f *Forwarder) setSilenceTimeout(x *exchange, e *qlconn.Exchange, lastEventAt time.Time) {
 	if x.route.Repeatable() && x.attempts < x.route.MaxAttempts() {
-		e.SetReadTimeout(_streamSilenceTimeout)
+		e.SetReadTimeout(max(_streamSilenceTimeout-time.Since(lastEventAt), time.Millisecond))
 	}
 }
 
--- a/internal/qlplace/qlplace.go
+++ b/internal/qlplace/qlplace.go
@@ -65,9 +65,9 @@
 	// _minOverShareLoad. It
 	// is then divided by the customer's excess to the power of
 	// _overShareLoadExponent.
-	_overShareLoad         = 0.7
-	_minOverShareLoad      = 0.48
-	_maxOverShareLoad      = 1.5
+	_overShareLoad         = 0.66
+	_minOverShareLoad      = 0.46
+	_maxOverShareLoad      = 1.3
 	_overShareLoadExponent = 2
 	// _meanLoadTTL is how long a computed mean load is reused.
 	_meanLoadTTL = 10 * time.Millisecond
