Placement skips engines that cannot be the best before it evaluates them

Change: a lower bound of the first event, from the pending prefill and the engine's slowness, is compared first. The chosen engine is the same.

--- a/internal/qlengine/qlengine.go
+++ b/internal/qlengine/qlengine.go
@@ -100,8 +100,11 @@
 
 // Engine is the model of one engine. It is not safe for concurrent use.
 type Engine struct {
-	config         Config
-	speed          *Speed
+	config Config
+	speed  *Speed
+	// minDecodeTime is the decode time of the idle engine at the initial speed, in
+	// nanoseconds.
+	minDecodeTime  float64
 	active         map[Key]activeRequest
 	waiting        int
 	pendingTokens  int
@@ -143,6 +146,7 @@
 	return &Engine{
 		config:           config,
 		speed:            NewSpeed(),
+		minDecodeTime:    float64(_baseLatency + time.Duration(config.TokensPerEvent)*_stepTime),
 		active:           make(map[Key]activeRequest),
 		cache:            newCache(config.KVCacheTokens, nil),
 		observedSlowness: 1,
@@ -168,9 +172,13 @@
 	Fits bool
 }
 
-// MinWait returns a lower bound of the wait that Forecast predicts.
-func (e *Engine) MinWait(now time.Duration) time.Duration {
-	return max(e.prefillDoneAt-now, 0)
+// MinFirstEvent returns a lower bound of the time to the first event that Forecast
+// predicts for a prompt of which the tokens have to be prefilled. It takes a fraction of
+// the time.
+func (e *Engine) MinFirstEvent(now time.Duration, tokens int) time.Duration {
+	_, slowness := e.current(now)
+	own := float64(e.speed.PrefillTime(tokens)) + e.minDecodeTime*e.speed.latencyScale
+	return max(e.prefillDoneAt-now, 0) + time.Duration(own*slowness)
 }
 
 // Forecast predicts the effect of placing the prompt now, where missing is
--- a/internal/qlplace/admit.go
+++ b/internal/qlplace/admit.go
@@ -71,6 +71,7 @@
 	var candidates [2]candidate
 	chosen, next := &candidates[0], &candidates[1]
 	affinity, _ := request.Prompt.Affinity()
+	unique := request.Prompt.UniqueTokens()
 	fewestMissing := p.countMissing(pool, request)
 	for _, wantCached := range []bool{true, false} {
 		for i, e := range pool.engines {
@@ -81,7 +82,7 @@
 			if excluded(request.Excluded, e.info.ID) {
 				continue
 			}
-			if chosen.admissible && recomputeCost+e.model.MinWait(now) >= chosen.score {
+			if chosen.admissible && recomputeCost+e.model.MinFirstEvent(now, unique+p.missingTokens[i]) > chosen.score {
 				continue
 			}
 			p.evaluate(next, now, e, request, limits, p.missingTokens[i], recomputeCost)
