Tests: the loss check and the booking check as strict as their promises

TestHalfOfLargeFleetReturns allowed one in ten losses to be unknown after 5 s, a figure taken after the measured one. The booking check compared two executions with the claim window, so a repeat that was sent inside the window and ran after it passed, which the old check found. Change: TestLossOfHalfOfLargeFleetIsKnown wants every loss known after the users' stable-ms (5 s). A booking may run a second time only by the last repeat, and only if that was sent after the window.

--- a/cmd/quetzallaned/process_test.go
+++ b/cmd/quetzallaned/process_test.go
@@ -105,9 +105,9 @@
 
 // TestBookingOnceThroughKillAndPause kills (SIGKILL) or pauses (SIGSTOP) the router
 // that handles a booking, and repeats the booking through the other routers and
-// then through the restarted or continued one. It must run at most once inside the
-// claim window. On a machine that is so slow that a repeat is only sent after the
-// window, the booking may run again: no claim is kept longer.
+// then through the restarted or continued one. It must run at most once. On a machine
+// that is so slow that a repeat is only sent after the claim window, that repeat may run
+// it again: no claim is kept longer.
 func TestBookingOnceThroughKillAndPause(t *testing.T) {
 	f := newProcessFleet(t, 3)
 	f.waitClaimHistory()
@@ -134,23 +134,24 @@
 		}
 		f.waitReady(victim)
 		<-first
+		lastSent := time.Now()
 		f.call(victim, http.MethodPost, "/services/booking/b", `{"n":1}`, key, _testKey)
-		checkBookedOnce(t, key, f.bookings(key))
+		checkBookedOnce(t, key, f.bookings(key), lastSent)
 		f.waitClaimHistory()
 	}
 }
 
-// checkBookedOnce checks that no execution of a booking began within the claim window
-// of the one before it.
-func checkBookedOnce(t *testing.T, key string, begun []time.Time) {
+// checkBookedOnce checks that a booking ran at most once. If the last repeat was sent
+// after the claim window of the first execution, that repeat alone may have run it again.
+func checkBookedOnce(t *testing.T, key string, begun []time.Time, lastSent time.Time) {
 	t.Helper()
-	for i := 1; i < len(begun); i++ {
-		gap := begun[i].Sub(begun[i-1])
-		if gap <= _claimWindow {
-			t.Errorf("%s ran again after %v, want at most once within %v", key, gap, _claimWindow)
-			continue
-		}
-		t.Logf("%s ran again after %v, outside the window of %v", key, gap, _claimWindow)
+	want := 1
+	if len(begun) > 0 && lastSent.Sub(begun[0]) > _claimWindow {
+		want = 2
+		t.Logf("%s: the last repeat was sent %v after the first execution, outside the window", key, lastSent.Sub(begun[0]))
+	}
+	if len(begun) > want || len(begun) == want && want == 2 && begun[1].Before(lastSent) {
+		t.Errorf("%s ran %d times, at %v, want at most once before %v", key, len(begun), begun, lastSent)
 	}
 }
 
--- a/internal/qlowner/discovery_test.go
+++ b/internal/qlowner/discovery_test.go
@@ -73,24 +73,10 @@
 }
 
 // TestHalfOfLargeFleetReturns kills a random half of a large fleet at one moment and
-// starts it again later. Soon after their loss, every router must know of nearly all
-// losses, and soon after their return all routers must know each other.
+// starts it again later. Soon after their return all routers must know each other.
 func TestHalfOfLargeFleetReturns(t *testing.T) {
 	for _, routers := range []int{67, 195, 301} {
-		n := newStartingNetwork(t, routers)
-		n.startAll(1)
-		n.advance(_discoveryTime + 4*time.Second)
-		killed := n.random.Perm(routers)[:routers*55/100]
-		for _, i := range killed {
-			n.cores[i] = nil
-		}
-		n.advance(_lossDetectionTime)
-		survivors := routers - len(killed)
-		got := n.highestLiveCount()
-		t.Logf("%d routers: the highest live count after the loss is %d of %d", routers, got, survivors)
-		if want := survivors + len(killed)/_maxMissedLosses; got > want {
-			t.Errorf("%d routers: a router sees %d live ones after the loss, want %d at most", routers, got, want)
-		}
+		n, killed := newNetworkAfterLoss(t, routers)
 		for _, i := range killed {
 			n.cores[i] = n.newCore(i, n.ids[i], 2)
 		}
@@ -101,15 +87,35 @@
 	}
 }
 
-const (
-	// _lossDetectionTime is the time within which the loss of many routers must be
-	// known: the users count a fleet of this size as settled 5 s after a disturbance
-	// (their stable-ms).
-	_lossDetectionTime = 5 * time.Second
-	// One in _maxMissedLosses of the losses may be unknown to a router by then: it
-	// finds those by its own probes, and turns to other owners without knowing.
-	_maxMissedLosses = 10
-)
+// TestLossOfHalfOfLargeFleetIsKnown kills a random half of a large fleet at one moment.
+// Every router must know of every loss by the time at which the users count a fleet of
+// this size as settled.
+func TestLossOfHalfOfLargeFleetIsKnown(t *testing.T) {
+	for _, routers := range []int{67, 195, 301} {
+		n, killed := newNetworkAfterLoss(t, routers)
+		if got, want := n.highestLiveCount(), routers-len(killed); got != want {
+			t.Errorf("%d routers: a router sees %d live ones after the loss, want %d", routers, got, want)
+		}
+	}
+}
+
+// _lossDetectionTime is the time within which the loss of many routers must be known:
+// the users' stable-ms at 195 VMs.
+const _lossDetectionTime = 5 * time.Second
+
+// newNetworkAfterLoss returns a network of which 55% were killed _lossDetectionTime
+// ago, and the indexes of those.
+func newNetworkAfterLoss(t *testing.T, routers int) (n *network, killed []int) {
+	n = newStartingNetwork(t, routers)
+	n.startAll(1)
+	n.advance(_discoveryTime + 4*time.Second)
+	killed = n.random.Perm(routers)[:routers*55/100]
+	for _, i := range killed {
+		n.cores[i] = nil
+	}
+	n.advance(_lossDetectionTime)
+	return n, killed
+}
 
 // highestLiveCount returns the highest number of live routers in the view of any
 // router that is up.
