Membership: introductions tell which routers are dead

Cause: of the deaths of half a fleet, a router missed a few updates for good (32 of 31, 93 of 88 and 142 of 136 live in the worst view after 5 s): gossip sends each update a fixed number of times, many of them to routers that are dead as well, and introductions only named routers, never their deaths. Change: the hashes in introductions cover whether the sender takes a router for dead, and records say so; three losses without a pause of a second resume discovery, so that routers compare what they know. A single loss is left to gossip.

--- a/internal/qlmember/qlmember.go
+++ b/internal/qlmember/qlmember.go
@@ -313,6 +313,18 @@
 	}
 }
 
+// MarkDead records that another router takes a member for dead in an incarnation, as
+// gossip would. It has no effect if a later incarnation is known.
+func (m *Members) MarkDead(now time.Duration, id string, incarnation uint64) {
+	m.applyUpdate(now, id, incarnation, Dead)
+}
+
+// IsDead reports whether a member is taken for dead.
+func (m *Members) IsDead(id string) bool {
+	peer := m.members[id]
+	return peer != nil && peer.state == Dead
+}
+
 // Incarnation returns the latest known incarnation of a member or of this router; 0 if
 // it is not listed.
 func (m *Members) Incarnation(id string) uint64 {
--- a/internal/qlowner/packet.go
+++ b/internal/qlowner/packet.go
@@ -154,7 +154,7 @@
 		}
 		if len(excluded) == 0 || !excluded[c.hashOf(ids[i])] {
 			router := c.routers[ids[i]]
-			router.Incarnation = c.members.Incarnation(ids[i])
+			router.Incarnation, router.Dead = c.members.Incarnation(ids[i]), c.members.IsDead(ids[i])
 			routers = append(routers, router)
 		}
 	}
@@ -171,14 +171,18 @@
 	return hashes
 }
 
-// hashOf returns a hash of a router's id and latest known incarnation. A router whose
-// hash equals that of another one is missing from replies to routers that know the
-// other; introductions without hashes still name it.
+// hashOf returns a hash of a router's id, latest known incarnation, and whether it is
+// taken for dead. A router whose hash equals that of another one is missing from replies
+// to routers that know the other; introductions without hashes still name it.
 func (c *Core) hashOf(id string) uint32 {
-	return uint32(xxhash.Sum64String(id) + c.members.Incarnation(id)*_incarnationHashFactor)
+	version := 2 * c.members.Incarnation(id)
+	if c.members.IsDead(id) {
+		version++
+	}
+	return uint32(xxhash.Sum64String(id) + version*_incarnationHashFactor)
 }
 
-// _incarnationHashFactor is odd, so that each incarnation has a hash of its own.
+// _incarnationHashFactor is odd, so that each incarnation and state has a hash of its own.
 const _incarnationHashFactor = 0x9e3779b97f4a7c15
 
 // replyTo returns the reply to an introduction.
@@ -275,6 +279,10 @@
 		c.applyRouters(now)
 	}
 	for _, router := range routers {
+		if router.GetDead() {
+			c.members.MarkDead(now, router.GetId(), router.GetIncarnation())
+			continue
+		}
 		c.members.MarkStarted(now, router.GetId(), router.GetIncarnation())
 	}
 }
--- a/internal/qlowner/qlowner.go
+++ b/internal/qlowner/qlowner.go
@@ -62,6 +62,10 @@
 	// _introduceIntervalFruitful is the time until the next introduction after a
 	// reply that named new routers: the sender may know more than fit one reply.
 	_introduceIntervalFruitful = 100 * time.Millisecond
+	// _manyLosses losses, each within _lossInterval of the one before, resume
+	// discovery. A single loss is left to gossip: it costs fewer bytes.
+	_manyLosses   = 3
+	_lossInterval = time.Second
 	// _maxIntroducedToNew limits the routers listed in a reply to a router that is
 	// discovering others, _maxIntroducedToKnown those in any other introduction.
 	_maxIntroducedToNew   = 100
@@ -199,13 +203,17 @@
 	// last reconciliation.
 	trackingRouters []string
 	leaving         bool
-	introduceAt     time.Duration
-	learnedAt       time.Duration
-	reconcileAt     time.Duration
-	now             time.Duration
-	lag             time.Duration
-	laggingUntil    time.Duration
-	stats           Stats
+	// lastLossAt is when a live router was lost last, recentLosses how many were lost
+	// without a pause of _lossInterval.
+	lastLossAt   time.Duration
+	recentLosses int
+	introduceAt  time.Duration
+	learnedAt    time.Duration
+	reconcileAt  time.Duration
+	now          time.Duration
+	lag          time.Duration
+	laggingUntil time.Duration
+	stats        Stats
 }
 
 // Stats counts decisions by the router that made them.
@@ -299,15 +307,31 @@
 		// The first one is this router.
 		live = live[1:]
 	}
-	if len(live) > len(c.live) {
+	switch {
+	case len(live) > len(c.live):
 		// Others may have started, or returned, together with the new one.
 		c.resumeDiscovery(c.now)
+	case len(live) < len(c.live):
+		c.countLoss(c.now)
 	}
 	c.live = live
 	clear(c.ranks)
 	c.config.OnLiveChange(live)
 }
 
+// countLoss resumes discovery when several routers are lost in a short time: gossip then
+// carries more updates than it spreads for certain, and introductions show what a router
+// has missed.
+func (c *Core) countLoss(now time.Duration) {
+	if now-c.lastLossAt > _lossInterval {
+		c.recentLosses = 0
+	}
+	c.lastLossAt = now
+	if c.recentLosses++; c.recentLosses >= _manyLosses {
+		c.resumeDiscovery(now)
+	}
+}
+
 func (c *Core) digest() *qlwire.Digest {
 	configuration, list := c.config.Revisions()
 	return &qlwire.Digest{
