Reset callers with HTTP/1.0 when a stream breaks off; survive panics over documents

Cause: an answer to HTTP/1.0 without a length ends with its connection, and an aborted stream was closed like a whole one: such a caller took half a stream for a success. A panic in the store's client, or in the decoder of a document, ended the process. A panic in a started stream was not logged. Change: the connection of such a caller is reset; calls of the source return an error instead of panicking, and an entry that meets a fault is one that names no upstream. Tests that failed first: TestBrokenStreamToOldCallerLooksBroken (got both events and no error), TestPanicOverTheStoresDocumentsEndsNothing (the process ended).

--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -137,6 +137,7 @@
 // runtime's limits on processors and memory for the whole process.
 func New(config Config) (*Edge, error) {
 	settings := config.Settings
+	config.Source = config.Source.withoutPanics()
 	e := &Edge{
 		config:   config,
 		settings: settings,
--- a/internal/qledge/reader_test.go
+++ b/internal/qledge/reader_test.go
@@ -35,6 +35,22 @@
 	r.awaitState(t, "8 u1")
 }
 
+// TestPanicOverTheStoresDocumentsEndsNothing has the store's client panic in a watch, and
+// the decoder of an entry panic. The router must go on, and have later changes in force.
+func TestPanicOverTheStoresDocumentsEndsNothing(t *testing.T) {
+	store := newFakeStore()
+	r := startEdge(t, "r1", store, nil)
+	r.awaitState(t, "1 u1")
+	store.withLock(func() { store.watchPanics = true })
+	store.put("u2")
+	r.awaitState(t, "1 u1 u2")
+	store.put("panic")
+	time.Sleep(100 * time.Millisecond)
+	store.remove("panic")
+	store.put("u3")
+	r.awaitState(t, "1 u1 u2 u3")
+}
+
 func TestLostHistoryCausesFullRead(t *testing.T) {
 	store := newFakeStore()
 	r := startEdge(t, "r1", store, nil)
--- a/internal/qledge/source.go
+++ b/internal/qledge/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"time"
 
 	"github.com/juju/errors"
@@ -37,3 +38,34 @@
 	// Calls returns the number of calls made so far.
 	Calls func() int64
 }
+
+// withoutPanics returns a source whose calls return an error instead of panicking. A
+// document that meets a fault is then one that cannot be read; it must not end the
+// requests of the whole process.
+func (s Source) withoutPanics() Source {
+	guarded := s
+	guarded.Read = func(ctx context.Context, wait time.Duration) (items []Item, revision uint64, err error) {
+		defer recoverError("read", &err)
+		return s.Read(ctx, wait)
+	}
+	guarded.Watch = func(ctx context.Context, after uint64, wait time.Duration) (items []Item, revision uint64, err error) {
+		defer recoverError("watch", &err)
+		return s.Watch(ctx, after, wait)
+	}
+	guarded.DecodeConfiguration = func(data []byte) (document *qlroute.Document, err error) {
+		defer recoverError("decode configuration", &err)
+		return s.DecodeConfiguration(data)
+	}
+	guarded.DecodeUpstream = func(id string, data []byte) (entry qlcatalog.Entry, err error) {
+		defer recoverError("decode upstream", &err)
+		return s.DecodeUpstream(id, data)
+	}
+	return guarded
+}
+
+// recoverError turns a panic into an error. It must be deferred directly.
+func recoverError(call string, err *error) {
+	if cause := recover(); cause != nil {
+		*err = errors.Errorf("%s panicked: %v, at %s", call, cause, debug.Stack())
+	}
+}
--- a/internal/qledge/standin_test.go
+++ b/internal/qledge/standin_test.go
@@ -40,6 +40,8 @@
 	down        bool
 	historyLost bool
 	// watchesHang makes watches wait without an answer until they time out.
+	// watchPanics makes the next watch panic.
+	watchPanics bool
 	watchesHang bool
 	// readStartDelay is how long the answer to a read of all documents takes to
 	// begin.
@@ -126,6 +128,9 @@
 			return document, errors.Trace(err)
 		},
 		DecodeUpstream: func(id string, data []byte) (qlcatalog.Entry, error) {
+			if strings.HasPrefix(string(data), "panic") {
+				panic("fault in the decoder")
+			}
 			if strings.HasPrefix(string(data), "bad") {
 				return qlcatalog.Entry{}, errors.NotValidf("entry %q", id)
 			}
@@ -162,7 +167,14 @@
 }
 
 func (s *fakeStore) watch(ctx context.Context, after uint64, wait time.Duration) ([]Item, uint64, error) {
-	s.withLock(func() { s.watches++ })
+	panics := false
+	s.withLock(func() {
+		s.watches++
+		panics, s.watchPanics = s.watchPanics, false
+	})
+	if panics {
+		panic("fault in the store's client")
+	}
 	for end := time.Now().Add(wait); ; {
 		s.mu.Lock()
 		err, hang, historyLost, revision, items := s.availableErr(), s.watchesHang, s.historyLost, s.revision, s.changes(after)
--- a/internal/qlforward/answer.go
+++ b/internal/qlforward/answer.go
@@ -22,10 +22,14 @@
 	if cause == nil {
 		return
 	}
-	if cause == http.ErrAbortHandler || x.streamStarted {
+	if cause == http.ErrAbortHandler {
 		panic(http.ErrAbortHandler)
 	}
 	f.config.Log.Error("request-panicked", zap.String("request", x.caller.ID), zap.Any("cause", cause), zap.Stack("stack"))
+	if x.streamStarted {
+		f.resetOldCaller(x)
+		panic(http.ErrAbortHandler)
+	}
 	code := qlcode.RouterFault
 	if x.sent {
 		code = qlcode.RouterFaultSent
--- a/internal/qlforward/engine.go
+++ b/internal/qlforward/engine.go
@@ -13,6 +13,7 @@
 	"github.com/quetzallane/quetzallane/internal/qlevent"
 	"github.com/quetzallane/quetzallane/internal/qlplace"
 	"github.com/quetzallane/quetzallane/pkg/qlcode"
+	"go.uber.org/zap"
 )
 
 const (
@@ -185,9 +186,33 @@
 func (f *Forwarder) abortStream(x *exchange, err error) {
 	x.cause = errors.Cause(err).Error()
 	f.recordEnd(x, qlcode.UpstreamCut, http.StatusOK)
+	f.resetOldCaller(x)
 	panic(http.ErrAbortHandler)
 }
 
+// resetOldCaller resets the connection to a caller with HTTP/1.0. An answer without a
+// length ends with its connection there: if the server just closed it, a stream that
+// broke off would look complete.
+func (f *Forwarder) resetOldCaller(x *exchange) {
+	if x.request.ProtoAtLeast(1, 1) {
+		return
+	}
+	conn, _, err := http.NewResponseController(x.w).Hijack()
+	if err != nil {
+		f.config.Log.Warn("stream-not-reset", zap.String("request", x.caller.ID), zap.Error(err))
+		return
+	}
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		err = tcp.SetLinger(0)
+	}
+	if closeErr := conn.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		f.config.Log.Warn("stream-not-reset", zap.String("request", x.caller.ID), zap.Error(err))
+	}
+}
+
 // attempt sends the request to an engine, forwards its answer, and reports the
 // outcome to the placement.
 func (f *Forwarder) attempt(x *exchange, entry qlcatalog.Entry, placementID uint64) (result attemptResult, err error) {
--- a/internal/qlforward/stall_test.go
+++ b/internal/qlforward/stall_test.go
@@ -67,3 +67,34 @@
 		t.Errorf("requests to the second engine: got %d, want none", got)
 	}
 }
+
+// TestBrokenStreamToOldCallerLooksBroken has a stream to a caller with HTTP/1.0 break
+// off. Such an answer ends with its connection, so the caller must find it reset.
+func TestBrokenStreamToOldCallerLooksBroken(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		whole     bool
+		wantReset bool
+	}{
+		{name: "broken", whole: false, wantReset: true},
+		{name: "whole", whole: true, wantReset: false},
+	} {
+		h := newHarness(t, newFakeUpstream(t, "u1", streamEvents(1, 2, c.whole)))
+		conn, err := net.Dial("tcp", h.server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+		head := "POST /chat/x HTTP/1.0\r\nHost: 127.0.0.1\r\nId: i1\r\nKey: k1\r\nTimeout: 1500\r\nContent-Length: 6\r\n"
+		for name, value := range promptHeaders() {
+			head += name + ": " + value + "\r\n"
+		}
+		if _, err := io.WriteString(conn, head+"\r\nprompt"); err != nil {
+			t.Fatal(err)
+		}
+		answer, err := io.ReadAll(conn)
+		if got := err != nil; got != c.wantReset {
+			t.Errorf("%s: got %q, %v, want a reset connection: %v", c.name, answer, err, c.wantReset)
+		}
+	}
+}
