Membership forgets routers that are dead for an hour

Cause, found on a second reading: routers were never removed. Change: a router dead for an hour is forgotten; introductions name a dead router only to one that takes it for alive, so it is not learned again. The prompts' spread that lets the speed's regression run is relative to their mean (the comparison had tokens against tokens squared). The learned speed is in the state dump and in placement-state lines. Names: knownBy, _introduceIntervalAfterNews. Tests: TestDeadRoutersAreForgotten; starts, losses and returns at 67, 195 and 301 hold.

--- a/internal/qledge/load.go
+++ b/internal/qledge/load.go
@@ -94,7 +94,7 @@
 	}
 	e.log.Info("placement-state", zap.String("service", pool.Service), zap.Int("group", pool.Group), zap.Int("engines", len(pool.Engines)),
 		zap.Int("running", running), zap.Int("waiting", waiting), zap.Int("unread", pendingTokens), zap.Int("overdue", overdue),
-		zap.Float64("load", pool.Load), zap.Float64("slowness", slowness), zap.Float64("margin", pool.LatencyCorrection), zap.Uint64("refused-late", pool.Refused[qlplace.Late.String()]), zap.Uint64("refused-over-share", pool.Refused[qlplace.OverShare.String()]),
+		zap.Float64("load", pool.Load), zap.Float64("slowness", slowness), zap.Float64("margin", pool.LatencyCorrection), zap.Duration("token-prefill", pool.TokenPrefill), zap.Float64("latency-scale", pool.LatencyScale), zap.Uint64("refused-late", pool.Refused[qlplace.Late.String()]), zap.Uint64("refused-over-share", pool.Refused[qlplace.OverShare.String()]),
 		zap.Uint64("in-time", pool.InTime), zap.Uint64("late", pool.Late), zap.Uint64("tokens-read-again", pool.RecomputedTokens),
 		zap.Uint64("decided-for-others", decided), zap.Int("routers", e.fleet.Core().LiveCount()))
 }
--- a/internal/qlengine/speed.go
+++ b/internal/qlengine/speed.go
@@ -13,6 +13,9 @@
 	_speedTTL = 5 * time.Second
 	// _maxSpeedRatio bounds the learned values relative to the initial ones.
 	_maxSpeedRatio = 20
+	// _minTokenDeviation is the standard deviation of the prompts' tokens, relative to
+	// their mean, from which on the regression can tell prefill from the rest.
+	_minTokenDeviation = 0.1
 	// _maxObservationRatio bounds one observed time relative to the expected one,
 	// so that single requests that were held up have little effect.
 	_maxObservationRatio = 4
@@ -122,7 +125,8 @@
 // fit computes the speed by linear regression of the observed times on the tokens.
 func (s *Speed) fit() {
 	variance := s.meanTokensSquared - s.meanTokens*s.meanTokens
-	if variance <= s.meanTokens || s.meanDecode <= 0 {
+	minDeviation := _minTokenDeviation * s.meanTokens
+	if variance <= minDeviation*minDeviation || s.meanDecode <= 0 {
 		// The prompts are too similar to tell the two parts apart.
 		return
 	}
--- a/internal/qlmember/gossip.go
+++ b/internal/qlmember/gossip.go
@@ -22,8 +22,12 @@
 	peer.incarnation = incarnation
 	peer.state = state
 	m.countSuspects()
-	if state == Suspect {
+	switch state {
+	case Suspect:
 		peer.suspectedAt = now
+	case Dead:
+		peer.deadSince = now
+	case Alive:
 	}
 	if previous == Suspect && state == Alive {
 		m.falseSuspicions++
--- a/internal/qlmember/qlmember.go
+++ b/internal/qlmember/qlmember.go
@@ -122,6 +122,7 @@
 	state       State
 	leaving     bool
 	suspectedAt time.Duration
+	deadSince   time.Duration
 	heardAt     time.Duration
 	everHeard   bool
 }
@@ -319,6 +320,14 @@
 	m.applyUpdate(now, id, incarnation, Dead)
 }
 
+// DeadFor returns for how long a member has been taken for dead; 0 if it is not.
+func (m *Members) DeadFor(now time.Duration, id string) time.Duration {
+	if !m.IsDead(id) {
+		return 0
+	}
+	return now - m.members[id].deadSince
+}
+
 // IsDead reports whether a member is taken for dead.
 func (m *Members) IsDead(id string) bool {
 	peer := m.members[id]
--- a/internal/qlowner/discovery_test.go
+++ b/internal/qlowner/discovery_test.go
@@ -99,6 +99,28 @@
 	}
 }
 
+// TestDeadRoutersAreForgotten guards against a fleet in which the routers of replaced
+// VMs stay known for good, and are probed in vain. One that was forgotten and returns
+// must be discovered again.
+func TestDeadRoutersAreForgotten(t *testing.T) {
+	n := newNetwork(t, 9)
+	lost := (n.owner() + 1) % 9
+	n.cores[lost] = nil
+	n.advance(10 * time.Second)
+	n.now += _forgetAfter
+	n.advance(10 * time.Second)
+	for i, core := range n.cores {
+		if core != nil && (core.routers[n.ids[lost]] != nil || core.LiveCount() != 8) {
+			t.Errorf("router %d still knows %s, or sees %d live routers, want 8", i, n.ids[lost], core.LiveCount())
+		}
+	}
+	n.cores[lost] = n.newCore(lost, n.ids[lost], 2)
+	n.advance(4 * time.Second)
+	if got := n.lowestLiveCount(); got != 9 {
+		t.Errorf("a router sees %d live ones after the return, want 9", got)
+	}
+}
+
 // _lossDetectionTime is the time within which the loss of many routers must be known:
 // the users' stable-ms at 195 VMs.
 const _lossDetectionTime = 5 * time.Second
--- a/internal/qlowner/packet.go
+++ b/internal/qlowner/packet.go
@@ -78,7 +78,7 @@
 	}
 	packet := c.newPacket()
 	packet.Membership = body
-	if c.acquainted[to] < c.members.Incarnation(to) || c.acquainted[to] == 0 {
+	if c.knownBy[to] < c.members.Incarnation(to) || c.knownBy[to] == 0 {
 		// The other router may not know this one yet. It ignores probes of unknown
 		// routers, and would be taken for dead.
 		packet.Introduction = &qlfleetwire.Introduction{
@@ -143,20 +143,23 @@
 	}
 }
 
-// randomRouters returns up to count known routers without those whose hashes are
-// excluded.
-func (c *Core) randomRouters(count int, excluded map[uint32]bool) []*qlfleetwire.Router {
+// randomRouters returns up to count routers of which another one, with these hashes,
+// knows nothing, or something else. Dead routers are only news to those that take them
+// for alive: all others can do without them.
+func (c *Core) randomRouters(count int, known map[uint32]bool) []*qlfleetwire.Router {
 	ids := c.members.IDs()
 	var routers []*qlfleetwire.Router
 	for _, i := range c.config.Random.Perm(len(ids)) {
 		if len(routers) >= count {
 			break
 		}
-		if len(excluded) == 0 || !excluded[c.hashOf(ids[i])] {
-			router := c.routers[ids[i]]
-			router.Incarnation, router.Dead = c.members.Incarnation(ids[i]), c.members.IsDead(ids[i])
-			routers = append(routers, router)
+		id, dead := ids[i], c.members.IsDead(ids[i])
+		if known[c.hash(id, false)] != dead {
+			continue
 		}
+		router := c.routers[id]
+		router.Incarnation, router.Dead = c.members.Incarnation(id), dead
+		routers = append(routers, router)
 	}
 	return routers
 }
@@ -164,26 +167,26 @@
 // knownHashes returns the hashes of all known routers, this one included.
 func (c *Core) knownHashes() []uint32 {
 	hashes := make([]uint32, 0, len(c.routers)+1)
-	hashes = append(hashes, c.hashOf(c.config.Self))
+	hashes = append(hashes, c.hash(c.config.Self, false))
 	for id := range c.routers {
-		hashes = append(hashes, c.hashOf(id))
+		hashes = append(hashes, c.hash(id, c.members.IsDead(id)))
 	}
 	return hashes
 }
 
-// hashOf returns a hash of a router's id, latest known incarnation, and whether it is
+// hash returns a hash of a router's id, latest known incarnation, and whether it is
 // taken for dead. A router whose hash equals that of another one is missing from replies
 // to routers that know the other; introductions without hashes still name it.
-func (c *Core) hashOf(id string) uint32 {
+func (c *Core) hash(id string, dead bool) uint32 {
 	version := 2 * c.members.Incarnation(id)
-	if c.members.IsDead(id) {
+	if dead {
 		version++
 	}
-	return uint32(xxhash.Sum64String(id) + version*_incarnationHashFactor)
+	return uint32(xxhash.Sum64String(id) + version*_versionHashFactor)
 }
 
-// _incarnationHashFactor is odd, so that each incarnation and state has a hash of its own.
-const _incarnationHashFactor = 0x9e3779b97f4a7c15
+// _versionHashFactor is odd, so that each incarnation and state has a hash of its own.
+const _versionHashFactor = 0x9e3779b97f4a7c15
 
 // replyTo returns the reply to an introduction.
 func (c *Core) replyTo(introduction *qlfleetwire.Introduction) *qlfleetwire.Introduction {
@@ -290,13 +293,35 @@
 // resumeDiscovery makes the next introductions frequent and ask for unknown routers.
 func (c *Core) resumeDiscovery(now time.Duration) {
 	c.learnedAt = now
-	c.introduceAt = min(c.introduceAt, now+_introduceIntervalFruitful)
+	c.introduceAt = min(c.introduceAt, now+_introduceIntervalAfterNews)
+}
+
+// forgetDeadRouters removes the routers that have been dead for _forgetAfter. VMs that are
+// replaced get new ids, so the dead would otherwise outnumber the living in time, and
+// most probes go to them.
+func (c *Core) forgetDeadRouters(now time.Duration) {
+	forgotten := 0
+	for id := range c.routers {
+		if c.members.DeadFor(now, id) >= _forgetAfter {
+			delete(c.routers, id)
+			delete(c.knownBy, id)
+			delete(c.penalties, id)
+			forgotten++
+		}
+	}
+	if forgotten > 0 {
+		c.listRouters(now)
+	}
 }
 
 // applyRouters passes the known routers on to membership after a change, and resumes
 // discovery.
 func (c *Core) applyRouters(now time.Duration) {
 	c.resumeDiscovery(now)
+	c.listRouters(now)
+}
+
+func (c *Core) listRouters(now time.Duration) {
 	list := make([]qlmember.ListedRouter, 0, len(c.routers))
 	for _, router := range c.routers {
 		list = append(list, qlmember.ListedRouter{
@@ -319,7 +344,7 @@
 		// Probes of a router are ignored until it has introduced itself.
 		return
 	}
-	c.acquainted[from] = c.members.Incarnation(from)
+	c.knownBy[from] = c.members.Incarnation(from)
 	switch {
 	case message.GetProbe() != nil:
 		c.members.ReceiveProbe(now, from, message.GetProbe())
--- a/internal/qlowner/qlowner.go
+++ b/internal/qlowner/qlowner.go
@@ -59,9 +59,12 @@
 	// _settledAfter is how long no router must have been discovered or changed
 	// before introductions become rarer and shorter.
 	_settledAfter = 3 * time.Second
-	// _introduceIntervalFruitful is the time until the next introduction after a
-	// reply that named new routers: the sender may know more than fit one reply.
-	_introduceIntervalFruitful = 100 * time.Millisecond
+	// _introduceIntervalAfterNews is the time until the next introduction after
+	// routers were discovered: there may be more than one reply has room for.
+	_introduceIntervalAfterNews = 100 * time.Millisecond
+	// _forgetAfter is how long a dead router stays known, longer than regions lose each
+	// other. One that returns later is discovered anew, through the seeds.
+	_forgetAfter = time.Hour
 	// _manyLosses losses, each within _lossInterval of the one before, resume
 	// discovery. A single loss is left to gossip: it costs fewer bytes.
 	_manyLosses   = 3
@@ -196,9 +199,9 @@
 	activeRequests map[uint64]*activeRequest
 	sendQueues     map[string]*sendQueue
 	penalties      map[string]penalty
-	// acquainted holds the incarnations of the routers that have sent membership
-	// messages to this one, and so know it.
-	acquainted map[string]uint64
+	// knownBy holds the incarnations of the routers that are known to know this one,
+	// since they have sent it membership messages.
+	knownBy map[string]uint64
 	// trackingRouters are the routers that had active requests of this one at the
 	// last reconciliation.
 	trackingRouters []string
@@ -244,7 +247,7 @@
 		activeRequests: make(map[uint64]*activeRequest),
 		sendQueues:     make(map[string]*sendQueue),
 		penalties:      make(map[string]penalty),
-		acquainted:     make(map[string]uint64),
+		knownBy:        make(map[string]uint64),
 	}
 	c.members = qlmember.New(qlmember.Config{
 		Self:             config.Self,
@@ -369,6 +372,7 @@
 	if now >= c.reconcileAt {
 		c.reconcileAt = now + _reconcileInterval
 		c.placer.Tick(now)
+		c.forgetDeadRouters(now)
 		c.sendRunning(now)
 	}
 }
--- a/internal/qlplace/state.go
+++ b/internal/qlplace/state.go
@@ -23,8 +23,12 @@
 	// Refused counts refusals by reason.
 	Refused map[string]uint64 `json:"refused"`
 	// Load is the engines' mean load.
-	Load    float64       `json:"load"`
-	Engines []EngineState `json:"engines"`
+	Load float64 `json:"load"`
+	// TokenPrefill and LatencyScale are the learned speed of the engines, see
+	// qlengine.Speed.
+	TokenPrefill time.Duration `json:"token-prefill-ns"`
+	LatencyScale float64       `json:"latency-scale"`
+	Engines      []EngineState `json:"engines"`
 }
 
 // RouterState counts the first events that a router reported.
@@ -98,6 +102,8 @@
 		RecomputedTokens:  p.recomputedTokens,
 		Refused:           make(map[string]uint64),
 		Load:              p.meanLoad,
+		TokenPrefill:      p.speed.TokenPrefill(),
+		LatencyScale:      p.speed.LatencyScale(),
 	}
 	for reason, count := range p.refused {
 		if count > 0 {
