--- a/internal/qlengine/prompt.go
+++ b/internal/qlengine/prompt.go
@@ -1,5 +1,7 @@
 package qlengine
 
+import "strconv"
+
 // Segment is a piece of a prompt that several requests may share.
 type Segment struct {
 	ID     uint64
@@ -17,6 +19,22 @@
 	Segments []Segment
 }
 
+// String returns the IDs of the segments in order, for logs. It is empty for a
+// nil prompt.
+func (p *Prompt) String() string {
+	if p == nil {
+		return ""
+	}
+	var text []byte
+	for i, segment := range p.Segments {
+		if i > 0 {
+			text = append(text, ',')
+		}
+		text = strconv.AppendUint(text, segment.ID, 16)
+	}
+	return string(text)
+}
+
 // UniqueTokens returns the number of prompt tokens that no other request
 // shares.
 func (p *Prompt) UniqueTokens() int {
--- a/internal/qlforward/engine.go
+++ b/internal/qlforward/engine.go
@@ -304,11 +304,15 @@
 		f.setSilenceTimeout(x, e, lastEventAt)
 		n, err := e.Response().Body.Read(*buffer)
 		events := splitter.Write((*buffer)[:n])
+		if n > 0 {
+			x.progress = max(x.progress, progressPart)
+		}
 		if err == io.EOF {
 			events = append(events, splitter.Rest()...)
 		}
 		if len(events) > 0 {
 			lastEventAt = time.Now()
+			x.progress = progressEvents
 			if first {
 				first = false
 				f.config.Placement.FirstEvent(placementID)
--- a/internal/qlforward/metrics.go
+++ b/internal/qlforward/metrics.go
@@ -161,6 +161,8 @@
 		zap.String("outcome", outcome),
 		zap.Int("attempts", x.attempts),
 		zap.Int64("last-event", x.lastEventID),
+		zap.Stringer("answer", x.progress),
+		zap.Stringer("parts", x.caller.Prompt),
 		zap.Duration("left", x.remaining()),
 		zap.String("cause", cause))
 }
--- a/internal/qlforward/qlforward.go
+++ b/internal/qlforward/qlforward.go
@@ -231,6 +231,8 @@
 	excluded []string
 	// upstream is the id of the upstream that was tried last.
 	upstream string
+	// progress is how much of an answer that upstream has sent.
+	progress answerProgress
 	// streamHeader is the response header of the last engine that answered
 	// before the stream to the caller started.
 	streamHeader http.Header
@@ -433,7 +435,7 @@
 // send sends the request to an upstream once and waits for the head of the
 // response, for at most headTimeout unless that is 0.
 func (f *Forwarder) send(x *exchange, entry qlcatalog.Entry, headTimeout time.Duration) (*qlconn.Exchange, error) {
-	x.upstream = entry.ID
+	x.upstream, x.progress = entry.ID, progressNone
 	routers := max(f.config.Placement.RouterCount(), 1)
 	e, err := f.pool.Do(x.ctx, &qlconn.Request{
 		Address:        entry.Address,
@@ -455,6 +457,9 @@
 		x.sentBeforeAttempt = x.sent
 		x.sent = true
 	}
+	if err == nil {
+		x.progress = progressHead
+	}
 	return e, err
 }
 
--- a/internal/qlforward/types.go
+++ b/internal/qlforward/types.go
@@ -32,6 +32,33 @@
 	HeaderError error
 }
 
+// answerProgress is how much of an answer an upstream has sent.
+type answerProgress int
+
+const (
+	// progressNone: nothing.
+	progressNone answerProgress = iota
+	// progressHead: the head.
+	progressHead
+	// progressPart: bytes of the body, but no complete event.
+	progressPart
+	// progressEvents: complete events.
+	progressEvents
+)
+
+// String returns the progress for logs.
+func (p answerProgress) String() string {
+	switch p {
+	case progressHead:
+		return "head"
+	case progressPart:
+		return "part-of-event"
+	case progressEvents:
+		return "events"
+	}
+	return "none"
+}
+
 // Outgoing is what the router sets in the headers of a request to an upstream,
 // in addition to the caller's headers.
 type Outgoing struct {
