--- a/cmd/qlsoak/caller.go
+++ b/cmd/qlsoak/caller.go
@@ -158,7 +158,7 @@
 	}
 	if a.kind.stream {
 		fields.PromptTokens, fields.MaxOutputTokens = 200+c.random.IntN(4000), 10
-		fields.SharedSegmentID = uint32(c.random.IntN(20))
+		fields.Parts = []string{fmt.Sprintf("%x", 1+c.random.IntN(20)), fields.ID}
 	}
 	fields.SetHeader(request.Header)
 	_ = c.conn.SetDeadline(a.sentAt.Add(_callerTimeout))
--- a/internal/qlconn/qlconn.go
+++ b/internal/qlconn/qlconn.go
@@ -28,6 +28,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -221,6 +222,22 @@
 	}, nil
 }
 
+// Refuses reports whether the upstream at the address refuses connections, as one does
+// whose process has ended. A connection that it accepts instead is kept for the next
+// request.
+func (p *Pool) Refuses(ctx context.Context, address string) bool {
+	p.mu.Lock()
+	p.hostPool(address).open++
+	p.dials++
+	p.mu.Unlock()
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.putIdle(c)
+	return false
+}
+
 // releaseSlot counts a connection as closed.
 func (p *Pool) releaseSlot(address string) {
 	p.mu.Lock()
--- a/internal/qlconn/qlconn_test.go
+++ b/internal/qlconn/qlconn_test.go
@@ -398,3 +398,37 @@
 		t.Errorf("connections: got %d, want %d, the first one kept", got, want)
 	}
 }
+
+// TestRefusedConnectionIsTold checks that an upstream whose process is gone is told from
+// one that is there or silent, and that a connection to one that is there is used for the
+// next request.
+func TestRefusedConnectionIsTold(t *testing.T) {
+	u := newFakeUpstream(t, func(conn net.Conn, reader *bufio.Reader, _ int64) {
+		if id, ok := readRequest(reader); ok {
+			_, _ = io.WriteString(conn, response(id, "ok"))
+		}
+	})
+	pool := newPool()
+	if pool.Refuses(t.Context(), u.request("1").Address) {
+		t.Error("an upstream that listens is told as refusing")
+	}
+	if got, err := sendAndRead(t, pool, u.request("1")); got != "ok" || err != nil {
+		t.Errorf("got %q, %v, want ok", got, err)
+	}
+	if dials, _ := pool.Counts(); dials != 1 {
+		t.Errorf("got %d dials, want 1", dials)
+	}
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = listener.Close()
+	if !pool.Refuses(t.Context(), listener.Addr().String()) {
+		t.Error("an address without a listener is not told as refusing")
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if pool.Refuses(ctx, listener.Addr().String()) {
+		t.Error("a canceled dial is told as refused")
+	}
+}
--- a/internal/qledge/operations.go
+++ b/internal/qledge/operations.go
@@ -60,7 +60,7 @@
 
 // ready reports whether the balancer should send callers to this router.
 func (e *Edge) ready() bool {
-	return e.documentsLoaded.Load() && !e.stopping.Load() && !e.shedder.OutOfRotation()
+	return e.documentsLoaded.Load() && e.isInformed() && !e.stopping.Load() && !e.shedder.OutOfRotation()
 }
 
 // answerVars writes counters and histograms as one JSON object.
@@ -81,6 +81,8 @@
 		{name: "idle-connections-closed", value: int64(closed)},
 		{name: "connections-rejected", value: int64(rejected)},
 		{name: "refused-by-processor", value: int64(e.shedder.RefusedCount())},
+		{name: "quarantines", value: int64(len(e.quarantines.Load().Quarantines()))},
+		{name: "quarantines-started", value: e.quarantinesStarted.Load()},
 	}
 	if e.config.LogLines != nil {
 		counters = append(counters, []struct {
@@ -110,6 +112,7 @@
 	var state map[string]any
 	e.fleet.Call(func(now time.Duration) {
 		configuration, list := e.revisions()
+		quarantines, crashes := e.quarantineState(now)
 		state = map[string]any{
 			"id":                     e.settings.ID,
 			"uptime":                 now.String(),
@@ -122,6 +125,8 @@
 			"engines":                e.fleet.Core().Placer().State(now),
 			"first-events":           e.fleet.Core().Placer().Routers(),
 			"refusals":               e.shedder.TopRefusals(now, _maxDumpedCustomers),
+			"quarantines":            quarantines,
+			"crashes":                crashes,
 			"upstreams":              upstreamState(e.catalog.Entries()),
 		}
 	})
--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -44,6 +44,7 @@
 	"github.com/quetzallane/quetzallane/internal/qllog"
 	"github.com/quetzallane/quetzallane/internal/qlowner"
 	"github.com/quetzallane/quetzallane/internal/qlplace"
+	"github.com/quetzallane/quetzallane/internal/qlquarantine"
 	"github.com/quetzallane/quetzallane/internal/qlroute"
 	"github.com/quetzallane/quetzallane/internal/qlsetting"
 	"github.com/quetzallane/quetzallane/internal/qlshed"
@@ -116,6 +117,11 @@
 	callers         *callerConnections
 	shedder         *qlshed.Shedder
 	documentsLoaded atomic.Bool
+	// quarantines are those in force.
+	quarantines        atomic.Pointer[qlquarantine.List]
+	quarantinesStarted atomic.Int64
+	// informed is closed once this router knows which crashes the others know.
+	informed chan struct{}
 	// callNow ends a pause between calls to the store.
 	callNow  chan struct{}
 	stopping atomic.Bool
@@ -146,6 +152,7 @@
 		catalog:  qlcatalog.New(),
 		feed:     qlfeed.New(settings.ID, settings.Zone),
 		callNow:  make(chan struct{}, 1),
+		informed: make(chan struct{}),
 		shedder:  qlshed.New(),
 		random:   newRandom(),
 		callers:  newCallerConnections(settings.Descriptors, settings.MemoryMB),
@@ -166,8 +173,14 @@
 			OnNewerDocuments: e.fetchNewerDocuments,
 			OnUpdate:         e.receiveUpdate,
 			OnLiveChange:     e.setLiveRouters,
-			DecideLocally:    settings.Placement != qlsetting.PlacementOwner,
-			Policy:           placementPolicy(settings.Placement),
+			OnInformed:       sync.OnceFunc(func() { close(e.informed) }),
+			Quarantine: qlquarantine.Config{
+				OnChange: e.applyQuarantines,
+				OnStart:  e.logQuarantine,
+				OnEnd:    e.logQuarantineEnd,
+			},
+			DecideLocally: settings.Placement != qlsetting.PlacementOwner,
+			Policy:        placementPolicy(settings.Placement),
 		},
 		AnswerFetch: e.answerFetch,
 		OnTick:      e.tick,
@@ -186,6 +199,12 @@
 			End:         fleet.End,
 			RouterCount: fleet.LiveCount,
 		},
+		Quarantine: qlforward.Quarantine{
+			Await:        e.awaitInformed,
+			List:         e.quarantines.Load,
+			ReportCrash:  e.reportCrash,
+			ReportAnswer: e.reportAnswer,
+		},
 		Budget: qlbudget.Config{
 			Ratio:     settings.RetryRatio,
 			Window:    settings.RetryWindow.Std(),
--- /dev/null
+++ b/internal/qledge/quarantine.go
@@ -0,0 +1,105 @@
+package qledge
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/quetzallane/quetzallane/internal/qlquarantine"
+	"go.uber.org/zap"
+)
+
+// awaitInformed waits until this router knows which crashes the others know.
+func (e *Edge) awaitInformed(ctx context.Context) {
+	select {
+	case <-e.informed:
+	case <-ctx.Done():
+	}
+}
+
+func (e *Edge) isInformed() bool {
+	select {
+	case <-e.informed:
+		return true
+	default:
+		return false
+	}
+}
+
+// reportCrash passes the crash of an engine on to the control goroutine.
+func (e *Edge) reportCrash(engine string, startMillis int64, segments []uint64) {
+	e.fleet.Post(func(now time.Duration) {
+		reported := e.fleet.Core().ReportCrash(now, &qlquarantine.Crash{
+			ID:       qlquarantine.EngineID(engine, startMillis),
+			Engine:   engine,
+			At:       now,
+			Suspects: [][]uint64{segments},
+		})
+		if !reported {
+			e.log.Warn("crash-not-reported", zap.String("upstream", engine), zap.String("reason", "too many reports"))
+		}
+	})
+}
+
+// reportAnswer passes a whole answer to watched segments on to the control goroutine.
+func (e *Edge) reportAnswer(began time.Duration, segments []uint64) {
+	e.fleet.Post(func(now time.Duration) { e.fleet.Core().ReportAnswer(now, began, segments) })
+}
+
+// applyQuarantines puts quarantines in force. It runs in the control goroutine.
+func (e *Edge) applyQuarantines(list *qlquarantine.List) {
+	e.quarantines.Store(list)
+	if e.forwarder != nil && len(list.Quarantines()) > 0 {
+		e.forwarder.Withdraw(list)
+	}
+}
+
+func (e *Edge) logQuarantine(q *qlquarantine.Quarantine) {
+	e.quarantinesStarted.Add(1)
+	e.log.Warn("quarantine-started", zap.Stringer("quarantined", q), zap.Strings("crashed", q.Engines()),
+		zap.Duration("last-crash", e.clock()-q.LastCrash()), zap.Int("routers", e.fleet.LiveCount()))
+}
+
+func (e *Edge) logQuarantineEnd(q *qlquarantine.Quarantine, reason qlquarantine.EndReason) {
+	e.log.Warn("quarantine-ended", zap.Stringer("quarantined", q), zap.String("reason", string(reason)),
+		zap.Duration("last-crash", e.clock()-q.LastCrash()))
+}
+
+// quarantineState returns the quarantines and crashes for state dumps.
+func (e *Edge) quarantineState(now time.Duration) (quarantines, crashes []map[string]any) {
+	table := e.fleet.Core().Quarantine()
+	quarantines, crashes = []map[string]any{}, []map[string]any{}
+	for _, q := range table.List().Quarantines() {
+		quarantines = append(quarantines, map[string]any{
+			"segments":    q.String(),
+			"crashed":     q.Engines(),
+			"last-crash":  (now - q.LastCrash()).String(),
+			"retry-after": q.RetryAfter(now).String(),
+		})
+	}
+	for _, crash := range table.Crashes() {
+		suspects := make([]string, len(crash.Suspects))
+		for i, segments := range crash.Suspects {
+			suspects[i] = hexadecimal(segments)
+		}
+		crashes = append(crashes, map[string]any{
+			"upstream": crash.Engine,
+			"age":      (now - crash.At).String(),
+			"suspects": suspects,
+			"cleared":  hexadecimal(crash.Cleared),
+		})
+	}
+	return quarantines, crashes
+}
+
+// hexadecimal returns segments as log lines name them.
+func hexadecimal(segments []uint64) string {
+	var text []byte
+	for i, segment := range segments {
+		if i > 0 {
+			text = append(text, ',')
+		}
+		text = strconv.AppendUint(text, segment, 16)
+	}
+	return string(text)
+}
--- a/internal/qlforward/engine.go
+++ b/internal/qlforward/engine.go
@@ -74,8 +74,12 @@
 // serveEngine forwards a request with a prompt to a model engine.
 func (f *Forwarder) serveEngine(x *exchange) {
 	f.countRequest(x)
-	unreachable := 0
+	f.config.Quarantine.Await(x.ctx)
 	for {
+		if q := f.findQuarantine(x); q != nil {
+			f.endQuarantined(x, q)
+			return
+		}
 		decision, placementID := f.place(x)
 		if x.ctx.Err() != nil {
 			f.config.Placement.End(placementID, qlengine.Abandoned)
@@ -94,32 +98,35 @@
 			f.config.Placement.End(placementID, qlengine.Abandoned)
 			x.view = f.view.Load()
 		}
-		x.excluded = append(x.excluded, decision.Engine)
-		if result != attemptDone {
-			f.logFailedAttempt(x, decision.Engine, result.String(), err)
+		if result == attemptDone {
+			return
 		}
-		switch result {
-		case attemptDone:
+		x.excluded = append(x.excluded, decision.Engine)
+		f.logFailedAttempt(x, decision.Engine, result.String(), err)
+		if !f.shouldTryAnother(x, entry, result, err) {
+			f.endUnanswered(x, result, err)
 			return
-		case attemptNotSent:
-			if unreachable++; unreachable < _maxUnreachable && x.remaining() > 0 {
-				continue
-			}
-		case attemptNotRun:
-			x.sent = x.sentBeforeAttempt
-			if f.takeRetry(x) {
-				continue
-			}
-		case attemptBroken:
-			if x.route.Repeatable() && f.takeRetry(x) {
-				continue
-			}
 		}
-		f.endUnanswered(x, result, err)
-		return
 	}
 }
 
+// shouldTryAnother reports whether to send a request to another engine after an attempt
+// that did not end it. If that is a retry, it takes it from the budget.
+func (f *Forwarder) shouldTryAnother(x *exchange, entry qlcatalog.Entry, result attemptResult, err error) bool {
+	switch result {
+	case attemptNotSent:
+		x.unreachable++
+		return x.unreachable < _maxUnreachable && x.remaining() > 0
+	case attemptNotRun:
+		x.sent = x.sentBeforeAttempt
+		return f.takeRetry(x)
+	case attemptBroken:
+		return !f.mayCrashAnother(x, entry, err) && x.route.Repeatable() && f.takeRetry(x)
+	case attemptDone:
+	}
+	return false
+}
+
 // place requests a placement decision. It returns the decision and the id with
 // which the first event and the end of the request are reported to the
 // placement.
@@ -216,14 +223,23 @@
 // attempt sends the request to an engine, forwards its answer, and reports the
 // outcome to the placement.
 func (f *Forwarder) attempt(x *exchange, entry qlcatalog.Entry, placementID uint64) (result attemptResult, err error) {
+	ctx, beginning := f.begin(x, placementID)
 	outcome := qlengine.Failed
 	defer func() {
-		if x.callerGone() || f.isLocalTimeout(err) {
+		if beginning.withdrawn() && result == attemptBroken {
+			err = errWithdrawn
+		}
+		if x.callerGone() || f.isLocalTimeout(err) || beginning.withdrawn() {
 			outcome = qlengine.Abandoned
 		}
+		beginning.end()
 		f.config.Placement.End(placementID, outcome)
 	}()
-	e, err := f.send(x, entry, f.streamHeadTimeout(x))
+	if f.config.Quarantine.List().Find(x.caller.Prompt.Segments) != nil && !x.isTrial {
+		outcome = qlengine.Abandoned
+		return attemptNotSent, errQuarantined
+	}
+	e, err := f.send(ctx, x, entry, f.streamHeadTimeout(x))
 	switch {
 	case x.callerGone():
 		if err == nil {
@@ -254,6 +270,7 @@
 	result, err = f.forwardStream(x, e, placementID)
 	if err == nil {
 		outcome = qlengine.Completed
+		f.reportWholeAnswer(x)
 	}
 	return result, err
 }
@@ -298,7 +315,6 @@
 	buffer, _ := _readBuffers.Get().(*[]byte)
 	defer _readBuffers.Put(buffer)
 	var splitter qlevent.Splitter
-	first := true
 	lastEventAt := time.Now()
 	for {
 		f.setSilenceTimeout(x, e, lastEventAt)
@@ -312,12 +328,7 @@
 		}
 		if len(events) > 0 {
 			lastEventAt = time.Now()
-			x.progress = progressEvents
-			if first {
-				first = false
-				f.config.Placement.FirstEvent(placementID)
-				f.recordFirstEvent(x)
-			}
+			f.recordEvents(x, placementID)
 			if forwardErr := f.forwardEvents(x, controller, events); forwardErr != nil {
 				return f.streamFailed(x, forwardErr)
 			}
@@ -335,6 +346,17 @@
 	}
 }
 
+// recordEvents records that events of this attempt have come.
+func (f *Forwarder) recordEvents(x *exchange, placementID uint64) {
+	if x.progress == progressEvents {
+		return
+	}
+	x.progress = progressEvents
+	f.config.Placement.FirstEvent(placementID)
+	f.beginning.remove(placementID)
+	f.recordFirstEvent(x)
+}
+
 // setSilenceTimeout limits the wait for the next whole event of a stream that may be
 // resumed at another engine. Bytes that complete no event don't extend it.
 func (f *Forwarder) setSilenceTimeout(x *exchange, e *qlconn.Exchange, lastEventAt time.Time) {
--- a/internal/qlforward/plain.go
+++ b/internal/qlforward/plain.go
@@ -190,7 +190,7 @@
 	if x.route.Repeatable() && x.attempts+1 < x.route.MaxAttempts() {
 		headTimeout = max(_headTimeoutFactor*x.route.LatencyObjective(), _minHeadTimeout)
 	}
-	e, err := f.send(x, entry, headTimeout)
+	e, err := f.send(x.ctx, x, entry, headTimeout)
 	if err != nil {
 		if errors.Is(err, qlconn.ErrNotSent) {
 			outcome = qlbalance.ConnectFailed
--- a/internal/qlforward/qlforward.go
+++ b/internal/qlforward/qlforward.go
@@ -76,8 +76,9 @@
 
 // Config configures a Forwarder.
 type Config struct {
-	Dialect   Dialect
-	Placement Placement
+	Dialect    Dialect
+	Placement  Placement
+	Quarantine Quarantine
 	// Budget configures the retry budget of each service.
 	Budget qlbudget.Config
 	// Zone is the availability zone of this router.
@@ -126,6 +127,8 @@
 	balancers map[string]*qlbalance.Balancer
 	pacers    map[string]*qlpace.Pacer
 	budgets   map[string]*qlbudget.Budget
+
+	beginning beginningAttempts
 }
 
 // New returns a forwarder without a view. Until SetView is called, it refuses
@@ -229,10 +232,16 @@
 	sentBeforeAttempt bool
 	// excluded holds the ids of the upstreams that were already tried.
 	excluded []string
+	// unreachable counts the engines to which the request could not be sent.
+	unreachable int
 	// upstream is the id of the upstream that was tried last.
 	upstream string
 	// progress is how much of an answer that upstream has sent.
 	progress answerProgress
+	// answerBeganAt is when the head of that upstream's answer came, by Config.Clock.
+	answerBeganAt time.Duration
+	// isTrial is set if the request is sent although its segments are quarantined.
+	isTrial bool
 	// streamHeader is the response header of the last engine that answered
 	// before the stream to the caller started.
 	streamHeader http.Header
@@ -433,11 +442,11 @@
 }
 
 // send sends the request to an upstream once and waits for the head of the
-// response, for at most headTimeout unless that is 0.
-func (f *Forwarder) send(x *exchange, entry qlcatalog.Entry, headTimeout time.Duration) (*qlconn.Exchange, error) {
+// response, for at most headTimeout unless that is 0. Canceling ctx breaks the answer off.
+func (f *Forwarder) send(ctx context.Context, x *exchange, entry qlcatalog.Entry, headTimeout time.Duration) (*qlconn.Exchange, error) {
 	x.upstream, x.progress = entry.ID, progressNone
 	routers := max(f.config.Placement.RouterCount(), 1)
-	e, err := f.pool.Do(x.ctx, &qlconn.Request{
+	e, err := f.pool.Do(ctx, &qlconn.Request{
 		Address:        entry.Address,
 		ID:             x.caller.ID,
 		Method:         x.request.Method,
@@ -458,7 +467,7 @@
 		x.sent = true
 	}
 	if err == nil {
-		x.progress = progressHead
+		x.progress, x.answerBeganAt = progressHead, f.config.Clock()
 	}
 	return e, err
 }
--- /dev/null
+++ b/internal/qlforward/quarantine_test.go
@@ -0,0 +1,207 @@
+package qlforward
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/quetzallane/quetzallane/internal/qlengine"
+	"github.com/quetzallane/quetzallane/internal/qlquarantine"
+	"github.com/quetzallane/quetzallane/pkg/qlcode"
+)
+
+const (
+	_deadlyPrompt = "1,a1,d1,2"
+	_soundPrompt  = "1,a1,3"
+)
+
+func prompt(segments string) map[string]string {
+	return map[string]string{
+		_promptHeader: segments,
+	}
+}
+
+// writeHead writes the head of a stream.
+func writeHead(conn net.Conn, request *http.Request, framing string) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\nContent-Type: text/event-stream\r\n%s\r\n", request.Header.Get("Id"), framing)
+}
+
+const _chunked = "Transfer-Encoding: chunked\r\n"
+
+// newCrashingUpstream returns an upstream that writes the start of an answer and crashes.
+func newCrashingUpstream(t testing.TB, id, framing, start string) *fakeUpstream {
+	var u *fakeUpstream
+	u = newFakeUpstream(t, id, func(conn net.Conn, request *http.Request) {
+		writeHead(conn, request, framing)
+		_, _ = io.WriteString(conn, start)
+		u.crash()
+	})
+	return u
+}
+
+// quarantine puts a quarantine of the segments in force.
+func (h *harness) quarantine(segments ...uint64) {
+	table := qlquarantine.New(qlquarantine.Config{
+		OnChange: h.quarantines.Store,
+	})
+	for engine := range 2 {
+		at := time.Duration(engine) * time.Second
+		table.Add(at, &qlquarantine.Crash{
+			ID:       uint64(engine),
+			At:       at,
+			Suspects: [][]uint64{segments},
+		})
+	}
+	table.Settle()
+}
+
+// TestCrashWhileAnAnswerBeginsIsReported checks which broken attempts are evidence: only
+// those whose engine is gone, and whose answer had begun without an event.
+func TestCrashWhileAnAnswerBeginsIsReported(t *testing.T) {
+	event := "id: 1\ndata: x\n\n"
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+	for _, c := range []struct {
+		name     string
+		upstream func() *fakeUpstream
+		prompt   string
+		want     string
+	}{
+		{name: "head", upstream: func() *fakeUpstream { return newCrashingUpstream(t, "u1", _chunked, "") }, prompt: _deadlyPrompt, want: "[[161 209]]"},
+		{name: "part of an event", upstream: func() *fakeUpstream { return newCrashingUpstream(t, "u1", _chunked, "4\r\nid: \r\n") }, prompt: _deadlyPrompt, want: "[[161 209]]"},
+		{name: "after an event", upstream: func() *fakeUpstream { return newCrashingUpstream(t, "u1", _chunked, chunk) }, prompt: _deadlyPrompt, want: "[]"},
+		{name: "no shared segment but the first", upstream: func() *fakeUpstream { return newCrashingUpstream(t, "u1", _chunked, "") }, prompt: "1,2", want: "[]"},
+		{name: "engine still there", upstream: func() *fakeUpstream { return newFakeUpstream(t, "u1", streamEvents(1, 0, false)) }, prompt: _deadlyPrompt, want: "[]"},
+		{name: "before the head", upstream: func() *fakeUpstream {
+			var u *fakeUpstream
+			u = newFakeUpstream(t, "u1", func(net.Conn, *http.Request) { u.crash() })
+			return u
+		}, prompt: _deadlyPrompt, want: "[]"},
+	} {
+		h := newHarness(t, c.upstream())
+		got := h.send(t, "POST", "/chat/x", prompt(c.prompt), "body")
+		if got.err == nil && got.status == http.StatusOK {
+			t.Errorf("%s: the answer looks complete: %q", c.name, got.body)
+		}
+		if got := fmt.Sprint(h.crashes); got != c.want {
+			t.Errorf("%s: reported crashes: got %s, want %s", c.name, got, c.want)
+		}
+	}
+}
+
+// TestSuspectIsNotSentAgain guards against a repeat that crashes the next engine, and
+// against sound victims that are not repeated.
+func TestSuspectIsNotSentAgain(t *testing.T) {
+	suspect, second := newCrashingUpstream(t, "u1", _chunked, ""), newFakeUpstream(t, "u2", streamEvents(1, 2, true))
+	got := newHarness(t, suspect, second).send(t, "POST", "/resume/x", prompt(_deadlyPrompt), "body")
+	if code := got.header.Get(_resultHeader); second.count() != 0 || code != qlcode.UpstreamCut.String() {
+		t.Errorf("suspect: sent %d times more, code %s; want not again, %s", second.count(), code, qlcode.UpstreamCut)
+	}
+	event := "id: 1\ndata: x\n\n"
+	victim := newCrashingUpstream(t, "u1", _chunked, fmt.Sprintf("%x\r\n%s\r\n", len(event), event))
+	second = newFakeUpstream(t, "u2", streamEvents(2, 2, true))
+	got = newHarness(t, victim, second).send(t, "POST", "/resume/x", prompt(_soundPrompt), "body")
+	if want := event + "id: 2\ndata: x\n\n"; got.body != want || got.err != nil {
+		t.Errorf("victim: got %q, %v, want %q", got.body, got.err, want)
+	}
+}
+
+// TestQuarantinedPromptIsRefused checks the refusal, that nothing was sent, and that
+// prompts with only a part of the quarantined segments are served.
+func TestQuarantinedPromptIsRefused(t *testing.T) {
+	u := newFakeUpstream(t, "u1", streamEvents(1, 2, true))
+	h := newHarness(t, u)
+	h.quarantine(0xa1, 0xd1)
+	got := h.send(t, "POST", "/chat/x", prompt(_deadlyPrompt), "body")
+	retryAfter, _ := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	if code := got.header.Get(_resultHeader); code != qlcode.PromptQuarantined.String() || got.status != http.StatusServiceUnavailable || retryAfter < 60 {
+		t.Errorf("got status %d, code %s, Retry-After %v, want 503, %s, a minute or more", got.status, code, retryAfter, qlcode.PromptQuarantined)
+	}
+	if u.count() != 0 || len(h.placementRequests) != 0 {
+		t.Errorf("the refused request was sent %d times, and placed %d times", u.count(), len(h.placementRequests))
+	}
+	if got := h.send(t, "POST", "/chat/x", prompt(_soundPrompt), "body"); got.status != http.StatusOK || got.err != nil {
+		t.Errorf("sound prompt: got %d, %v, want 200", got.status, got.err)
+	}
+	if got := fmt.Sprint(h.wholeAnswers); got != "[[161]]" {
+		t.Errorf("whole answers to watched segments: got %s, want [[161]]", got)
+	}
+}
+
+// TestQuarantineWithdrawsWhatHasNotBegun guards against requests that are queued at
+// engines when their segments are quarantined, and crash them after that.
+func TestQuarantineWithdrawsWhatHasNotBegun(t *testing.T) {
+	canceled, arrived := make(chan time.Duration, 1), make(chan bool, 1)
+	u := newFakeUpstream(t, "u1", func(conn net.Conn, _ *http.Request) {
+		arrived <- true
+		began := time.Now()
+		_, _ = conn.Read(make([]byte, 1))
+		canceled <- time.Since(began)
+	})
+	h := newHarness(t, u)
+	go func() {
+		<-arrived
+		h.quarantine(0xa1, 0xd1)
+		h.forwarder.Withdraw(h.quarantines.Load())
+	}()
+	got := h.send(t, "POST", "/resume/x", prompt(_deadlyPrompt), "body")
+	if took := <-canceled; took > time.Second {
+		t.Errorf("the engine was left with the request for %v", took)
+	}
+	if code := got.header.Get(_resultHeader); code != qlcode.UpstreamCut.String() {
+		t.Errorf("got code %s, want %s: the outcome is unknown", code, qlcode.UpstreamCut)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if got, want := fmt.Sprint(h.outcomes), fmt.Sprint([]qlengine.Outcome{qlengine.Abandoned}); got != want {
+		t.Errorf("outcomes: got %s, want %s: a withdrawn attempt says nothing about the engine", got, want)
+	}
+}
+
+// TestTrialIsSentOnce checks that one of many requests is sent when a trial is due.
+func TestTrialIsSentOnce(t *testing.T) {
+	u := newFakeUpstream(t, "u1", streamEvents(1, 2, true))
+	h := newHarness(t, u)
+	table := qlquarantine.New(qlquarantine.Config{
+		OnChange: h.quarantines.Store,
+	})
+	for engine := range 2 {
+		at := time.Duration(engine) * time.Second
+		table.Add(at, &qlquarantine.Crash{
+			ID:       uint64(engine),
+			At:       at,
+			Suspects: [][]uint64{{0xd1}},
+		})
+	}
+	table.Tick(15*time.Minute, func(uint64) bool { return true })
+	var callers sync.WaitGroup
+	statuses := make(chan int, 8)
+	for range cap(statuses) {
+		callers.Go(func() { statuses <- h.send(t, "POST", "/chat/x", prompt("1,d1,2"), "body").status })
+	}
+	callers.Wait()
+	close(statuses)
+	served := 0
+	for status := range statuses {
+		if status == http.StatusOK {
+			served++
+		}
+	}
+	if served != 1 || u.count() != 1 {
+		t.Errorf("got %d requests served and %d sent, want 1", served, u.count())
+	}
+}
+
+// TestRefusalTellsItsReason checks that a refusal names itself to callers.
+func TestRefusalTellsItsReason(t *testing.T) {
+	h := newHarness(t)
+	h.quarantine(0xa1, 0xd1)
+	if got := h.send(t, "POST", "/chat/x", prompt(_deadlyPrompt), "body"); !strings.Contains(got.body, "crash engines") {
+		t.Errorf("got body %q, want the reason", got.body)
+	}
+}
--- a/internal/qlforward/standin_test.go
+++ b/internal/qlforward/standin_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,6 +20,7 @@
 	"github.com/quetzallane/quetzallane/internal/qlcatalog"
 	"github.com/quetzallane/quetzallane/internal/qlengine"
 	"github.com/quetzallane/quetzallane/internal/qlplace"
+	"github.com/quetzallane/quetzallane/internal/qlquarantine"
 	"github.com/quetzallane/quetzallane/internal/qlroute"
 	"go.uber.org/zap"
 )
@@ -37,9 +39,7 @@
 				caller.Timeout = time.Duration(ms) * time.Millisecond
 			}
 			if header.Get("Prompt") != "" {
-				caller.Prompt = &qlengine.Prompt{
-					Tokens: 100,
-				}
+				caller.Prompt = testPrompt(header.Get("Prompt"))
 			}
 			return caller
 		},
@@ -67,11 +67,29 @@
 	}
 }
 
+// testPrompt returns a prompt with the segments of a comma-separated list of IDs in
+// hexadecimal.
+func testPrompt(list string) *qlengine.Prompt {
+	prompt := &qlengine.Prompt{
+		Tokens: 100,
+	}
+	for _, text := range strings.Split(list, ",") {
+		if id, err := strconv.ParseUint(text, 16, 64); err == nil && strings.Contains(list, ",") {
+			prompt.Segments = append(prompt.Segments, qlengine.Segment{
+				ID: id,
+			})
+		}
+	}
+	return prompt
+}
+
 // fakeUpstream is an upstream that answers with a function and records the
 // requests that it receives.
 type fakeUpstream struct {
 	id      string
 	address string
+	// crash makes the upstream refuse further connections.
+	crash func()
 
 	mu       sync.Mutex
 	requests []*http.Request
@@ -94,6 +112,7 @@
 	s := &fakeUpstream{
 		id:      id,
 		address: listener.Addr().String(),
+		crash:   func() { _ = listener.Close() },
 	}
 	go func() {
 		for {
@@ -157,6 +176,23 @@
 	mu                sync.Mutex
 	placementRequests []qlplace.Request
 	outcomes          []qlengine.Outcome
+	// quarantines are those in force. crashes and wholeAnswers hold the segments of
+	// which the forwarder has reported a crash or a whole answer.
+	quarantines  atomic.Pointer[qlquarantine.List]
+	crashes      [][]uint64
+	wholeAnswers [][]uint64
+}
+
+func (h *harness) recordCrash(_ string, _ int64, segments []uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.crashes = append(h.crashes, segments)
+}
+
+func (h *harness) recordWholeAnswer(_ time.Duration, segments []uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.wholeAnswers = append(h.wholeAnswers, segments)
 }
 
 // newHarness returns a forwarder whose upstreams serve both the plain service
@@ -166,6 +202,12 @@
 	h := &harness{}
 	h.forwarder = New(Config{
 		Dialect: testDialect(),
+		Quarantine: Quarantine{
+			Await:        func(context.Context) {},
+			List:         h.quarantines.Load,
+			ReportCrash:  h.recordCrash,
+			ReportAnswer: h.recordWholeAnswer,
+		},
 		Placement: Placement{
 			Decide:      h.decide,
 			FirstEvent:  func(uint64) {},
--- a/internal/qlforward/types.go
+++ b/internal/qlforward/types.go
@@ -8,6 +8,7 @@
 	"github.com/quetzallane/quetzallane/internal/qlcatalog"
 	"github.com/quetzallane/quetzallane/internal/qlengine"
 	"github.com/quetzallane/quetzallane/internal/qlplace"
+	"github.com/quetzallane/quetzallane/internal/qlquarantine"
 	"github.com/quetzallane/quetzallane/internal/qlroute"
 )
 
@@ -124,6 +125,22 @@
 	RouterCount func() int
 }
 
+// Quarantine decides which prompts are refused since requests with segments of theirs
+// crash engines.
+type Quarantine struct {
+	// Await waits until this router knows which crashes the other routers know, or the
+	// context ends.
+	Await func(ctx context.Context)
+	// List returns the quarantines in force.
+	List func() *qlquarantine.List
+	// ReportCrash reports that an engine has crashed while the answer to a request was
+	// beginning whose prompt has these candidate segments.
+	ReportCrash func(engine string, startMillis int64, segments []uint64)
+	// ReportAnswer reports a whole answer that began at the time, on the clock of
+	// Config.Clock, to a prompt with watched segments.
+	ReportAnswer func(began time.Duration, segments []uint64)
+}
+
 // View is an immutable snapshot of the configuration and the list of upstreams.
 type View struct {
 	table *qlroute.Table
--- /dev/null
+++ b/internal/qlowner/evidence.go
@@ -0,0 +1,192 @@
+package qlowner
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/quetzallane/quetzallane/internal/qlfleetwire"
+	"github.com/quetzallane/quetzallane/internal/qlquarantine"
+)
+
+// Every router learns of every crash, directly from the one that noticed it. Packets
+// about membership carry a hash of the crashes that the sender knows; routers whose
+// hashes differ send each other all of theirs. A lost packet or a restart is repaired
+// by that.
+
+const (
+	// _evidenceInterval is the least time between two exchanges of all crashes with the
+	// same router.
+	_evidenceInterval = time.Second
+	// _maxCrashesPerPacket keeps packets about crashes below the size at which networks
+	// divide them.
+	_maxCrashesPerPacket = 12
+	// _informedTimeout is how long a router that has started waits for others to send
+	// the crashes that they know: several round trips to a seed, and less than callers
+	// of a fleet that starts as a whole notice.
+	_informedTimeout = 600 * time.Millisecond
+	// _maxReports limits the crashes that this router reports within _reportWindow.
+	_maxReports   = 20
+	_reportWindow = time.Second
+)
+
+// evidenceState is the state of the exchange of crashes with other routers.
+type evidenceState struct {
+	// exchangedAt is when all crashes were last sent to a router.
+	exchangedAt map[string]time.Duration
+	// informed is set once another router, or the lack of one, has shown which crashes
+	// are known.
+	informed    bool
+	startedAt   time.Duration
+	hasStarted  bool
+	reportsFrom time.Duration
+	reports     int
+}
+
+// Quarantine returns the crashes and quarantines, for state dumps.
+func (c *Core) Quarantine() *qlquarantine.Table {
+	return c.quarantine
+}
+
+// ReportCrash records a crash that this router has noticed, and sends it to all live
+// routers. It reports false if that would exceed the limit on reports.
+func (c *Core) ReportCrash(now time.Duration, crash *qlquarantine.Crash) bool {
+	if now-c.evidence.reportsFrom >= _reportWindow {
+		c.evidence.reportsFrom, c.evidence.reports = now, 0
+	}
+	if c.evidence.reports >= _maxReports {
+		return false
+	}
+	c.evidence.reports++
+	if c.quarantine.Add(now, crash) {
+		c.sendCrashes(now, []*qlquarantine.Crash{crash})
+	}
+	return true
+}
+
+// ReportAnswer records a whole answer to a prompt with watched segments, and sends all
+// live routers what it clears.
+func (c *Core) ReportAnswer(now, began time.Duration, segments []uint64) {
+	if changed := c.quarantine.Clear(began, segments); len(changed) > 0 {
+		c.sendCrashes(now, changed)
+	}
+}
+
+// sendCrashes sends crashes to all live routers.
+func (c *Core) sendCrashes(now time.Duration, crashes []*qlquarantine.Crash) {
+	for _, node := range c.live {
+		if node.ID() == c.config.Self {
+			continue
+		}
+		queue := c.queueFor(now, node.ID())
+		if queue.packet.Evidence == nil {
+			queue.packet.Evidence = &qlfleetwire.Evidence{}
+		}
+		queue.packet.Evidence.Crashes = append(queue.packet.Evidence.Crashes, encodeCrashes(now, crashes)...)
+	}
+}
+
+// compareEvidence sends a router all crashes known here if its hash shows that it knows
+// others.
+func (c *Core) compareEvidence(now time.Duration, from string, digest uint32) {
+	if digest == c.quarantine.Digest() || c.quarantine.IsFull() {
+		return
+	}
+	if last, ok := c.evidence.exchangedAt[from]; ok && now-last < _evidenceInterval {
+		return
+	}
+	c.sendAllCrashes(now, from, true)
+}
+
+func (c *Core) sendAllCrashes(now time.Duration, to string, wantsReply bool) {
+	router := c.routers[to]
+	if router == nil {
+		return
+	}
+	c.evidence.exchangedAt[to] = now
+	crashes := encodeCrashes(now, c.quarantine.Crashes())
+	for first := true; first || len(crashes) > 0; first = false {
+		part := crashes[:min(len(crashes), _maxCrashesPerPacket)]
+		crashes = crashes[len(part):]
+		packet := c.newPacket()
+		packet.Evidence = &qlfleetwire.Evidence{
+			Crashes:    part,
+			WantsReply: wantsReply && first,
+		}
+		c.send(router.GetAddress(), packet)
+	}
+}
+
+// receiveEvidence records the crashes that another router knows.
+func (c *Core) receiveEvidence(now time.Duration, from string, evidence *qlfleetwire.Evidence) {
+	for _, crash := range evidence.GetCrashes() {
+		c.quarantine.Add(now, decodeCrash(now, crash))
+	}
+	if evidence.GetWantsReply() {
+		c.sendAllCrashes(now, from, false)
+	}
+}
+
+// Informed reports whether this router knows which crashes the others know, or has
+// waited for that in vain. Until then it should send no request to an engine.
+func (c *Core) Informed() bool {
+	return c.evidence.informed
+}
+
+func (c *Core) setInformed() {
+	if !c.evidence.informed {
+		c.evidence.informed = true
+		c.config.OnInformed()
+	}
+}
+
+// expireInformed ends the wait for other routers.
+func (c *Core) expireInformed(now time.Duration) {
+	if !c.evidence.hasStarted {
+		c.evidence.hasStarted, c.evidence.startedAt = true, now
+	}
+	if now-c.evidence.startedAt >= _informedTimeout {
+		c.setInformed()
+	}
+}
+
+// ownsTrials reports whether this router decides on trials of a quarantine.
+func (c *Core) ownsTrials(key uint64) bool {
+	highest, owner := uint64(0), c.config.Self
+	for _, node := range c.live {
+		if rank := xxhash.Sum64String(node.ID()) ^ key; rank >= highest {
+			highest, owner = rank, node.ID()
+		}
+	}
+	return owner == c.config.Self
+}
+
+func encodeCrashes(now time.Duration, crashes []*qlquarantine.Crash) []*qlfleetwire.Crash {
+	messages := make([]*qlfleetwire.Crash, len(crashes))
+	for i, crash := range crashes {
+		messages[i] = &qlfleetwire.Crash{
+			Id:      crash.ID,
+			Engine:  crash.Engine,
+			AgeMs:   uint32(max(now-crash.At, 0).Milliseconds()),
+			Cleared: crash.Cleared,
+		}
+		for _, suspect := range crash.Suspects {
+			messages[i].Suspects = append(messages[i].Suspects, &qlfleetwire.Suspect{
+				Segments: suspect,
+			})
+		}
+	}
+	return messages
+}
+
+func decodeCrash(now time.Duration, message *qlfleetwire.Crash) *qlquarantine.Crash {
+	crash := &qlquarantine.Crash{
+		ID:      message.GetId(),
+		Engine:  message.GetEngine(),
+		At:      now - time.Duration(message.GetAgeMs())*time.Millisecond,
+		Cleared: message.GetCleared(),
+	}
+	for _, suspect := range message.GetSuspects() {
+		crash.Suspects = append(crash.Suspects, suspect.GetSegments())
+	}
+	return crash
+}
--- a/internal/qlowner/fuzz_test.go
+++ b/internal/qlowner/fuzz_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/quetzallane/quetzallane/internal/qlfleetwire"
 	"github.com/quetzallane/quetzallane/internal/qlplace"
+	"github.com/quetzallane/quetzallane/internal/qlquarantine"
 	"github.com/quetzallane/quetzallane/internal/qlring"
 	"google.golang.org/protobuf/proto"
 )
@@ -54,8 +55,12 @@
 			OnNewerDocuments: func(string, uint64, uint64) {},
 			OnUpdate:         func(time.Duration, string, *qlfleetwire.Update) {},
 			OnLiveChange:     func([]qlring.Node) {},
-			OnOwnerChange:    func(string, string) {},
-			OnMessageError:   func(string, error) {},
+			OnInformed:       func() {},
+			Quarantine: qlquarantine.Config{
+				OnChange: func(*qlquarantine.List) {},
+			},
+			OnOwnerChange:  func(string, string) {},
+			OnMessageError: func(string, error) {},
 		})
 		core.Placer().SetEngines(testEngines())
 		core.Receive(0, "10.0.0.2:7400", &qlfleetwire.Packet{
--- a/internal/qlowner/packet.go
+++ b/internal/qlowner/packet.go
@@ -32,12 +32,14 @@
 		From:        c.config.Self,
 		Incarnation: c.config.Incarnation,
 		Late:        c.IsLagging(),
+		Uninformed:  !c.evidence.informed,
 	}
 }
 
-// Flush sends the queued packets that are urgent or have waited long enough for
-// further notes.
+// Flush puts in force what crashes have shown, and sends the queued packets that are
+// urgent or have waited long enough for further notes.
 func (c *Core) Flush(now time.Duration) {
+	c.quarantine.Settle()
 	for to, queue := range c.sendQueues {
 		if !queue.urgent && now-queue.createdAt < _noteBatchDelay {
 			continue
@@ -78,6 +80,7 @@
 	}
 	packet := c.newPacket()
 	packet.Membership = body
+	packet.EvidenceDigest = c.quarantine.Digest()
 	if c.knownBy[to] < c.members.Incarnation(to) || c.knownBy[to] == 0 {
 		// The other router may not know this one yet. It ignores probes of unknown
 		// routers, and would be taken for dead.
@@ -210,6 +213,9 @@
 	if introduction := packet.GetIntroduction(); introduction != nil {
 		c.learnRouters(now, introduction.GetRouters())
 		if introduction.GetWantsReply() {
+			if packet.GetUninformed() && c.evidence.informed {
+				c.sendAllCrashes(now, from, false)
+			}
 			reply := c.newPacket()
 			reply.Introduction = c.replyTo(introduction)
 			c.send(source, reply)
@@ -217,12 +223,19 @@
 	}
 	if len(packet.GetMembership()) > 0 {
 		c.receiveMembership(now, from, packet.GetMembership())
+		c.compareEvidence(now, from, packet.GetEvidenceDigest())
 	}
 	c.members.MarkHeard(now, from)
 	c.members.MarkStarted(now, from, packet.GetIncarnation())
 	if packet.GetLate() {
 		c.placer.MarkLagging(now, from)
 	}
+	if evidence := packet.GetEvidence(); evidence != nil {
+		c.receiveEvidence(now, from, evidence)
+		if !packet.GetUninformed() {
+			c.setInformed()
+		}
+	}
 	for _, ask := range packet.GetAsks() {
 		c.answer(now, from, ask)
 	}
@@ -306,6 +319,7 @@
 			delete(c.routers, id)
 			delete(c.knownBy, id)
 			delete(c.penalties, id)
+			delete(c.evidence.exchangedAt, id)
 			forgotten++
 		}
 	}
--- a/internal/qlowner/qlowner.go
+++ b/internal/qlowner/qlowner.go
@@ -35,6 +35,7 @@
 	"github.com/quetzallane/quetzallane/internal/qlfleetwire"
 	"github.com/quetzallane/quetzallane/internal/qlmember"
 	"github.com/quetzallane/quetzallane/internal/qlplace"
+	"github.com/quetzallane/quetzallane/internal/qlquarantine"
 	"github.com/quetzallane/quetzallane/internal/qlring"
 	"github.com/quetzallane/quetzallane/internal/qlwire"
 )
@@ -136,6 +137,11 @@
 	// OnMessageError is called for each message to or from a router that cannot be
 	// encoded or decoded.
 	OnMessageError func(router string, err error)
+	// Quarantine configures the table of engines' crashes and quarantines.
+	Quarantine qlquarantine.Config
+	// OnInformed is called once this router knows which crashes the others know, or
+	// has waited for that in vain.
+	OnInformed func()
 	// DecideLocally makes this router decide all requests by itself.
 	DecideLocally bool
 	// Policy selects the placement policy.
@@ -186,6 +192,8 @@
 type Core struct {
 	config       Config
 	placer       *qlplace.Placer
+	quarantine   *qlquarantine.Table
+	evidence     evidenceState
 	members      *qlmember.Members
 	routers      map[string]*qlfleetwire.Router
 	listRevision uint64
@@ -240,6 +248,10 @@
 			Random: config.Random,
 			Policy: config.Policy,
 		}),
+		quarantine: qlquarantine.New(config.Quarantine),
+		evidence: evidenceState{
+			exchangedAt: make(map[string]time.Duration),
+		},
 		routers:        make(map[string]*qlfleetwire.Router),
 		ranks:          make(map[string][]qlring.Node),
 		owners:         make(map[string]string),
@@ -369,9 +381,11 @@
 	c.placer.AssumeFirstEvents(now)
 	c.members.Tick(now)
 	c.introduce(now)
+	c.expireInformed(now)
 	if now >= c.reconcileAt {
 		c.reconcileAt = now + _reconcileInterval
 		c.placer.Tick(now)
+		c.quarantine.Tick(now, c.ownsTrials)
 		c.forgetDeadRouters(now)
 		c.sendRunning(now)
 	}
--- a/internal/qlowner/qlowner_test.go
+++ b/internal/qlowner/qlowner_test.go
@@ -9,6 +9,7 @@
 	"github.com/quetzallane/quetzallane/internal/qlengine"
 	"github.com/quetzallane/quetzallane/internal/qlfleetwire"
 	"github.com/quetzallane/quetzallane/internal/qlplace"
+	"github.com/quetzallane/quetzallane/internal/qlquarantine"
 	"github.com/quetzallane/quetzallane/internal/qlring"
 	"google.golang.org/protobuf/proto"
 )
@@ -106,6 +107,10 @@
 		Revisions:        func() (uint64, uint64) { return 0, 0 },
 		OnNewerDocuments: func(string, uint64, uint64) {},
 		OnLiveChange:     func([]qlring.Node) {},
+		OnInformed:       func() {},
+		Quarantine: qlquarantine.Config{
+			OnChange: func(*qlquarantine.List) {},
+		},
 	})
 	core.Placer().SetEngines(testEngines())
 	return core
--- /dev/null
+++ b/internal/qlquarantine/list.go
@@ -0,0 +1,335 @@
+package qlquarantine
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/quetzallane/quetzallane/internal/qlengine"
+)
+
+// Quarantine is a set of segments. Requests whose prompt holds all of them are refused.
+type Quarantine struct {
+	key      uint64
+	segments []uint64
+	// crashes are those that accuse the segments, the latest first.
+	crashes   []*Crash
+	lastCrash time.Duration
+	// trial is set if one request may be sent although it would be refused.
+	trial atomic.Bool
+}
+
+// Segments returns the segments. The caller must not change them.
+func (q *Quarantine) Segments() []uint64 {
+	return q.segments
+}
+
+// String returns the segments in hexadecimal, for logs.
+func (q *Quarantine) String() string {
+	text := make([]string, len(q.segments))
+	for i, segment := range q.segments {
+		text[i] = strconv.FormatUint(segment, 16)
+	}
+	return strings.Join(text, ",")
+}
+
+// Engines returns the ids of the engines that crashed, the latest first.
+func (q *Quarantine) Engines() []string {
+	engines := make([]string, len(q.crashes))
+	for i, crash := range q.crashes {
+		engines[i] = crash.Engine
+	}
+	return engines
+}
+
+// LastCrash returns the time of the latest crash.
+func (q *Quarantine) LastCrash() time.Duration {
+	return q.lastCrash
+}
+
+// RetryAfter returns the time until a request with the segments may be tried again.
+func (q *Quarantine) RetryAfter(now time.Duration) time.Duration {
+	return max(q.lastCrash+_duration-now, _trialInterval)
+}
+
+// TakeTrial reports whether the caller's request is to be sent as a trial. It is true for
+// one caller at most for each trial.
+func (q *Quarantine) TakeTrial() bool {
+	return q.trial.CompareAndSwap(true, false)
+}
+
+// List is an immutable view of the quarantines, for requests. It is safe for concurrent
+// use.
+type List struct {
+	quarantines []*Quarantine
+	// bySegment holds the quarantines by the first of their segments.
+	bySegment map[uint64][]*Quarantine
+	// watched are the candidates of which answers are evidence.
+	watched map[uint64]bool
+	// suspects are the candidates of each request whose answer was beginning in a crash,
+	// without those that were cleared.
+	suspects [][]uint64
+}
+
+// Quarantines returns the quarantines. The caller must not change them.
+func (l *List) Quarantines() []*Quarantine {
+	if l == nil {
+		return nil
+	}
+	return l.quarantines
+}
+
+// Find returns the quarantine for which a prompt with these segments is refused, or nil.
+func (l *List) Find(segments []qlengine.Segment) *Quarantine {
+	if l == nil || len(l.quarantines) == 0 {
+		return nil
+	}
+	candidates := shared(segments)
+	for _, segment := range candidates {
+		for _, q := range l.bySegment[segment.ID] {
+			if holdsAll(candidates, q.segments) {
+				return q
+			}
+		}
+	}
+	return nil
+}
+
+// IsSuspect reports whether a prompt holds all segments that are candidates of some
+// request whose answer was beginning when an engine crashed, as copies of it do.
+func (l *List) IsSuspect(segments []qlengine.Segment) bool {
+	if l == nil {
+		return false
+	}
+	candidates := shared(segments)
+	for _, suspect := range l.suspects {
+		if holdsAll(candidates, suspect) {
+			return true
+		}
+	}
+	return false
+}
+
+// IsWatched reports whether a whole answer to a prompt with these segments is evidence.
+func (l *List) IsWatched(segments []qlengine.Segment) bool {
+	if l == nil || len(l.watched) == 0 {
+		return false
+	}
+	for _, segment := range shared(segments) {
+		if l.watched[segment.ID] {
+			return true
+		}
+	}
+	return false
+}
+
+// Candidates returns the segments of a prompt that may be the cause of a crash: all but
+// the first and the last.
+func Candidates(segments []qlengine.Segment) []uint64 {
+	var ids []uint64
+	for _, segment := range shared(segments) {
+		ids = append(ids, segment.ID)
+	}
+	return ids
+}
+
+func shared(segments []qlengine.Segment) []qlengine.Segment {
+	if len(segments) <= 2 {
+		return nil
+	}
+	return segments[1 : len(segments)-1]
+}
+
+func holdsAll(segments []qlengine.Segment, ids []uint64) bool {
+	for _, id := range ids {
+		if !slices.ContainsFunc(segments, func(s qlengine.Segment) bool { return s.ID == id }) {
+			return false
+		}
+	}
+	return len(ids) > 0
+}
+
+func (l *List) byKey(key uint64) *Quarantine {
+	for _, q := range l.quarantines {
+		if q.key == key {
+			return q
+		}
+	}
+	return nil
+}
+
+// replaces returns why a quarantine of the list before has ended; otherwise is the reason
+// if no other one replaces it.
+func (l *List) replaces(q *Quarantine, otherwise EndReason) EndReason {
+	for _, next := range l.quarantines {
+		if next.isIn(q.segments) {
+			return Narrowed
+		}
+	}
+	for _, crash := range q.crashes {
+		if l.explains(crash) {
+			return Explained
+		}
+	}
+	return otherwise
+}
+
+func (l *List) supportedBy(crash *Crash) bool {
+	for _, q := range l.quarantines {
+		if slices.ContainsFunc(q.crashes, func(c *Crash) bool { return c.ID == crash.ID }) {
+			return true
+		}
+	}
+	return false
+}
+
+// newList returns the list that follows from the crashes, which are sorted, the latest
+// first. Trials that are allowed by the previous list stay allowed.
+func newList(crashes []*Crash, previous *List) *List {
+	list := &List{
+		bySegment: make(map[uint64][]*Quarantine),
+		watched:   make(map[uint64]bool),
+	}
+	byCandidate := make(map[uint64][]*Crash)
+	for _, crash := range crashes {
+		for _, suspect := range crash.Suspects {
+			left := uncleared(crash, suspect)
+			if len(left) > 0 {
+				list.suspects = append(list.suspects, left)
+			}
+			for _, segment := range left {
+				list.watched[segment] = true
+				if n := len(byCandidate[segment]); n == 0 || byCandidate[segment][n-1] != crash {
+					byCandidate[segment] = append(byCandidate[segment], crash)
+				}
+			}
+		}
+	}
+	list.accuse(byCandidate, crashes, previous)
+	slices.SortFunc(list.quarantines, func(a, b *Quarantine) int { return cmp.Compare(a.key, b.key) })
+	return list
+}
+
+// accuse adds the quarantines that explain the most crashes first. Crashes that one
+// explains are no evidence for others: sound requests are often victims of the cause at
+// the engine that has their common segments cached.
+func (l *List) accuse(byCandidate map[uint64][]*Crash, crashes []*Crash, previous *List) {
+	for {
+		var best *Quarantine
+		crashes = slices.DeleteFunc(slices.Clone(crashes), l.explains)
+		for segment, supporting := range byCandidate {
+			if len(supporting) < _crashesAlone {
+				continue
+			}
+			left := slices.DeleteFunc(slices.Clone(supporting), l.explains)
+			if len(left) < _crashesAlone || !accused(segment, left, crashes) {
+				continue
+			}
+			if q := newQuarantine(segment, left); best == nil || q.compare(best) > 0 {
+				best = q
+			}
+		}
+		if best == nil {
+			return
+		}
+		if before := previous.byKey(best.key); before != nil && before.trial.Load() {
+			best.trial.Store(true)
+		}
+		l.quarantines = append(l.quarantines, best)
+		l.bySegment[best.segments[0]] = append(l.bySegment[best.segments[0]], best)
+	}
+}
+
+// explains reports whether a quarantine holds the cause of a crash.
+func (l *List) explains(crash *Crash) bool {
+	for _, q := range l.quarantines {
+		for _, suspect := range crash.Suspects {
+			if q.isIn(suspect) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// isIn reports whether a suspect holds all segments of the quarantine.
+func (q *Quarantine) isIn(suspect []uint64) bool {
+	for _, segment := range q.segments {
+		if !slices.Contains(suspect, segment) {
+			return false
+		}
+	}
+	return true
+}
+
+// compare is positive if q is the better explanation: of more crashes, or by more
+// segments, which refuses fewer requests.
+func (q *Quarantine) compare(other *Quarantine) int {
+	return cmp.Or(cmp.Compare(len(q.crashes), len(other.crashes)),
+		cmp.Compare(len(q.segments), len(other.segments)), cmp.Compare(q.key, other.key))
+}
+
+func uncleared(crash *Crash, suspect []uint64) []uint64 {
+	var left []uint64
+	for _, segment := range suspect {
+		if !slices.Contains(crash.Cleared, segment) {
+			left = append(left, segment)
+		}
+	}
+	return left
+}
+
+// accused reports whether the crashes of which a segment is a candidate, the latest first,
+// suffice to take it for the cause.
+func accused(segment uint64, supporting, all []*Crash) bool {
+	first := supporting[len(supporting)-1].At
+	moments, last, span := 0, time.Duration(0), first
+	for _, crash := range slices.Backward(supporting) {
+		if moments > 0 && crash.At-last < _sameMoment {
+			continue
+		}
+		last = crash.At
+		if moments++; moments == _crashesAlone {
+			span = crash.At
+		}
+	}
+	if moments < _crashesAlone || moments >= _crashesAmongOthers {
+		return moments >= _crashesAmongOthers
+	}
+	return !slices.ContainsFunc(all, func(c *Crash) bool {
+		return c.At > first-_sameMoment && c.At < span+_sameMoment && !c.contains(segment)
+	})
+}
+
+// newQuarantine returns the quarantine of all segments that each suspect with the accused
+// one holds and that no answer has cleared.
+func newQuarantine(segment uint64, supporting []*Crash) *Quarantine {
+	q := &Quarantine{
+		crashes:   supporting,
+		lastCrash: supporting[0].At,
+	}
+	first := true
+	for _, crash := range supporting {
+		for _, suspect := range crash.Suspects {
+			if !slices.Contains(suspect, segment) {
+				continue
+			}
+			if first {
+				q.segments = slices.Clone(suspect)
+				first = false
+			}
+			q.segments = slices.DeleteFunc(q.segments, func(s uint64) bool {
+				return !slices.Contains(suspect, s) || slices.Contains(crash.Cleared, s)
+			})
+		}
+	}
+	slices.Sort(q.segments)
+	q.segments = slices.Compact(q.segments)
+	for _, s := range q.segments {
+		q.key = (q.key ^ s) * _idFactor
+	}
+	return q
+}
--- /dev/null
+++ b/internal/qlquarantine/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package qlquarantine
+
+const _raceEnabled = false
--- a/pkg/qlcode/table.go
+++ b/pkg/qlcode/table.go
@@ -23,6 +23,7 @@
 	UpstreamUnreached Code = 214
 	RouterFault       Code = 215
 	RouterOverloaded  Code = 216
+	PromptQuarantined Code = 217
 	UpstreamCut       Code = 300
 	UpstreamTimeout   Code = 301
 	AnswerCrossed     Code = 302
@@ -203,6 +204,16 @@
 		status:  http.StatusServiceUnavailable,
 		run:     RunNo,
 	},
+	{
+		code:    PromptQuarantined,
+		name:    "prompt-quarantined",
+		title:   "The prompt holds segments that crash engines",
+		text:    "Engines crashed one after the other when they began an answer to prompts with these segments. Until the quarantine ends, prompts that hold them are not sent. Other prompts of the customer are not affected.",
+		example: "a document that crashes each engine that reads it",
+		remedy:  "send the prompt without the segment, or after Retry-After; operators: quarantines in /debug/state",
+		status:  http.StatusServiceUnavailable,
+		run:     RunNo,
+	},
 	{
 		code:    UpstreamUnreached,
 		name:    "upstream-unreached",
