--- a/internal/qlforward/engine.go
+++ b/internal/qlforward/engine.go
@@ -1,8 +1,10 @@
 package qlforward
 
 import (
+	"bytes"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -318,14 +320,7 @@
 	lastEventAt := time.Now()
 	for {
 		f.setSilenceTimeout(x, e, lastEventAt)
-		n, err := e.Response().Body.Read(*buffer)
-		events := splitter.Write((*buffer)[:n])
-		if n > 0 {
-			x.progress = max(x.progress, progressPart)
-		}
-		if err == io.EOF {
-			events = append(events, splitter.Rest()...)
-		}
+		events, err := x.readEvents(e.Response(), &splitter, *buffer)
 		if len(events) > 0 {
 			lastEventAt = time.Now()
 			f.recordEvents(x, placementID)
@@ -337,15 +332,49 @@
 			f.completeStream(x)
 			return attemptDone, nil
 		}
-		if err == nil && splitter.TooLong() {
-			err = errors.Errorf("an event exceeds %d bytes", qlevent.MaxEventBytes)
-		}
 		if err != nil {
 			return f.streamFailed(x, err)
 		}
 	}
 }
 
+// readEvents reads from a stream once and returns the events that are complete now. With
+// io.EOF it also returns what follows the last one.
+func (x *exchange) readEvents(response *http.Response, splitter *qlevent.Splitter, buffer []byte) ([]byte, error) {
+	n, err := response.Body.Read(buffer)
+	events := splitter.Write(buffer[:n])
+	if n > 0 {
+		x.progress = max(x.progress, progressPart)
+	}
+	switch {
+	case err == io.EOF && x.brokenOff(response, events, splitter.Rest()):
+		return events, errEndsWithinEvent
+	case err == io.EOF:
+		events = append(events, splitter.Rest()...)
+	case err == nil && splitter.TooLong():
+		err = errors.Errorf("an event exceeds %d bytes", qlevent.MaxEventBytes)
+	}
+	return events, err
+}
+
+// errEndsWithinEvent ends a stream that ended without an error, but not between events.
+var errEndsWithinEvent = errors.New("the stream ended within an event")
+
+// brokenOff reports whether a stream of events that ended without an error was broken off:
+// within an event, or before the first one if only the connection's end shows its own.
+func (x *exchange) brokenOff(response *http.Response, events, rest []byte) bool {
+	if !strings.HasPrefix(response.Header.Get("Content-Type"), _eventStream) {
+		return false
+	}
+	if len(bytes.TrimSpace(rest)) > 0 {
+		return true
+	}
+	unframed := response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	return unframed && len(events) == 0 && x.progress != progressEvents
+}
+
+const _eventStream = "text/event-stream"
+
 // recordEvents records that events of this attempt have come.
 func (f *Forwarder) recordEvents(x *exchange, placementID uint64) {
 	if x.progress == progressEvents {
--- a/internal/qlforward/quarantine_test.go
+++ b/internal/qlforward/quarantine_test.go
@@ -74,6 +74,8 @@
 	}{
 		{name: "head", upstream: func() *fakeUpstream { return newCrashingUpstream(t, "u1", _chunked, "") }, prompt: _deadlyPrompt, want: "[[161 209]]"},
 		{name: "part of an event", upstream: func() *fakeUpstream { return newCrashingUpstream(t, "u1", _chunked, "4\r\nid: \r\n") }, prompt: _deadlyPrompt, want: "[[161 209]]"},
+		{name: "unframed head", upstream: func() *fakeUpstream { return newCrashingUpstream(t, "u1", "", "") }, prompt: _deadlyPrompt, want: "[[161 209]]"},
+		{name: "unframed part of an event", upstream: func() *fakeUpstream { return newCrashingUpstream(t, "u1", "", "id: 1\nda") }, prompt: _deadlyPrompt, want: "[[161 209]]"},
 		{name: "after an event", upstream: func() *fakeUpstream { return newCrashingUpstream(t, "u1", _chunked, chunk) }, prompt: _deadlyPrompt, want: "[]"},
 		{name: "no shared segment but the first", upstream: func() *fakeUpstream { return newCrashingUpstream(t, "u1", _chunked, "") }, prompt: "1,2", want: "[]"},
 		{name: "engine still there", upstream: func() *fakeUpstream { return newFakeUpstream(t, "u1", streamEvents(1, 0, false)) }, prompt: _deadlyPrompt, want: "[]"},
