--- a/cmd/qlsoak/caller.go
+++ b/cmd/qlsoak/caller.go
@@ -35,7 +35,12 @@
 	{name: "resume", method: http.MethodPost, stream: true, repeatable: true},
 }
 
+// _streamKinds are the kinds of requests to engines.
+var _streamKinds = _requestKinds[3:]
+
 const (
+	// _crashPart is the part of prompts on which engines crash.
+	_crashPart      = "dead0001"
 	_host           = "soak.example"
 	_callerTimeout  = 3 * time.Second
 	_connectTimeout = time.Second
@@ -77,17 +82,23 @@
 	conn      net.Conn
 	reader    *bufio.Reader
 	sentCount int
+	// crashesEngines is set if the prompts hold a part on which engines crash.
+	crashesEngines bool
 }
 
 // loop sends random kinds of requests, with pauses between, until the context ends.
 func (c *caller) loop(ctx context.Context) {
+	kinds := _requestKinds
+	if c.crashesEngines {
+		kinds = _streamKinds
+	}
 	defer c.disconnect()
 	for ctx.Err() == nil {
 		if c.conn == nil && !c.connect() {
 			time.Sleep(_minThinkTime)
 			continue
 		}
-		c.call(_requestKinds[c.random.IntN(len(_requestKinds))])
+		c.call(kinds[c.random.IntN(len(kinds))])
 		time.Sleep(_minThinkTime + time.Duration(c.random.Int64N(int64(_thinkTimeJitter))))
 	}
 }
@@ -158,7 +169,11 @@
 	}
 	if a.kind.stream {
 		fields.PromptTokens, fields.MaxOutputTokens = 200+c.random.IntN(4000), 10
-		fields.Parts = []string{fmt.Sprintf("%x", 1+c.random.IntN(20)), fields.ID}
+		own := qlsim.Digest([]byte(fields.ID))
+		fields.Parts = []string{"1", fmt.Sprintf("%x", 2+c.random.IntN(20)), own}
+		if c.crashesEngines {
+			fields.Parts = []string{"1", _crashPart, own}
+		}
 	}
 	fields.SetHeader(request.Header)
 	_ = c.conn.SetDeadline(a.sentAt.Add(_callerTimeout))
--- a/cmd/qlsoak/ledger.go
+++ b/cmd/qlsoak/ledger.go
@@ -183,6 +183,13 @@
 	}
 }
 
+// executionCount is executions for callers that do not hold the lock.
+func (l *ledger) executionCount(id string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.executions(id)
+}
+
 // executions returns how often upstreams have executed an attempt.
 func (l *ledger) executions(id string) (count int) {
 	for _, arrival := range l.arrivals[id] {
--- a/cmd/qlsoak/soak.go
+++ b/cmd/qlsoak/soak.go
@@ -246,11 +246,17 @@
 		c := r.newCaller(i)
 		callersDone.Go(func() { c.loop(callers) })
 	}
+	if !plannedOnly {
+		c := r.newCaller(_crashingCaller)
+		c.crashesEngines = true
+		callersDone.Go(func() { c.loop(callers) })
+	}
 	schedule := r.injectFaults(ctx, plannedOnly)
 	time.Sleep(_recoveryDelay)
 	stopCallers()
 	callersDone.Wait()
 	r.checkRecovery()
+	r.checkCrashes()
 	time.Sleep(_settleDelay)
 	return schedule, nil
 }
@@ -283,6 +289,34 @@
 	}
 }
 
+const (
+	// _crashingCaller is the number of the caller whose prompts crash engines.
+	_crashingCaller = 1000
+	// After the last fault, _maxCrashCalls of _crashCalls requests with the part may reach
+	// engines: five that crash them, and three more.
+	_crashCalls    = 60
+	_maxCrashCalls = 8
+)
+
+// checkCrashes sends requests with the part that crashes engines, and records a violation
+// if too many of them reach engines.
+func (r *soakRun) checkCrashes() {
+	c := r.newCaller(_crashingCaller + 1)
+	c.crashesEngines = true
+	defer c.disconnect()
+	arrived := 0
+	for range _crashCalls {
+		if c.conn == nil && !c.connect() {
+			continue
+		}
+		a := c.call(_streamKinds[c.random.IntN(len(_streamKinds))])
+		arrived += r.ledger.executionCount(a.id)
+	}
+	if arrived > _maxCrashCalls {
+		r.ledger.addViolation("quarantine", "", fmt.Sprintf("%d of %d requests with a part that crashes engines reached one, want %d at most", arrived, _crashCalls, _maxCrashCalls))
+	}
+}
+
 // startRouters starts all routers, with the first two as seeds, and waits until all
 // are ready.
 func (r *soakRun) startRouters(ctx context.Context) error {
--- a/cmd/qlsoak/world.go
+++ b/cmd/qlsoak/world.go
@@ -64,6 +64,10 @@
 	if service == _enginesService {
 		events = _eventsPerStream
 	}
+	u := &upstream{
+		id:      id,
+		service: service,
+	}
 	standIn, err := qlsim.StartUpstream(qlsim.UpstreamConfig{
 		ID:             id,
 		Service:        service,
@@ -72,6 +76,8 @@
 		ProcessingTime: _processingTime,
 		EventCount:     events,
 		OnArrival:      r.ledger.recordArrival,
+		CrashPart:      _crashPart,
+		OnCrash:        func() { r.crashUpstreamBehindProxy(u) },
 	})
 	if err != nil {
 		return errors.Trace(err)
@@ -80,12 +86,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	u := &upstream{
-		Upstream: standIn,
-		id:       id,
-		service:  service,
-		proxy:    p,
-	}
+	u.Upstream, u.proxy = standIn, p
 	r.mu.Lock()
 	r.upstreams = append(r.upstreams, u)
 	r.mu.Unlock()
@@ -171,6 +172,16 @@
 	return errors.Trace(r.startUpstream(u.service))
 }
 
+// crashUpstreamBehindProxy has an upstream that crashes refuse connections, although there
+// is a proxy before it, and replaces it.
+func (r *soakRun) crashUpstreamBehindProxy(u *upstream) {
+	r.ledger.recordDisturbance()
+	_ = u.proxy.listener.Close()
+	if err := r.crashUpstream(u); err != nil {
+		r.ledger.addViolation("soak", "", "replace an upstream that crashed: "+err.Error())
+	}
+}
+
 // _entryExpiry is the time between the crash of an upstream and the expiry of its
 // entry in the store.
 const _entryExpiry = 1500 * time.Millisecond
--- a/internal/qlexplain/qlexplain.go
+++ b/internal/qlexplain/qlexplain.go
@@ -53,6 +53,9 @@
 	"fetch-failed":          true,
 	"owner-changed":         true,
 	"routers-changed":       true,
+	"engine-crashed":        true,
+	"quarantine-started":    true,
+	"quarantine-ended":      true,
 }
 
 // logLine is a parsed log line.
