--- a/internal/qlquarantine/list.go
+++ b/internal/qlquarantine/list.go
@@ -52,7 +52,7 @@
 
 // RetryAfter returns the time until a request with the segments may be tried again.
 func (q *Quarantine) RetryAfter(now time.Duration) time.Duration {
-	return max(q.lastCrash+_duration-now, _trialInterval)
+	return max(q.lastCrash+_quarantineDuration-now, _trialInterval)
 }
 
 // TakeTrial reports whether the caller's request is to be sent as a trial. It is true for
--- a/internal/qlquarantine/qlquarantine.go
+++ b/internal/qlquarantine/qlquarantine.go
@@ -58,8 +58,8 @@
 	// _crashesAmongOthers how many do if other engines crash meanwhile.
 	_crashesAlone       = 2
 	_crashesAmongOthers = 3
-	// _duration is how long a quarantine lasts after its last crash.
-	_duration = 10 * time.Minute
+	// _quarantineDuration is how long a quarantine lasts after its last crash.
+	_quarantineDuration = 10 * time.Minute
 	// _trialPeriod is how long trials go on after that, one each _trialInterval.
 	_trialPeriod   = 20 * time.Minute
 	_trialInterval = time.Minute
@@ -235,7 +235,7 @@
 func (t *Table) Add(now time.Duration, crash *Crash) bool {
 	known := t.crashes[crash.ID]
 	if known == nil {
-		if now-crash.At >= _duration+_trialPeriod || !t.makeRoom() {
+		if now-crash.At >= _quarantineDuration+_trialPeriod || !t.makeRoom() {
 			return false
 		}
 		known = &Crash{
@@ -323,7 +323,7 @@
 	for _, crash := range t.crashes {
 		ttl := _evidenceTTL
 		if list.supportedBy(crash) {
-			ttl = _duration + _trialPeriod
+			ttl = _quarantineDuration + _trialPeriod
 		}
 		if now-crash.At >= ttl {
 			t.remove(crash)
@@ -331,7 +331,7 @@
 	}
 	t.Settle()
 	for _, q := range t.list.quarantines {
-		if now-q.lastCrash >= _duration && now >= t.nextTrial[q.key] && isOwner(q.key) {
+		if now-q.lastCrash >= _quarantineDuration && now >= t.nextTrial[q.key] && isOwner(q.key) {
 			t.nextTrial[q.key] = now + _trialInterval
 			q.trial.Store(true)
 		}
