--- a/cmd/qlsoak/soak.go
+++ b/cmd/qlsoak/soak.go
@@ -292,10 +292,13 @@
 const (
 	// _crashingCaller is the number of the caller whose prompts crash engines.
 	_crashingCaller = 1000
-	// After the last fault, _maxCrashCalls of _crashCalls requests with the part may reach
-	// engines: five that crash them, and three more.
-	_crashCalls    = 60
-	_maxCrashCalls = 8
+	// Requests with the part are sent for _crashCheckTime, one each _crashCallInterval. At
+	// most _maxLateCrashCalls of them may reach engines later than _undisturbedPeriod after
+	// the one with the number _crashesAllowed.
+	_crashCheckTime    = 5 * time.Second
+	_crashCallInterval = 50 * time.Millisecond
+	_crashesAllowed    = 5
+	_maxLateCrashCalls = 3
 )
 
 // checkCrashes sends requests with the part that crashes engines, and records a violation
@@ -304,16 +307,24 @@
 	c := r.newCaller(_crashingCaller + 1)
 	c.crashesEngines = true
 	defer c.disconnect()
-	arrived := 0
-	for range _crashCalls {
+	var arrivals []time.Time
+	for end := time.Now().Add(_crashCheckTime); time.Now().Before(end); time.Sleep(_crashCallInterval) {
 		if c.conn == nil && !c.connect() {
 			continue
 		}
 		a := c.call(_streamKinds[c.random.IntN(len(_streamKinds))])
-		arrived += r.ledger.executionCount(a.id)
+		for range r.ledger.executionCount(a.id) {
+			arrivals = append(arrivals, a.sentAt)
+		}
+	}
+	late := 0
+	for _, at := range arrivals {
+		if len(arrivals) >= _crashesAllowed && at.Sub(arrivals[_crashesAllowed-1]) > _undisturbedPeriod {
+			late++
+		}
 	}
-	if arrived > _maxCrashCalls {
-		r.ledger.addViolation("quarantine", "", fmt.Sprintf("%d of %d requests with a part that crashes engines reached one, want %d at most", arrived, _crashCalls, _maxCrashCalls))
+	if late > _maxLateCrashCalls {
+		r.ledger.addViolation("quarantine", "", fmt.Sprintf("%d requests with a part that crashes engines reached one, %d of them later than %v after the fifth, want %d at most", len(arrivals), late, _undisturbedPeriod, _maxLateCrashCalls))
 	}
 }
 
