--- a/internal/qlquarantine/list.go
+++ b/internal/qlquarantine/list.go
@@ -187,7 +187,7 @@
 }
 
 // newList returns the list that follows from the crashes, which are sorted, the latest
-// first. Trials that are allowed by the previous list stay allowed.
+// first. Trials that are allowed by the previous list stay allowed if nothing crashed since.
 func newList(crashes []*Crash, previous *List) *List {
 	list := &List{
 		bySegment: make(map[uint64][]*Quarantine),
@@ -235,8 +235,8 @@
 		if best == nil {
 			return
 		}
-		if before := previous.byKey(best.key); before != nil && before.trial.Load() {
-			best.trial.Store(true)
+		if before := previous.byKey(best.key); before != nil && before.lastCrash == best.lastCrash {
+			best.trial.Store(before.trial.Load())
 		}
 		l.quarantines = append(l.quarantines, best)
 		l.bySegment[best.segments[0]] = append(l.bySegment[best.segments[0]], best)
--- a/internal/qlquarantine/qlquarantine_test.go
+++ b/internal/qlquarantine/qlquarantine_test.go
@@ -128,6 +128,18 @@
 			}
 			clearSegments(table, 12*time.Minute, only(0xd1))
 		}},
+		{name: "crash-while-a-trial-is-open", play: func(table *Table, text *strings.Builder) {
+			add(table, 0, crashOf(1, 0, only(0xd1)))
+			add(table, time.Second, crashOf(2, time.Second, only(0xd1)))
+			table.Tick(11*time.Minute, func(uint64) bool { return true })
+			add(table, 12*time.Minute, crashOf(3, 12*time.Minute, only(0xd1)))
+			fmt.Fprintf(text, "trial after the third crash: %v\n", table.List().Find(segments(1, 0xd1, 2)).TakeTrial())
+		}},
+		{name: "late-report-of-another-crash", play: func(table *Table, _ *strings.Builder) {
+			add(table, 0, crashOf(1, 0, only(0xa1)))
+			add(table, time.Second, crashOf(2, time.Second, only(0xa1)))
+			add(table, 2*time.Second, crashOf(3, 500*time.Millisecond, only(0xa2)))
+		}},
 		{name: "forgotten", play: func(table *Table, _ *strings.Builder) {
 			add(table, 0, crashOf(1, 0, only(0xd1)))
 			add(table, time.Second, crashOf(2, time.Second, only(0xd1)))
