--- a/internal/qlquarantine/qlquarantine.go
+++ b/internal/qlquarantine/qlquarantine.go
@@ -175,6 +175,9 @@
 	Narrowed EndReason = "narrowed"
 	// Explained: another quarantine explains its crashes.
 	Explained EndReason = "explained"
+	// Doubted: a report of another crash in between has come late, so that two crashes
+	// no longer suffice.
+	Doubted EndReason = "doubted"
 	// Expired: its crashes are forgotten.
 	Expired EndReason = "expired"
 )
@@ -200,7 +203,7 @@
 		config:    config,
 		crashes:   make(map[uint64]*Crash),
 		list:      &List{},
-		endReason: Expired,
+		endReason: Doubted,
 		nextTrial: make(map[uint64]time.Duration),
 	}
 }
@@ -267,7 +270,7 @@
 	if t.changed {
 		t.changed = false
 		t.derive(t.endReason)
-		t.endReason = Expired
+		t.endReason = Doubted
 	}
 }
 
@@ -327,6 +330,7 @@
 		}
 		if now-crash.At >= ttl {
 			t.remove(crash)
+			t.endReason = Expired
 		}
 	}
 	t.Settle()
