--- a/internal/qlowner/evidence_test.go
+++ b/internal/qlowner/evidence_test.go
@@ -173,6 +173,16 @@
 	}
 }
 
+// TestRouterWithoutSeedsWaitsForNobody guards against a router that is the only one and is
+// not ready for a while after its start.
+func TestRouterWithoutSeedsWaitsForNobody(t *testing.T) {
+	n := newEmptyNetwork(t, 1)
+	n.seeds = nil
+	if !n.newCore(0, "r0", 1).Informed() {
+		t.Error("the router waits for others, want it to know that there are none")
+	}
+}
+
 // TestQuarantineEndsEverywhere clears the segments by whole answers at one router.
 func TestQuarantineEndsEverywhere(t *testing.T) {
 	for _, routers := range []int{8, 67} {
--- a/internal/qlowner/qlowner.go
+++ b/internal/qlowner/qlowner.go
@@ -276,6 +276,10 @@
 		OnMemberGone:     func(id string) { c.placer.DropRouter(c.now, id) },
 	})
 	c.updateLive()
+	if len(config.Seeds) == 0 {
+		// There is nobody to ask.
+		c.setInformed()
+	}
 	return c
 }
 
--- a/internal/qlowner/qlowner_test.go
+++ b/internal/qlowner/qlowner_test.go
@@ -29,6 +29,8 @@
 	decisions map[string]map[uint64]qlplace.Decision
 	bytes     int
 	byAddress map[string]int
+	// seeds are the addresses that new routers begin with.
+	seeds []string
 }
 
 type datagram struct {
@@ -56,6 +58,7 @@
 		isLost:    func(int, int) bool { return false },
 		decisions: map[string]map[uint64]qlplace.Decision{},
 		byAddress: map[string]int{},
+		seeds:     []string{address(0), address(1)},
 	}
 	for i := range routers {
 		n.byAddress[address(i)] = i
@@ -83,7 +86,7 @@
 		Address:     address(i),
 		Incarnation: incarnation,
 		Random:      rand.New(rand.NewPCG(uint64(i), incarnation)),
-		Seeds:       []string{address(0), address(1)},
+		Seeds:       n.seeds,
 		Send: func(to string, packet *qlfleetwire.Packet) {
 			body, err := proto.Marshal(packet)
 			if err != nil {
