--- a/internal/qledge/quarantine.go
+++ b/internal/qledge/quarantine.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 
+	"github.com/quetzallane/quetzallane/internal/qlengine"
 	"github.com/quetzallane/quetzallane/internal/qlquarantine"
 	"go.uber.org/zap"
 )
@@ -80,26 +80,14 @@
 	for _, crash := range table.Crashes() {
 		suspects := make([]string, len(crash.Suspects))
 		for i, segments := range crash.Suspects {
-			suspects[i] = hexadecimal(segments)
+			suspects[i] = qlengine.FormatIDs(segments)
 		}
 		crashes = append(crashes, map[string]any{
 			"upstream": crash.Engine,
 			"age":      (now - crash.At).String(),
 			"suspects": suspects,
-			"cleared":  hexadecimal(crash.Cleared),
+			"cleared":  qlengine.FormatIDs(crash.Cleared),
 		})
 	}
 	return quarantines, crashes
 }
-
-// hexadecimal returns segments as log lines name them.
-func hexadecimal(segments []uint64) string {
-	var text []byte
-	for i, segment := range segments {
-		if i > 0 {
-			text = append(text, ',')
-		}
-		text = strconv.AppendUint(text, segment, 16)
-	}
-	return string(text)
-}
--- a/internal/qlengine/prompt.go
+++ b/internal/qlengine/prompt.go
@@ -19,18 +19,28 @@
 	Segments []Segment
 }
 
-// String returns the IDs of the segments in order, for logs. It is empty for a
+// String returns the IDs of the segments in order, as FormatIDs does. It is empty for a
 // nil prompt.
 func (p *Prompt) String() string {
 	if p == nil {
 		return ""
 	}
-	var text []byte
+	ids := make([]uint64, len(p.Segments))
 	for i, segment := range p.Segments {
+		ids[i] = segment.ID
+	}
+	return FormatIDs(ids)
+}
+
+// FormatIDs returns IDs of segments in hexadecimal, with commas between them, as log lines
+// and state dumps name them.
+func FormatIDs(ids []uint64) string {
+	var text []byte
+	for i, id := range ids {
 		if i > 0 {
 			text = append(text, ',')
 		}
-		text = strconv.AppendUint(text, segment.ID, 16)
+		text = strconv.AppendUint(text, id, 16)
 	}
 	return string(text)
 }
--- a/internal/qlforward/plain.go
+++ b/internal/qlforward/plain.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -242,8 +241,7 @@
 // have caused itself: while it lags, timers fire before data that has already
 // arrived is read.
 func (f *Forwarder) isLocalTimeout(err error) bool {
-	var failure net.Error
-	return f.config.Lagging() && errors.As(err, &failure) && failure.Timeout()
+	return f.config.Lagging() && isTimeout(err)
 }
 
 // readReply reads the body of a response. A body longer than _maxReplyBytes is
--- a/internal/qlowner/evidence.go
+++ b/internal/qlowner/evidence.go
@@ -1,9 +1,9 @@
 package qlowner
 
 import (
+	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/quetzallane/quetzallane/internal/qlfleetwire"
 	"github.com/quetzallane/quetzallane/internal/qlquarantine"
 )
@@ -151,15 +151,14 @@
 
 // ownsTrials reports whether this router decides on trials of a quarantine.
 func (c *Core) ownsTrials(key uint64) bool {
-	highest, owner := uint64(0), c.config.Self
-	for _, node := range c.live {
-		if rank := xxhash.Sum64String(node.ID()) ^ key; rank >= highest {
-			highest, owner = rank, node.ID()
-		}
-	}
-	return owner == c.config.Self
+	ranked := c.rankedRouters(_trialKeyPrefix + strconv.FormatUint(key, 16))
+	return len(ranked) > 0 && ranked[0].ID() == c.config.Self
 }
 
+// _trialKeyPrefix and a quarantine's key are the rendezvous hashing key for the router that
+// decides on its trials.
+const _trialKeyPrefix = "trial/"
+
 func encodeCrashes(now time.Duration, crashes []*qlquarantine.Crash) []*qlfleetwire.Crash {
 	messages := make([]*qlfleetwire.Crash, len(crashes))
 	for i, crash := range crashes {
--- a/internal/qlquarantine/list.go
+++ b/internal/qlquarantine/list.go
@@ -3,8 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -29,11 +27,7 @@
 
 // String returns the segments in hexadecimal, for logs.
 func (q *Quarantine) String() string {
-	text := make([]string, len(q.segments))
-	for i, segment := range q.segments {
-		text[i] = strconv.FormatUint(segment, 16)
-	}
-	return strings.Join(text, ",")
+	return qlengine.FormatIDs(q.segments)
 }
 
 // Engines returns the ids of the engines that crashed, the latest first.
