--- a/internal/qlowner/qlowner.go
+++ b/internal/qlowner/qlowner.go
@@ -140,7 +140,7 @@
 	// Quarantine configures the table of engines' crashes and quarantines.
 	Quarantine qlquarantine.Config
 	// OnInformed is called once this router knows which crashes the others know, or
-	// has waited for that in vain.
+	// has waited for that in vain. Without seeds, New calls it.
 	OnInformed func()
 	// DecideLocally makes this router decide all requests by itself.
 	DecideLocally bool
--- a/internal/qlowner/qlowner_test.go
+++ b/internal/qlowner/qlowner_test.go
@@ -410,6 +410,7 @@
 		Self:           "r1",
 		Random:         rand.New(rand.NewPCG(1, 1)),
 		OnLiveChange:   func([]qlring.Node) {},
+		OnInformed:     func() {},
 		OnMessageError: func(string, error) { reported++ },
 	})
 	core.Receive(0, "10.0.0.2:7400", &qlfleetwire.Packet{
