--- a/internal/qlforward/qlforward.go
+++ b/internal/qlforward/qlforward.go
@@ -35,7 +35,6 @@
 	"github.com/quetzallane/quetzallane/internal/qlcatalog"
 	"github.com/quetzallane/quetzallane/internal/qlconn"
 	"github.com/quetzallane/quetzallane/internal/qlpace"
-	"github.com/quetzallane/quetzallane/internal/qlroute"
 	"github.com/quetzallane/quetzallane/pkg/qlcode"
 	"go.uber.org/zap"
 )
@@ -209,62 +208,6 @@
 	}
 }
 
-// exchange is the state of one active request.
-type exchange struct {
-	w        http.ResponseWriter
-	request  *http.Request
-	ctx      context.Context
-	start    time.Time
-	deadline time.Time
-	view     *View
-	caller   Caller
-	route    *qlroute.Route
-	service  *qlroute.Service
-	customer string
-	body     []byte
-	// attempts counts the sends after which an upstream may have received the
-	// request.
-	attempts int
-	// sent is set while the request may have run at an upstream.
-	sent bool
-	// sentBeforeAttempt is the value of sent before the last attempt. It is
-	// restored when the upstream reports that it did not run the request.
-	sentBeforeAttempt bool
-	// excluded holds the ids of the upstreams that were already tried.
-	excluded []string
-	// unreachable counts the engines to which the request could not be sent.
-	unreachable int
-	// upstream is the id of the upstream that was tried last.
-	upstream string
-	// progress is how much of an answer that upstream has sent.
-	progress answerProgress
-	// answerBeganAt is when the head of that upstream's answer came, by Config.Clock.
-	answerBeganAt time.Duration
-	// isTrial is set if the request is sent although its segments are quarantined.
-	isTrial bool
-	// streamHeader is the response header of the last engine that answered
-	// before the stream to the caller started.
-	streamHeader http.Header
-	// streamStarted is set once the head of a stream was written to the caller.
-	streamStarted bool
-	// lastEventID is the id of the last event that was written to the caller;
-	// hasLastEventID is set once there is one.
-	lastEventID    int64
-	hasLastEventID bool
-	// cause is the reason for the result, for the log.
-	cause string
-	// callerLeft is set when Config.CallerLeft reported that the caller has
-	// closed its connection.
-	callerLeft bool
-	// decider and predicted are the router that made the last placement
-	// decision and its estimate of the time to the first event.
-	decider   string
-	predicted time.Duration
-	// timeToFirstEvent is the time from the start of the request to the first
-	// event of the last engine that sent one.
-	timeToFirstEvent time.Duration
-}
-
 // ServeHTTP handles one request.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	f.activeRequests.Add(1)
@@ -357,14 +300,6 @@
 	return false
 }
 
-// setCustomer sets the view, and the customer who holds the caller's key in it.
-func (x *exchange) setCustomer(view *View) {
-	x.view, x.customer = view, ""
-	if customer := view.table.Customer(x.caller.Key); customer != nil {
-		x.customer = customer.Name()
-	}
-}
-
 // resolve looks up route, customer and service, and reports whether all were
 // found. It uses the configuration that is in force once the request has been
 // read completely.
@@ -405,17 +340,6 @@
 	return cancel
 }
 
-// remaining returns the time until the deadline; it is negative after the
-// deadline.
-func (x *exchange) remaining() time.Duration {
-	return time.Until(x.deadline)
-}
-
-// callerGone reports whether the caller has closed its connection.
-func (x *exchange) callerGone() bool {
-	return x.callerLeft || x.request.Context().Err() != nil
-}
-
 // outgoing returns the headers of a request to the upstream with the id.
 func (f *Forwarder) outgoing(x *exchange, upstream string) http.Header {
 	header := make(http.Header, len(x.request.Header)+4)
