--- a/internal/qlforward/exchange.go
+++ b/internal/qlforward/exchange.go
@@ -33,6 +33,9 @@
 	excluded []string
 	// unreachable counts the engines to which the request could not be sent.
 	unreachable int
+	// crashed counts the upstreams of plain services that crashed while they ran the
+	// request.
+	crashed int
 	// upstream is the id of the upstream that was tried last.
 	upstream string
 	// progress is how much of an answer that upstream has sent.
--- a/internal/qlforward/plain.go
+++ b/internal/qlforward/plain.go
@@ -13,6 +13,7 @@
 	"github.com/quetzallane/quetzallane/internal/qlconn"
 	"github.com/quetzallane/quetzallane/internal/qlpace"
 	"github.com/quetzallane/quetzallane/pkg/qlcode"
+	"go.uber.org/zap"
 )
 
 const (
@@ -28,6 +29,8 @@
 	// _maxUnreachable limits the upstreams that are tried in vain because no
 	// connection to them can be used.
 	_maxUnreachable = 3
+	// _maxCrashed is how many upstreams one request may crash. One crash may be chance.
+	_maxCrashed = 2
 )
 
 // upstreamReply is the complete response of an upstream.
@@ -67,7 +70,7 @@
 				return
 			}
 			continue
-		case f.shouldRetry(x, reply, err):
+		case f.shouldRetry(x, entry, reply, err):
 			f.logFailedAttempt(x, entry.ID, resultOf(reply, err).String(), err)
 			continue
 		}
@@ -79,13 +82,26 @@
 // shouldRetry reports whether a request that was sent is retried after this
 // reply or error. If so, it takes one retry from the budget. An attempt that
 // the upstream did not run no longer counts as sent.
-func (f *Forwarder) shouldRetry(x *exchange, reply *upstreamReply, err error) bool {
+func (f *Forwarder) shouldRetry(x *exchange, entry qlcatalog.Entry, reply *upstreamReply, err error) bool {
 	if err == nil && reply.answer.NotRun {
 		x.sent = x.sentBeforeAttempt
 		return f.takeRetry(x)
 	}
 	failed := err != nil || reply.response.StatusCode >= http.StatusInternalServerError
-	return failed && x.route.Repeatable() && f.takeRetry(x)
+	return failed && x.route.Repeatable() && !f.hasCrashedTooMany(x, entry, err) && f.takeRetry(x)
+}
+
+// hasCrashedTooMany reports whether the upstreams that crashed while they ran this request
+// are so many that it is probably the cause. It probes only where the route would allow
+// more of them.
+func (f *Forwarder) hasCrashedTooMany(x *exchange, entry qlcatalog.Entry, err error) bool {
+	if err == nil || x.route.MaxAttempts() <= _maxCrashed || isTimeout(err) || !f.pool.Refuses(x.ctx, entry.Address) {
+		return false
+	}
+	x.crashed++
+	f.config.Log.Info("upstream-crashed", zap.String("request", x.caller.ID), zap.String("upstream", entry.ID),
+		zap.Int("crashed", x.crashed))
+	return x.crashed >= _maxCrashed
 }
 
 // resultOf returns the attempt's result for the log.
--- a/internal/qlforward/standin_test.go
+++ b/internal/qlforward/standin_test.go
@@ -272,6 +272,7 @@
 		Revision: 1,
 		Routes: []qlroute.RouteConfig{
 			route("/look/", "plain", qlroute.Idempotent, 2, false),
+			route("/find/", "plain", qlroute.Idempotent, 4, false),
 			route("/order/", "plain", qlroute.NonIdempotent, 2, false),
 			route("/chat/", "engines", qlroute.Streaming, 2, false),
 			route("/resume/", "engines", qlroute.Streaming, 2, true),
