--- a/internal/qlowner/discovery_test.go
+++ b/internal/qlowner/discovery_test.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/quetzallane/quetzallane/internal/qlfleetwire"
+	"google.golang.org/protobuf/proto"
 )
 
 const (
@@ -99,6 +102,42 @@
 	}
 }
 
+// TestNewsAreFetchedFromLiveRouters guards against routers that ask dead ones, and so
+// nobody, which losses they have missed.
+func TestNewsAreFetchedFromLiveRouters(t *testing.T) {
+	const routers, live = 9, 4
+	n := newNetwork(t, routers)
+	for i := live; i < routers; i++ {
+		n.cores[i] = nil
+	}
+	for end := n.now + 5*time.Second; n.highestLiveCount() > live; n.advance(_timeStep) {
+		if n.now > end {
+			t.Fatalf("a router sees %d live ones after 5 s, want %d", n.highestLiveCount(), live)
+		}
+	}
+	n.advance(2 * _networkDelay)
+	asked, askedDead := 0, 0
+	for range 2 * time.Second / _timeStep {
+		n.advance(_timeStep)
+		for _, d := range n.inFlight {
+			packet := &qlfleetwire.Packet{}
+			if err := proto.Unmarshal(d.packet, packet); err != nil {
+				t.Fatal(err)
+			}
+			if d.deliverAt != n.now+_networkDelay-_timeStep || !packet.GetIntroduction().GetWantsReply() {
+				continue
+			}
+			asked++
+			if n.cores[d.to] == nil {
+				askedDead++
+			}
+		}
+	}
+	if asked == 0 || askedDead > 0 {
+		t.Errorf("%d of %d questions went to dead routers, want none of some", askedDead, asked)
+	}
+}
+
 // TestDeadRoutersAreForgotten guards against a fleet in which the routers of replaced
 // VMs stay known for good, and are probed in vain. One that was forgotten and returns
 // must be discovered again.
--- a/internal/qlowner/packet.go
+++ b/internal/qlowner/packet.go
@@ -112,7 +112,7 @@
 	targets := c.config.Seeds
 	if len(c.routers) == 0 {
 		wait = _introduceIntervalAlone
-	} else if ids := c.introducible(now); len(ids) > 0 {
+	} else if ids := c.introductionTargets(now); len(ids) > 0 {
 		knownAddress := c.routers[ids[c.config.Random.IntN(len(ids))]].GetAddress()
 		targets = []string{knownAddress}
 		if len(c.config.Seeds) > 0 {
@@ -129,10 +129,10 @@
 	}
 }
 
-// introducible returns the routers to one of which the next introduction is sent. While
+// introductionTargets returns the routers to one of which the next introduction is sent. While
 // news spread these are live ones: most introductions would be lost after a large loss.
 // Later dead ones are included, which may be back behind a partition.
-func (c *Core) introducible(now time.Duration) []string {
+func (c *Core) introductionTargets(now time.Duration) []string {
 	ids := c.members.IDs()
 	if c.settled(now) {
 		return ids
