--- a/internal/qlquarantine/list.go
+++ b/internal/qlquarantine/list.go
@@ -304,7 +304,8 @@
 			others++
 		}
 	}
-	return others == 0 && len(engines) >= _crashesAlone
+	// Each engine beyond two that crashed on the segment outweighs one that did not.
+	return len(engines) >= _crashesAlone+others
 }
 
 func isAnswered(segment uint64, crashes []*Crash) bool {
--- a/internal/qlquarantine/qlquarantine_test.go
+++ b/internal/qlquarantine/qlquarantine_test.go
@@ -175,6 +175,12 @@
 				fmt.Fprintf(text, "after %d crashes: %v\n", n+1, table.List().Quarantines())
 			}
 		}},
+		{name: "three-engines-outweigh-another", play: func(table *Table, _ *strings.Builder) {
+			add(table, 0, crashOf(1, 0, only(0xd1)))
+			add(table, 0, crashOf(2, 5*time.Millisecond, only(0xd1)))
+			add(table, time.Second, crashOf(3, 150*time.Millisecond, only(0xd1)))
+			add(table, time.Second, crashOf(4, 180*time.Millisecond, only(0xb1)))
+		}},
 		{name: "same-engine-twice", play: func(table *Table, _ *strings.Builder) {
 			add(table, 0, crashOf(1, 0, only(0xd1)))
 			add(table, time.Second, crashOf(1, time.Second, only(0xd1)))
