--- a/internal/qlmember/probe.go
+++ b/internal/qlmember/probe.go
@@ -1,6 +1,7 @@
 package qlmember
 
 import (
+	"sort"
 	"time"
 
 	"github.com/quetzallane/quetzallane/internal/qlwire"
@@ -37,8 +38,35 @@
 			m.probeOrder[i], m.probeOrder[j] = m.probeOrder[j], m.probeOrder[i]
 		})
 	}
+	m.probe(now, m.probeOrder[m.nextIndex])
+}
+
+// probeFollowers probes the next members after this one, by id, that are taken for alive.
+// Every member follows another one that is alive, so after the loss of many each lost one
+// is probed soon, however few routers are left to probe at random.
+func (m *Members) probeFollowers(now time.Duration, count int) {
+	ids := m.IDs()
+	start := sort.SearchStrings(ids, m.config.Self)
+	for i := 0; i < len(ids) && count > 0; i++ {
+		id := ids[(start+i)%len(ids)]
+		if m.members[id].state == Alive && !m.isProbed(id) {
+			m.probe(now, id)
+			count--
+		}
+	}
+}
+
+func (m *Members) isProbed(id string) bool {
+	for _, p := range m.probes {
+		if p.target == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Members) probe(now time.Duration, target string) {
 	m.sequence++
-	target := m.probeOrder[m.nextIndex]
 	probe := &pendingProbe{
 		target:      target,
 		incarnation: m.members[target].incarnation,
--- a/internal/qlmember/qlmember.go
+++ b/internal/qlmember/qlmember.go
@@ -353,10 +353,9 @@
 	m.sendIndirectProbes(now)
 	if now >= m.nextProbeAt {
 		failed := m.concludeProbes(now)
-		// One failure may be one of many: while probes fail, more are sent.
-		for range min(1+2*failed, _maxParallelProbes) {
-			m.startProbe(now)
-		}
+		m.startProbe(now)
+		// One failure may be one of many: while members are suspected, more are probed.
+		m.probeFollowers(now, min(max(2*failed, m.suspectCount), _maxParallelProbes-1))
 		// Jitter keeps routers that started at the same time from probing in
 		// step.
 		jitter := time.Duration(m.config.Random.Int64N(int64(m.config.ProbeInterval) / 4))
--- a/internal/qlowner/discovery_test.go
+++ b/internal/qlowner/discovery_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/quetzallane/quetzallane/internal/qlfleetwire"
+	"github.com/quetzallane/quetzallane/internal/qlmember"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -102,6 +103,42 @@
 	}
 }
 
+// TestEachLossIsSuspectedSoon guards against a dead router that nobody happens to probe: the
+// time left after _suspicionTimeout must suffice to detect it, and to tell all.
+func TestEachLossIsSuspectedSoon(t *testing.T) {
+	for _, routers := range []int{67, 195, 301} {
+		n := newStartingNetwork(t, routers)
+		n.startAll(1)
+		n.advance(_discoveryTime + 4*time.Second)
+		killed := n.random.Perm(routers)[:routers*55/100]
+		for _, i := range killed {
+			n.cores[i] = nil
+		}
+		n.advance(_lossDetectionTime - _suspicionTimeout - _discoveryTime)
+		suspected := make(map[string]bool)
+		for _, core := range n.cores {
+			if core == nil {
+				continue
+			}
+			for _, member := range core.Members() {
+				if member.State != qlmember.Alive.String() {
+					suspected[member.ID] = true
+				}
+			}
+		}
+		missed := 0
+		for _, i := range killed {
+			if !suspected[n.ids[i]] {
+				missed++
+			}
+		}
+		if missed > 0 {
+			t.Errorf("%d routers: nobody suspects %d of %d dead ones after %v, want all", routers, missed, len(killed),
+				_lossDetectionTime-_suspicionTimeout-_discoveryTime)
+		}
+	}
+}
+
 // TestNewsAreFetchedFromLiveRouters guards against routers that ask dead ones, and so
 // nobody, which losses they have missed.
 func TestNewsAreFetchedFromLiveRouters(t *testing.T) {
