--- a/internal/qlshed/qlshed.go
+++ b/internal/qlshed/qlshed.go
@@ -40,6 +40,11 @@
 	// _minAdmittedFraction is the lowest admitted fraction: a few requests must be
 	// served to show when the overload has passed.
 	_minAdmittedFraction = 0.005
+	// _sustainedPart of the rate of requests admitted over about _sustainedTime is
+	// admitted in any overload. Admitted streams cost processor time for seconds: lag
+	// goes on after the fraction has been lowered, and would lower it to almost none.
+	_sustainedPart = 0.5
+	_sustainedTime = 2500 * time.Millisecond
 	// _window is the sliding window in which customers' requests are counted. It
 	// advances in _windowSlots steps.
 	_window      = time.Second
@@ -76,6 +81,10 @@
 	fairShareSlot     int64
 	fairShareAdmitted float64
 	refusedCount      uint64
+	// sustained is the mean number of requests admitted in a window, over
+	// _sustainedTime up to sustainedAt.
+	sustained   float64
+	sustainedAt time.Duration
 
 	overloadedSince  time.Duration
 	allAdmittedSince time.Duration
@@ -105,8 +114,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	excess := float64(lag-_targetLag) / float64(_targetLag)
+	lowest := max(s.sustainableFraction(now), _minAdmittedFraction)
 	if excess > 0 {
-		s.admittedFraction = max(s.admittedFraction*(1-min(_decreaseFactor*excess, _maxDecrease)), _minAdmittedFraction)
+		s.admittedFraction = max(s.admittedFraction*(1-min(_decreaseFactor*excess, _maxDecrease)), min(lowest, s.admittedFraction))
 		s.onTimeSamples = 0
 	} else {
 		s.onTimeSamples++
@@ -115,6 +125,24 @@
 	s.updateRotation(now)
 }
 
+// sustainableFraction returns the fraction of the window's requests that makes
+// _sustainedPart of the rate at which this router has admitted requests lately.
+func (s *Shedder) sustainableFraction(now time.Duration) float64 {
+	s.advance(now)
+	received, refused := 0.0, 0.0
+	for _, r := range s.customers {
+		received += sum(&r.received)
+		refused += sum(&r.refused)
+	}
+	weight := min(float64(now-s.sustainedAt)/float64(_sustainedTime), 1)
+	s.sustained += (received - refused - s.sustained) * weight
+	s.sustainedAt = now
+	if received == 0 {
+		return 0
+	}
+	return _sustainedPart * s.sustained / received
+}
+
 func (s *Shedder) updateRotation(now time.Duration) {
 	if 1-s.admittedFraction < _outOfRotationFraction {
 		s.overloaded = false
--- a/internal/qlshed/qlshed_test.go
+++ b/internal/qlshed/qlshed_test.go
@@ -160,6 +160,60 @@
 	}
 }
 
+// TestOverloadedRouterServesWhatItCan guards against a router that refuses nearly all
+// because requests which it has admitted cost processor time for as long as their streams
+// last, after that idles, and then admits too many again. One customer sends seven times
+// what a small VM can serve.
+func TestOverloadedRouterServesWhatItCan(t *testing.T) {
+	const (
+		processor    = 0.192
+		refusal      = 40e-6
+		start        = 300e-6
+		perTick      = 20e-6
+		streamTicks  = 30
+		rate         = 1400
+		tick         = 50 * time.Millisecond
+		span         = 30 * time.Second
+		warmUp       = 3 * time.Second
+		servable     = (processor - rate*refusal) / (start + streamTicks*perTick - refusal)
+		lowestServed = 0.8
+		highestLag   = 0.5
+	)
+	random := rand.New(rand.NewPCG(5, 6))
+	s := New()
+	backlog, worst, served := 0.0, 0.0, 0
+	var streams [streamTicks]int
+	for n := 0; time.Duration(n)*tick < span; n++ {
+		now := time.Duration(n) * tick
+		lag := backlog / processor
+		s.RecordLag(now, time.Duration(lag*float64(time.Second)))
+		if now > warmUp {
+			worst = max(worst, lag)
+		}
+		streams[n%streamTicks] = 0
+		for range int(rate * tick.Seconds()) {
+			if !s.Admit(now, "hot", random.Float64()) {
+				backlog += refusal
+				continue
+			}
+			backlog += start
+			streams[n%streamTicks]++
+			if now > warmUp {
+				served++
+			}
+		}
+		for _, active := range streams {
+			backlog += float64(active) * perTick
+		}
+		backlog = max(backlog-processor*tick.Seconds(), 0)
+	}
+	perSecond := float64(served) / (span - warmUp).Seconds()
+	t.Logf("served %.0f of %.0f a second that refusals leave room for, lag %.2f s at most", perSecond, servable, worst)
+	if perSecond < lowestServed*servable || worst > highestLag {
+		t.Errorf("got %.0f served a second and %.2f s of lag, want %.0f and %.2f s at most", perSecond, worst, lowestServed*servable, highestLag)
+	}
+}
+
 // TestBackoffFollowsOverloadAndRotation follows an overload from its start until the
 // balancer sends new connections to other routers.
 func TestBackoffFollowsOverloadAndRotation(t *testing.T) {
