--- a/internal/qlquarantine/list.go
+++ b/internal/qlquarantine/list.go
@@ -48,7 +48,18 @@
 
 // RetryAfter returns the time until a request with the segments may be tried again.
 func (q *Quarantine) RetryAfter(now time.Duration) time.Duration {
-	return max(q.lastCrash+_quarantineDuration-now, _trialInterval)
+	return max(q.trialsFrom()-now, _trialInterval)
+}
+
+// trialsFrom returns the time from which on requests are let through as trials.
+func (q *Quarantine) trialsFrom() time.Duration {
+	duration := _quarantineDuration
+	for i := 1; i < len(q.crashes); i++ {
+		if q.crashes[i-1].At-q.crashes[i].At >= _quarantineDuration {
+			duration = min(duration*_failureFactor, _maxQuarantineDuration)
+		}
+	}
+	return q.lastCrash + duration
 }
 
 // TakeTrial reports whether the caller's request is to be sent as a trial. It is true for
@@ -174,12 +185,11 @@
 }
 
 func (l *List) supportedBy(crash *Crash) bool {
-	for _, q := range l.quarantines {
-		if slices.ContainsFunc(q.crashes, func(c *Crash) bool { return c.ID == crash.ID }) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(l.quarantines, func(q *Quarantine) bool { return q.isSupportedBy(crash) })
+}
+
+func (q *Quarantine) isSupportedBy(crash *Crash) bool {
+	return slices.ContainsFunc(q.crashes, func(c *Crash) bool { return c.ID == crash.ID })
 }
 
 // newList returns the list that follows from the crashes, which are sorted, the latest
--- a/internal/qlquarantine/qlquarantine.go
+++ b/internal/qlquarantine/qlquarantine.go
@@ -30,7 +30,8 @@
 //
 // A quarantine lasts for ten minutes after its last crash. After that one router lets
 // one request through each minute, until its answer ends the quarantine, or its crash
-// extends it. Twenty minutes later the crashes are forgotten.
+// extends it to four times as long, a day at most. After twenty minutes without either the
+// crashes are forgotten.
 //
 // # Usage
 //
@@ -59,8 +60,12 @@
 	// _crashesInDoubt how many do if there is another explanation.
 	_crashesAlone   = 2
 	_crashesInDoubt = 3
-	// _quarantineDuration is how long a quarantine lasts after its last crash.
-	_quarantineDuration = 10 * time.Minute
+	// _quarantineDuration is how long a quarantine lasts after its last crash. Each
+	// trial that fails makes that _failureFactor times as long, up to
+	// _maxQuarantineDuration.
+	_quarantineDuration    = 10 * time.Minute
+	_failureFactor         = 4
+	_maxQuarantineDuration = 24 * time.Hour
 	// _trialPeriod is how long trials go on after that, one each _trialInterval.
 	_trialPeriod   = 20 * time.Minute
 	_trialInterval = time.Minute
@@ -252,7 +257,7 @@
 func (t *Table) Add(now time.Duration, crash *Crash) bool {
 	known := t.crashes[crash.ID]
 	if known == nil {
-		if now-crash.At >= _quarantineDuration+_trialPeriod || !t.makeRoom() {
+		if now-crash.At >= _maxQuarantineDuration+_trialPeriod || !t.makeRoom() {
 			return false
 		}
 		known = &Crash{
@@ -351,18 +356,20 @@
 func (t *Table) Tick(now time.Duration, isOwner func(key uint64) bool) {
 	list := t.List()
 	for _, crash := range t.crashes {
-		ttl := _evidenceTTL
-		if list.supportedBy(crash) {
-			ttl = _quarantineDuration + _trialPeriod
+		expiresAt := crash.At + _evidenceTTL
+		for _, q := range list.quarantines {
+			if q.isSupportedBy(crash) {
+				expiresAt = max(expiresAt, q.trialsFrom()+_trialPeriod)
+			}
 		}
-		if now-crash.At >= ttl {
+		if now >= expiresAt {
 			t.remove(crash)
 			t.endReason = Expired
 		}
 	}
 	t.Settle()
 	for _, q := range t.list.quarantines {
-		if now-q.lastCrash >= _quarantineDuration && now >= t.nextTrial[q.key] && isOwner(q.key) {
+		if now >= q.trialsFrom() && now >= t.nextTrial[q.key] && isOwner(q.key) {
 			t.nextTrial[q.key] = now + _trialInterval
 			q.trial.Store(true)
 		}
--- a/internal/qlquarantine/qlquarantine_test.go
+++ b/internal/qlquarantine/qlquarantine_test.go
@@ -243,6 +243,35 @@
 	}
 }
 
+// TestFailedTrialsBecomeRare has a segment crash an engine in each trial for a day. The
+// quarantine must stay in force between trials, and end by an answer after that.
+func TestFailedTrialsBecomeRare(t *testing.T) {
+	const maxTrials = 4
+	table := newTable()
+	table.Add(0, crashOf(1, 0, only(0xd1)))
+	table.Add(time.Second, crashOf(2, time.Second, only(0xd1)))
+	trials, now := 0, time.Minute
+	for ; now < 24*time.Hour; now += time.Minute {
+		table.Tick(now, func(uint64) bool { return true })
+		q := table.List().Find(segments(1, 0xd1, 2))
+		if q == nil {
+			t.Fatalf("after %v and %d failed trials nothing is quarantined", now, trials)
+		}
+		if q.TakeTrial() {
+			trials++
+			add(table, now, crashOf(2+trials, now, only(0xd1)))
+		}
+	}
+	t.Logf("%d trials in a day", trials)
+	if trials == 0 || trials > maxTrials {
+		t.Errorf("got %d trials in a day, want 1 to %d", trials, maxTrials)
+	}
+	clearSegments(table, now, only(0xd1))
+	if q := table.List().Find(segments(1, 0xd1, 2)); q != nil {
+		t.Errorf("%s is still quarantined after an answer", q)
+	}
+}
+
 // TestRoutersWithTheSameCrashesAgree merges the same crashes in random order, in parts and
 // several times, as lost and repeated packets do.
 func TestRoutersWithTheSameCrashesAgree(t *testing.T) {
