--- a/internal/qlconn/qlconn.go
+++ b/internal/qlconn/qlconn.go
@@ -118,6 +118,8 @@
 	idle []*conn
 	// open counts all connections, idle or in use.
 	open int
+	// refusedAt is when the upstream last refused a connection.
+	refusedAt time.Time
 }
 
 // conn is a connection to an upstream.
@@ -195,9 +197,9 @@
 }
 
 // dial opens a connection that popIdle has counted.
-func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+func (p *Pool) dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
 	dialer := net.Dialer{
-		Timeout: p.config.DialTimeout,
+		Timeout: timeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     _keepAliveIdle,
@@ -208,6 +210,7 @@
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		p.releaseSlot(address)
+		p.recordRefusal(address, err)
 		return nil, errors.WithType(err, ErrNotSent)
 	}
 	limit := &limitedReader{
@@ -222,15 +225,33 @@
 	}, nil
 }
 
+func (p *Pool) recordRefusal(address string, err error) {
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hostPool(address).refusedAt = time.Now()
+}
+
+// _refusalTimeout is the wait for a refusal. It is above the usual time limit of dials,
+// since a VM that lags notices a refusal late.
+const _refusalTimeout = time.Second
+
 // Refuses reports whether the upstream at the address refuses connections, as one does
-// whose process has ended. A connection that it accepts instead is kept for the next
-// request.
-func (p *Pool) Refuses(ctx context.Context, address string) bool {
+// whose process has ended. It doesn't ask if the upstream has refused one since that time.
+// A connection that it accepts instead is kept for the next request.
+func (p *Pool) Refuses(ctx context.Context, address string, since time.Time) bool {
 	p.mu.Lock()
-	p.hostPool(address).open++
+	host := p.hostPool(address)
+	if host.refusedAt.After(since) {
+		p.mu.Unlock()
+		return true
+	}
+	host.open++
 	p.dials++
 	p.mu.Unlock()
-	c, err := p.dial(ctx, address)
+	c, err := p.dial(ctx, address, _refusalTimeout)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
@@ -292,7 +313,7 @@
 		return nil, err
 	}
 	if c == nil {
-		if c, err = p.dial(ctx, request.Address); err != nil {
+		if c, err = p.dial(ctx, request.Address, p.config.DialTimeout); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/qlconn/qlconn_test.go
+++ b/internal/qlconn/qlconn_test.go
@@ -409,7 +409,8 @@
 		}
 	})
 	pool := newPool()
-	if pool.Refuses(t.Context(), u.request("1").Address) {
+	began := time.Now()
+	if pool.Refuses(t.Context(), u.request("1").Address, began) {
 		t.Error("an upstream that listens is told as refusing")
 	}
 	if got, err := sendAndRead(t, pool, u.request("1")); got != "ok" || err != nil {
@@ -423,12 +424,18 @@
 		t.Fatal(err)
 	}
 	_ = listener.Close()
-	if !pool.Refuses(t.Context(), listener.Addr().String()) {
-		t.Error("an address without a listener is not told as refusing")
-	}
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	if pool.Refuses(ctx, listener.Addr().String()) {
+	if pool.Refuses(ctx, listener.Addr().String(), began) {
 		t.Error("a canceled dial is told as refused")
 	}
+	if !pool.Refuses(t.Context(), listener.Addr().String(), began) {
+		t.Error("an address without a listener is not told as refusing")
+	}
+	if !pool.Refuses(ctx, listener.Addr().String(), began) {
+		t.Error("a refusal since then is not remembered")
+	}
+	if pool.Refuses(ctx, listener.Addr().String(), time.Now()) {
+		t.Error("a refusal before that time is told as one since then")
+	}
 }
--- a/internal/qlforward/exchange.go
+++ b/internal/qlforward/exchange.go
@@ -42,6 +42,8 @@
 	progress answerProgress
 	// answerBeganAt is when the head of that upstream's answer came, by Config.Clock.
 	answerBeganAt time.Duration
+	// answerBegan is the same moment by the system's clock.
+	answerBegan time.Time
 	// isTrial is set if the request is sent although its segments are quarantined.
 	isTrial bool
 	// streamHeader is the response header of the last engine that answered
--- a/internal/qlforward/plain.go
+++ b/internal/qlforward/plain.go
@@ -95,7 +95,7 @@
 // are so many that it is probably the cause. It probes only where the route would allow
 // more of them.
 func (f *Forwarder) hasCrashedTooMany(x *exchange, entry qlcatalog.Entry, err error) bool {
-	if err == nil || x.route.MaxAttempts() <= _maxCrashed || isTimeout(err) || !f.pool.Refuses(x.ctx, entry.Address) {
+	if err == nil || x.route.MaxAttempts() <= _maxCrashed || isTimeout(err) || !f.pool.Refuses(x.ctx, entry.Address, time.Now()) {
 		return false
 	}
 	x.crashed++
--- a/internal/qlforward/qlforward.go
+++ b/internal/qlforward/qlforward.go
@@ -391,7 +391,7 @@
 		x.sent = true
 	}
 	if err == nil {
-		x.progress, x.answerBeganAt = progressHead, f.config.Clock()
+		x.progress, x.answerBeganAt, x.answerBegan = progressHead, f.config.Clock(), time.Now()
 	}
 	return e, err
 }
--- a/internal/qlforward/quarantine.go
+++ b/internal/qlforward/quarantine.go
@@ -60,7 +60,9 @@
 		return false
 	}
 	candidates := qlquarantine.Candidates(x.caller.Prompt.Segments)
-	if len(candidates) == 0 || !f.pool.Refuses(x.ctx, entry.Address) {
+	// The evidence is of use to the fleet also if this caller leaves meanwhile.
+	ctx := context.WithoutCancel(x.ctx)
+	if len(candidates) == 0 || !f.pool.Refuses(ctx, entry.Address, x.answerBegan) {
 		return false
 	}
 	f.config.Log.Info("engine-crashed", zap.String("request", x.caller.ID), zap.String("upstream", entry.ID),
--- a/internal/qlforward/quarantine_test.go
+++ b/internal/qlforward/quarantine_test.go
@@ -1,6 +1,7 @@
 package qlforward
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/quetzallane/quetzallane/internal/qlcatalog"
 	"github.com/quetzallane/quetzallane/internal/qlengine"
 	"github.com/quetzallane/quetzallane/internal/qlquarantine"
 	"github.com/quetzallane/quetzallane/pkg/qlcode"
@@ -97,6 +99,33 @@
 	}
 }
 
+// TestCrashIsReportedAlthoughTheCallerLeaves guards against evidence that is lost when the
+// caller does not wait until this router knows whether the engine is gone.
+func TestCrashIsReportedAlthoughTheCallerLeaves(t *testing.T) {
+	u := newFakeUpstream(t, "u1", func(net.Conn, *http.Request) {})
+	u.crash()
+	h := newHarness(t, u)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	x := &exchange{
+		ctx:         ctx,
+		progress:    progressHead,
+		answerBegan: time.Now(),
+		caller: Caller{
+			Prompt: &qlengine.Prompt{
+				Segments: []qlengine.Segment{{ID: 1}, {ID: 0xd1}, {ID: 2}},
+			},
+		},
+	}
+	entry := qlcatalog.Entry{
+		ID:      u.id,
+		Address: u.address,
+	}
+	if !h.forwarder.reportCrash(x, entry, io.ErrUnexpectedEOF) || fmt.Sprint(h.crashes) != "[[209]]" {
+		t.Errorf("reported crashes: got %v, want [[209]]", h.crashes)
+	}
+}
+
 // TestSuspectIsNotSentAgain guards against a repeat that crashes the next engine, and
 // against sound victims that are not repeated.
 func TestSuspectIsNotSentAgain(t *testing.T) {
