--- a/internal/qlrouter/serve.go
+++ b/internal/qlrouter/serve.go
@@ -98,8 +98,13 @@
 	})
 }
 
-// endWaiting answers a request whose context ended while it waited.
+// endWaiting answers a request whose context ended while it waited, before the first
+// attempt or after a failed one.
 func (r *Router) endWaiting(w http.ResponseWriter, x *exchange) {
+	if x.maybeSent {
+		r.endAbandoned(w, x, 0)
+		return
+	}
 	if r.abortContext.Err() != nil {
 		r.refuse(w, x, qlcode.Stopping, 0, "the stop's deadline passed while the request waited")
 		return
@@ -182,7 +187,7 @@
 		return true
 	case contextEnded:
 		r.finish(x, answer.Cost(), abandonedOutcome(answer))
-		r.endAbandoned(w, x, answer)
+		r.endAbandoned(w, x, answer.Cost())
 		return true
 	case !answer.Sent():
 		r.retry(x, notSentOutcome(answer))
@@ -246,15 +251,15 @@
 	_, _ = w.Write(answer.Body())
 }
 
-// endAbandoned ends a request whose context ended during an attempt. If a stop
-// aborted the request, the caller gets an error; otherwise the caller has left.
-func (r *Router) endAbandoned(w http.ResponseWriter, x *exchange, answer *qlupstream.Answer) {
+// endAbandoned ends a request whose context ended during an attempt or after one. If a
+// stop aborted the request, the caller gets an error; otherwise the caller has left.
+func (r *Router) endAbandoned(w http.ResponseWriter, x *exchange, cost float64) {
 	if r.abortContext.Err() == nil {
 		code := qlcode.CallerLeft
 		if x.maybeSent {
 			code = qlcode.UpstreamCut
 		}
-		r.logEnd(x, code, answer.Cost(), "the caller left")
+		r.logEnd(x, code, cost, "the caller left")
 		panic(http.ErrAbortHandler)
 	}
 	code := qlcode.Stopping
