--- a/internal/qledge/quarantine.go
+++ b/internal/qledge/quarantine.go
@@ -88,6 +88,7 @@
 			"age":      (now - crash.At).String(),
 			"suspects": suspects,
 			"cleared":  qlengine.FormatIDs(crash.Cleared),
+			"answered": qlengine.FormatIDs(crash.Answered),
 		})
 	}
 	return quarantines, crashes
