--- a/internal/qlshed/qlshed.go
+++ b/internal/qlshed/qlshed.go
@@ -85,6 +85,7 @@
 	// _sustainedTime up to sustainedAt.
 	sustained   float64
 	sustainedAt time.Duration
+	surge       surgeLimit
 
 	overloadedSince  time.Duration
 	allAdmittedSince time.Duration
@@ -118,8 +119,12 @@
 	if excess > 0 {
 		s.admittedFraction = max(s.admittedFraction*(1-min(_decreaseFactor*excess, _maxDecrease)), min(lowest, s.admittedFraction))
 		s.onTimeSamples = 0
+		if s.overloaded && now-s.overloadedSince >= _surgeLearnDelay {
+			s.surge.learn(now, s.sustained)
+		}
 	} else {
 		s.onTimeSamples++
+		s.surge.relax()
 		s.admittedFraction = min(s.admittedFraction*(1-excess*_increaseFactor*float64(s.onTimeSamples)), 1)
 	}
 	s.updateRotation(now)
@@ -213,7 +218,12 @@
 		s.customers[customer] = r
 	}
 	r.received[s.slot%_windowSlots]++
+	if s.surge.isExceeded(now) {
+		fraction := s.surge.fraction(s.receivedRate(now))
+		s.admittedFraction = min(s.admittedFraction, max(fraction, _minAdmittedFraction))
+	}
 	if s.admittedFraction == 1 {
+		s.surge.count()
 		return true
 	}
 	if s.fairShareSlot != s.slot || s.fairShareAdmitted != s.admittedFraction {
@@ -221,6 +231,7 @@
 		s.fairShareSlot, s.fairShareAdmitted = s.slot, s.admittedFraction
 	}
 	if chance*sum(&r.received) < s.fairShareLevel {
+		s.surge.count()
 		return true
 	}
 	r.refused[s.slot%_windowSlots]++
@@ -228,6 +239,20 @@
 	return false
 }
 
+// receivedRate returns the rate of requests in the current slot and the one before, in
+// requests a second.
+func (s *Shedder) receivedRate(now time.Duration) float64 {
+	received := 0.0
+	for _, r := range s.customers {
+		received += r.received[s.slot%_windowSlots]
+		if s.slot > 0 {
+			received += r.received[(s.slot-1)%_windowSlots]
+		}
+	}
+	const slotLength = _window / _windowSlots
+	return received / (now - time.Duration(s.slot-1)*slotLength).Seconds()
+}
+
 // advance moves the window to now and drops the counts of slots that left it.
 func (s *Shedder) advance(now time.Duration) {
 	slot := int64(now / (_window / _windowSlots))
--- a/internal/qlshed/qlshed_test.go
+++ b/internal/qlshed/qlshed_test.go
@@ -166,46 +166,22 @@
 // what a small VM can serve.
 func TestOverloadedRouterServesWhatItCan(t *testing.T) {
 	const (
-		processor    = 0.192
-		refusal      = 40e-6
-		start        = 300e-6
-		perTick      = 20e-6
-		streamTicks  = 30
 		rate         = 1400
-		tick         = 50 * time.Millisecond
 		span         = 30 * time.Second
 		warmUp       = 3 * time.Second
-		servable     = (processor - rate*refusal) / (start + streamTicks*perTick - refusal)
+		servable     = (_modelProcessor - rate*_modelRefusal) / (_modelStart + _modelStreamTicks*_modelPerTick - _modelRefusal)
 		lowestServed = 0.8
 		highestLag   = 0.5
 	)
-	random := rand.New(rand.NewPCG(5, 6))
-	s := New()
-	backlog, worst, served := 0.0, 0.0, 0
-	var streams [streamTicks]int
-	for n := 0; time.Duration(n)*tick < span; n++ {
-		now := time.Duration(n) * tick
-		lag := backlog / processor
-		s.RecordLag(now, time.Duration(lag*float64(time.Second)))
+	vm := newModelVM(5)
+	worst, served := 0.0, 0
+	for now := time.Duration(0); now < span; now += _modelTick {
+		lag := vm.lag()
+		admitted := vm.step(now, rate, 1)
 		if now > warmUp {
 			worst = max(worst, lag)
+			served += admitted
 		}
-		streams[n%streamTicks] = 0
-		for range int(rate * tick.Seconds()) {
-			if !s.Admit(now, "hot", random.Float64()) {
-				backlog += refusal
-				continue
-			}
-			backlog += start
-			streams[n%streamTicks]++
-			if now > warmUp {
-				served++
-			}
-		}
-		for _, active := range streams {
-			backlog += float64(active) * perTick
-		}
-		backlog = max(backlog-processor*tick.Seconds(), 0)
 	}
 	perSecond := float64(served) / (span - warmUp).Seconds()
 	t.Logf("served %.0f of %.0f a second that refusals leave room for, lag %.2f s at most", perSecond, servable, worst)
@@ -214,6 +190,59 @@
 	}
 }
 
+// TestReturningSurgeIsLimited has one customer send seven times what a small VM can serve,
+// for three of every six seconds, as the balancer moves it between VMs. From the second
+// surge on, few requests may be admitted that start late.
+func TestReturningSurgeIsLimited(t *testing.T) {
+	const (
+		objective = 0.3
+		maxLate   = 0.05
+	)
+	vm := newModelVM(1)
+	late, served := 0, 0
+	for now := time.Duration(0); now < 60*time.Second; now += _modelTick {
+		rate := 40
+		if now%(6*time.Second) < 3*time.Second {
+			rate = 1400
+		}
+		lag := vm.lag()
+		admitted := vm.step(now, rate, 1)
+		if now < 6*time.Second {
+			continue
+		}
+		served += admitted
+		if lag > objective {
+			late += admitted
+		}
+	}
+	t.Logf("%d of %d admitted requests started late", late, served)
+	if float64(late) > maxLate*float64(served) {
+		t.Errorf("%d of %d admitted requests started late, want %v of them at most", late, served, maxLate)
+	}
+}
+
+// TestSurgeOfLightRequestsIsServed guards against a limit that was learned from requests
+// which cost more than those that come after them.
+func TestSurgeOfLightRequestsIsServed(t *testing.T) {
+	const wantServed = 0.9
+	vm := newModelVM(1)
+	served, sent := 0, 0
+	for now := time.Duration(0); now < 20*time.Second; now += _modelTick {
+		rate, cost := 1400, 1.0
+		if now >= 5*time.Second {
+			rate, cost = 600, 0.1
+		}
+		admitted := vm.step(now, rate, cost)
+		if now >= 10*time.Second {
+			served += admitted
+			sent += int(float64(rate) * _modelTick.Seconds())
+		}
+	}
+	if float64(served) < wantServed*float64(sent) {
+		t.Errorf("got %d of %d light requests served, want %v of them", served, sent, wantServed)
+	}
+}
+
 // TestBackoffFollowsOverloadAndRotation follows an overload from its start until the
 // balancer sends new connections to other routers.
 func TestBackoffFollowsOverloadAndRotation(t *testing.T) {
