--- a/internal/qlshed/qlshed.go
+++ b/internal/qlshed/qlshed.go
@@ -9,6 +9,11 @@
 // run, and a retry reaches another router. The admitted requests are divided between
 // customers by max-min fairness: the customer that sends most is refused first.
 //
+// The fraction of requests that is admitted follows the scheduling lag. Two things keep it
+// from swinging, since admitted streams cost processor time for seconds: it never falls
+// below what makes half of the rate admitted lately, and a router that was overloaded
+// limits the next surge to the rate that it has sustained, before lag shows that surge.
+//
 // # Usage
 //
 //	shedder := qlshed.New()
