--- a/internal/qlquarantine/qlquarantine.go
+++ b/internal/qlquarantine/qlquarantine.go
@@ -343,7 +343,9 @@
 func (t *Table) MarkAnswered(q *Quarantine) []*Crash {
 	latest := q.crashes[0]
 	news := t.change(latest, func() bool {
-		return latest.merge(&Crash{Answered: q.segments})
+		return latest.merge(&Crash{
+			Answered: q.segments,
+		})
 	})
 	if !news {
 		return nil
--- a/internal/qlrouter/adopt.go
+++ b/internal/qlrouter/adopt.go
@@ -14,11 +14,11 @@
 const (
 	// _watchTimeout is how long a watcher's call may wait for a change.
 	_watchTimeout = 20 * time.Second
-	// _pollPeriod is the pause of a router that is not a watcher after a read that
-	// returned a newer value.
+	// _pollPeriod is the pause of a router that is not a watcher after a read, whether
+	// or not it returned a newer value.
 	_pollPeriod = 60 * time.Second
 	// _retryPause is the pause after a read that failed, or that returned no newer
-	// value without waiting for one.
+	// value although it was to wait for one or the router is not ready.
 	_retryPause = time.Second
 	// _startupPollPeriod is the pause after a read that returned a newer value,
 	// until the router is ready.
@@ -57,7 +57,10 @@
 // readPause returns how long to wait before the next read, after one that ended
 // with the error and was allowed to wait for a change.
 func (r *Router) readPause(err error, wait time.Duration) time.Duration {
+	foundNothingNew := errors.Is(err, errOlderRevision) && wait == 0
 	switch {
+	case foundNothingNew && r.ready.Load() && !r.isWatcher.Load():
+		return jitter(_pollPeriod)
 	case err != nil && !errors.Is(err, qlplatform.ErrUnchanged):
 		return jitter(_retryPause)
 	case wait > 0:
--- a/internal/qlrouter/fetch_test.go
+++ b/internal/qlrouter/fetch_test.go
@@ -3,9 +3,13 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
+	"github.com/juju/errors"
+	"github.com/quetzallane/quetzallane/internal/qlsetting"
 	"github.com/quetzallane/quetzallane/internal/qlwire"
 	"github.com/quetzallane/quetzallane/pkg/qlconfig"
+	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -35,6 +39,38 @@
 	return built
 }
 
+// TestRoutersThatDoNotWatchPollRarely guards against a router that calls the platform's
+// service each second because its reads find nothing new.
+func TestRoutersThatDoNotWatchPollRarely(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		ready     bool
+		isWatcher bool
+		err       error
+		wait      time.Duration
+		want      time.Duration
+	}{
+		{name: "nothing new", ready: true, err: errOlderRevision, want: _pollPeriod},
+		{name: "a newer value", ready: true, want: _pollPeriod},
+		{name: "a failure", ready: true, err: errors.New("refused"), want: _retryPause},
+		{name: "nothing new before it is ready", err: errOlderRevision, want: _retryPause},
+		{name: "a watch that does not wait", ready: true, isWatcher: true, err: errOlderRevision, wait: _watchTimeout, want: _retryPause},
+	} {
+		router := New(Config{
+			Settings: &qlsetting.Router{
+				ID:   "r1",
+				Zone: "z1",
+			},
+			Log: zap.NewNop(),
+		})
+		router.ready.Store(c.ready)
+		router.isWatcher.Store(c.isWatcher)
+		if got := router.readPause(c.err, c.wait); got < c.want/2 || got > c.want*3/2 {
+			t.Errorf("%s: got a pause of %v, want %v or half of it more or less", c.name, got, c.want)
+		}
+	}
+}
+
 // TestFetchSendsOnlyTheDifference raises one customer's limit. A peer that has
 // the previous revision must receive only a few bytes; one that has none must
 // receive the whole part.
