--- a/internal/qlshed/qlshed.go
+++ b/internal/qlshed/qlshed.go
@@ -13,6 +13,7 @@
 // from swinging, since admitted streams cost processor time for seconds: it never falls
 // below what makes half of the rate admitted lately, and a router that was overloaded
 // limits the next surge to the rate that it has sustained, before lag shows that surge.
+// That limit spares customers that send no more than an even share.
 //
 // # Usage
 //
@@ -79,13 +80,14 @@
 	onTimeSamples int
 	customers     map[string]*requestCounts
 	slot          int64
-	// fairShareLevel is how many requests each customer may have in the window. It
-	// was computed for the slot fairShareSlot and the admitted fraction
-	// fairShareAdmitted.
-	fairShareLevel    float64
-	fairShareSlot     int64
-	fairShareAdmitted float64
-	refusedCount      uint64
+	// lagFraction is the admitted fraction without the limit on surges. It applies to
+	// customers that send no more than an even share: a surge is none of theirs.
+	lagFraction float64
+	// levels were computed for the slot levelsSlot and the fractions at that time.
+	levels         shareLevels
+	levelsSlot     int64
+	levelsAdmitted float64
+	refusedCount   uint64
 	// sustained is the mean number of requests admitted in a window, over
 	// _sustainedTime up to sustainedAt.
 	sustained   float64
@@ -110,6 +112,7 @@
 func New() *Shedder {
 	return &Shedder{
 		admittedFraction: 1,
+		lagFraction:      1,
 		customers:        make(map[string]*requestCounts),
 	}
 }
@@ -122,7 +125,9 @@
 	excess := float64(lag-_targetLag) / float64(_targetLag)
 	lowest := max(s.sustainableFraction(now), _minAdmittedFraction)
 	if excess > 0 {
-		s.admittedFraction = max(s.admittedFraction*(1-min(_decreaseFactor*excess, _maxDecrease)), min(lowest, s.admittedFraction))
+		factor := 1 - min(_decreaseFactor*excess, _maxDecrease)
+		s.admittedFraction = max(s.admittedFraction*factor, min(lowest, s.admittedFraction))
+		s.lagFraction = max(s.lagFraction*factor, min(lowest, s.lagFraction))
 		s.onTimeSamples = 0
 		if s.overloaded && now-s.overloadedSince >= _surgeLearnDelay {
 			s.surge.learn(now, s.sustained)
@@ -130,7 +135,9 @@
 	} else {
 		s.onTimeSamples++
 		s.surge.relax()
-		s.admittedFraction = min(s.admittedFraction*(1-excess*_increaseFactor*float64(s.onTimeSamples)), 1)
+		factor := 1 - excess*_increaseFactor*float64(s.onTimeSamples)
+		s.admittedFraction = min(s.admittedFraction*factor, 1)
+		s.lagFraction = min(s.lagFraction*factor, 1)
 	}
 	s.updateRotation(now)
 }
@@ -231,11 +238,11 @@
 		s.surge.count()
 		return true
 	}
-	if s.fairShareSlot != s.slot || s.fairShareAdmitted != s.admittedFraction {
-		s.fairShareLevel = s.computeFairShareLevel()
-		s.fairShareSlot, s.fairShareAdmitted = s.slot, s.admittedFraction
+	if s.levelsSlot != s.slot || s.levelsAdmitted != s.admittedFraction {
+		s.levels = s.computeLevels()
+		s.levelsSlot, s.levelsAdmitted = s.slot, s.admittedFraction
 	}
-	if chance*sum(&r.received) < s.fairShareLevel {
+	if chance*sum(&r.received) < s.levels.of(sum(&r.received)) {
 		s.surge.count()
 		return true
 	}
@@ -281,18 +288,44 @@
 	return total
 }
 
-// computeFairShareLevel divides the admitted requests of the window between customers
-// by max-min fairness and returns the most that one customer may have.
-func (s *Shedder) computeFairShareLevel() float64 {
+// shareLevels are how many requests one customer may have in the window.
+type shareLevels struct {
+	// evenShare is the mean number of requests of a customer.
+	evenShare float64
+	// above is the level of customers that send more than that, below of the others.
+	above float64
+	below float64
+}
+
+// of returns the level of a customer that has sent so many requests.
+func (l shareLevels) of(received float64) float64 {
+	if received > l.evenShare {
+		return l.above
+	}
+	return l.below
+}
+
+// computeLevels divides the admitted requests of the window between customers by max-min
+// fairness.
+func (s *Shedder) computeLevels() shareLevels {
 	sums := make([]float64, 0, len(s.customers))
-	remaining := 0.0
+	all := 0.0
 	for _, r := range s.customers {
 		total := sum(&r.received)
 		sums = append(sums, total)
-		remaining += total
+		all += total
 	}
-	remaining *= s.admittedFraction
 	slices.Sort(sums)
+	return shareLevels{
+		evenShare: all / float64(len(sums)),
+		above:     maxMinLevel(sums, all*s.admittedFraction),
+		below:     maxMinLevel(sums, all*s.lagFraction),
+	}
+}
+
+// maxMinLevel divides an amount between demands, which are sorted, and returns the most
+// that one of them gets.
+func maxMinLevel(sums []float64, remaining float64) float64 {
 	for i, total := range sums {
 		evenShare := remaining / float64(len(sums)-i)
 		if total >= evenShare {
