--- a/internal/qlquarantine/qlquarantine_test.go
+++ b/internal/qlquarantine/qlquarantine_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -421,9 +422,18 @@
 
 func playDays(t *testing.T, newDay func(seed uint64) *simulatedDay) {
 	var crashes []int
-	for seed := range uint64(300) {
-		day := newDay(seed)
-		day.play()
+	days := make([]*simulatedDay, 300)
+	var group sync.WaitGroup
+	for worker := range _dayWorkers {
+		group.Go(func() {
+			for seed := worker; seed < len(days); seed += _dayWorkers {
+				days[seed] = newDay(uint64(seed))
+				days[seed].play()
+			}
+		})
+	}
+	group.Wait()
+	for seed, day := range days {
 		if day.soundFor > _maxSoundQuarantine {
 			t.Errorf("seed %d: segments were quarantined for %v that crash nothing, want %v at most", seed, day.soundFor, _maxSoundQuarantine)
 		}
@@ -447,5 +457,8 @@
 	}
 }
 
+// _dayWorkers is the number of days that are played at a time.
+const _dayWorkers = 8
+
 // _wantCrashes is the number of crashes after which the fleet is to stop.
 const _wantCrashes = 3
