A test of one customer's callers at one small VM beside idle ones fails

Cause: capacity is decided where a caller's connection ends: a VM refuses what its own processor cannot serve, whatever room the others have.

--- a/internal/qledge/standin_test.go
+++ b/internal/qledge/standin_test.go
@@ -27,6 +27,13 @@
 // _maxPause is a watcher's longest pause after a failed call.
 const _maxPause = 600 * time.Millisecond
 
+// The customers of each configuration hold a key that is their name.
+const (
+	_heavyCustomer = "heavy"
+	_lightCustomer = "light"
+	_keyHeader     = "Key"
+)
+
 // fakeStore stands in for a platform's store. Its configuration is only a
 // revision, and its upstreams are only ids.
 type fakeStore struct {
@@ -123,7 +130,12 @@
 		},
 		Watch: s.watch,
 		DecodeConfiguration: func(data []byte) (*qlroute.Document, error) {
-			document := &qlroute.Document{}
+			document := &qlroute.Document{
+				Customers: []qlroute.CustomerConfig{
+					{Name: _heavyCustomer, Keys: []string{_heavyCustomer}},
+					{Name: _lightCustomer, Keys: []string{_lightCustomer}},
+				},
+			}
 			_, err := fmt.Sscan(string(data), &document.Revision)
 			return document, errors.Trace(err)
 		},
@@ -262,7 +274,8 @@
 		Settings: settings,
 		Source:   store.source(),
 		Dialect: qlforward.Dialect{
-			ReadCaller:  func(http.Header) qlforward.Caller { return qlforward.Caller{} },
+			ReadCaller:  func(header http.Header) qlforward.Caller { return qlforward.Caller{Key: header.Get(_keyHeader)} },
+			ReadHead:    func(get func(name string) string) (id, key string) { return "", get(_keyHeader) },
 			SetOutgoing: func(http.Header, qlforward.Outgoing) {},
 			ReadAnswer:  func(*http.Response) qlforward.Answer { return qlforward.Answer{} },
 		},
@@ -336,6 +349,17 @@
 // addresses with the same port, which replaces that of the seeds. The first has
 // the largest capacity and is the watcher.
 func startFleet(t *testing.T, stores ...*fakeStore) []*runningEdge {
+	t.Helper()
+	fractions := make([]float64, len(stores))
+	for i := range fractions {
+		fractions[i] = 1 / float64(i+1)
+	}
+	return startSizedFleet(t, fractions, stores...)
+}
+
+// startSizedFleet is like startFleet for VMs with these fractions of a processor, in
+// descending order.
+func startSizedFleet(t *testing.T, fractions []float64, stores ...*fakeStore) []*runningEdge {
 	t.Helper()
 	_, port, err := net.SplitHostPort(freePorts(t, 1)[0])
 	if err != nil {
@@ -346,7 +370,7 @@
 		fleet = append(fleet, startEdge(t, fmt.Sprintf("r%d", i+1), store, func(settings *qlsetting.Edge) {
 			settings.PeerAddress = net.JoinHostPort(loopbackAddress(i+1), port)
 			settings.Seeds = []string{loopbackAddress(1) + ":1"}
-			settings.ProcessorFraction = 1 / float64(i+1)
+			settings.ProcessorFraction = fractions[i]
 		}))
 	}
 	for end := time.Now().Add(4 * time.Second); ; time.Sleep(10 * time.Millisecond) {
