--- a/internal/qledge/connection.go
+++ b/internal/qledge/connection.go
@@ -45,9 +45,16 @@
 	// idleElements holds each idle connection's element of the list.
 	idleElements map[net.Conn]*list.Element
 	idleClosed   uint64
+	accepted     uint64
 	rejected     uint64
+	// rejectedByCustomer counts the rejected connections since the last call of
+	// takeRejections; the customer is "" if no request with a key had arrived.
+	rejectedByCustomer map[string]int
 }
 
+// _maxCountedCustomers bounds the customers whose rejected connections are counted.
+const _maxCountedCustomers = 1000
+
 // newCallerConnections returns the limits for a process with the given number
 // of file descriptors and megabytes of memory.
 func newCallerConnections(descriptors, megabytes int) *callerConnections {
@@ -58,6 +65,8 @@
 		maxOpen:          int(_rejectFraction * limit),
 		idle:             list.New(),
 		idleElements:     make(map[net.Conn]*list.Element),
+
+		rejectedByCustomer: make(map[string]int),
 	}
 }
 
@@ -88,6 +97,32 @@
 	return false
 }
 
+// acceptedCount returns how many connections were accepted and kept since the start.
+func (c *callerConnections) acceptedCount() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.accepted
+}
+
+// countRejection records whose connection was rejected.
+func (c *callerConnections) countRejection(customer string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, counted := c.rejectedByCustomer[customer]; counted || len(c.rejectedByCustomer) < _maxCountedCustomers {
+		c.rejectedByCustomer[customer]++
+	}
+}
+
+// takeRejections returns how many connections of each customer were rejected since its
+// last call.
+func (c *callerConnections) takeRejections() map[string]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	rejections := c.rejectedByCustomer
+	c.rejectedByCustomer = make(map[string]int)
+	return rejections
+}
+
 // anyPendingRequest reports whether an idle connection holds a request that has
 // not been read yet.
 func (c *callerConnections) anyPendingRequest() bool {
@@ -137,6 +172,7 @@
 	switch state {
 	case http.StateNew:
 		c.open++
+		c.accepted++
 	case http.StateIdle:
 		c.idleElements[conn] = c.idle.PushBack(conn)
 	case http.StateClosed, http.StateHijacked:
@@ -164,7 +200,10 @@
 	net.Listener
 	admit  func() bool
 	intake *qlintake.Intake
-	log    *zap.Logger
+	// onReject is called with the request on a connection that is rejected, or as much
+	// of it as has arrived.
+	onReject func(request []byte)
+	log      *zap.Logger
 	// buffer holds requests that are refused; only Accept uses it.
 	buffer [_rejectReadBytes]byte
 }
@@ -192,6 +231,7 @@
 	if err == nil {
 		n, err = conn.Read(l.buffer[:])
 	}
+	l.onReject(l.buffer[:n])
 	if n > 0 {
 		_, err = conn.Write(qlforward.RawRefusal())
 	}
--- a/internal/qledge/connection_test.go
+++ b/internal/qledge/connection_test.go
@@ -27,6 +27,7 @@
 	limited := &limitListener{
 		Listener: listener,
 		admit:    c.admit,
+		onReject: func([]byte) {},
 		intake: qlintake.New(qlintake.Config{
 			Overloaded: func() bool { return false },
 		}),
@@ -78,6 +79,7 @@
 	limited := &limitListener{
 		Listener: listener,
 		admit:    func() bool { return false },
+		onReject: func([]byte) {},
 		log:      zap.NewNop(),
 	}
 	go func() { _, _ = limited.Accept() }()
--- a/internal/qledge/load.go
+++ b/internal/qledge/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -43,13 +44,26 @@
 		return
 	}
 	e.log.Info("router-overloaded", zap.Duration("lag", lag), zap.Float64("refused-part", refusedFraction),
-		zap.Uint64("refused", refused-e.lastLogged.refused), zap.Int("connections", open), zap.Uint64("idle-closed", closed), zap.Uint64("connections-rejected", rejected),
+		zap.Uint64("refused", refused-e.lastLogged.refused), zap.Int("connections", open), zap.Uint64("connections-accepted", e.callers.acceptedCount()), zap.Uint64("idle-closed", closed), zap.Uint64("connections-rejected", rejected),
 		zap.Int64("active", e.forwarder.Active()), zap.Int64("memory-held", e.forwarder.MemoryBytes()))
 	e.lastLogged.refused = refused
 	for _, customer := range e.shedder.TopRefusals(now, _maxLoggedCustomers) {
 		e.log.Info("router-refusals", zap.String("customer", customer.Customer),
 			zap.Int("requests", customer.Requests), zap.Int("refused", customer.Refused))
 	}
+	e.logRejections()
+}
+
+// logRejections logs the customers with the most connections that were rejected since the
+// last lines.
+func (e *Edge) logRejections() {
+	rejections := e.callers.takeRejections()
+	customers := slices.SortedFunc(maps.Keys(rejections), func(a, b string) int {
+		return cmp.Or(cmp.Compare(rejections[b], rejections[a]), cmp.Compare(a, b))
+	})
+	for _, customer := range customers[:min(_maxLoggedCustomers, len(customers))] {
+		e.log.Info("connections-rejected", zap.String("customer", customer), zap.Int("rejected", rejections[customer]))
+	}
 }
 
 // logPlacement logs the customers' fair shares and the engines' state for each
--- a/internal/qledge/operations.go
+++ b/internal/qledge/operations.go
@@ -78,6 +78,7 @@
 		{name: "memory-held", value: e.forwarder.MemoryBytes()},
 		{name: "routers-live", value: int64(e.fleet.LiveCount())},
 		{name: "caller-connections", value: int64(open)},
+		{name: "connections-accepted", value: int64(e.callers.acceptedCount())},
 		{name: "idle-connections-closed", value: int64(closed)},
 		{name: "connections-rejected", value: int64(rejected)},
 		{name: "refused-by-processor", value: int64(e.shedder.RefusedCount())},
--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -333,6 +333,9 @@
 				Refuse:      func(head qlintake.Head) ([]byte, bool) { return e.forwarder.RefuseHead(head.Get) },
 				IdleTimeout: func() time.Duration { return server.IdleTimeout },
 			}),
+			onReject: func(request []byte) {
+				e.callers.countRejection(e.forwarder.CustomerOf(qlintake.Head(request).Get))
+			},
 			log: e.log,
 		}); !errors.Is(err, http.ErrServerClosed) {
 			e.log.Error("callers-not-served", zap.Error(err))
--- a/internal/qlforward/answer.go
+++ b/internal/qlforward/answer.go
@@ -135,6 +135,19 @@
 	return rawRefusal(retryAfter, closeConnection), closeConnection
 }
 
+// CustomerOf returns the customer who holds the key in the head of a request, or "". The
+// function get returns the value of a header field.
+func (f *Forwarder) CustomerOf(get func(name string) string) string {
+	view := f.view.Load()
+	if view == nil {
+		return ""
+	}
+	x := &exchange{}
+	_, x.caller.Key = f.config.Dialect.ReadHead(get)
+	x.setCustomer(view)
+	return x.customer
+}
+
 const (
 	_plainText       = "text/plain; charset=utf-8"
 	_overloadedCause = "the processor is overloaded"
