--- a/cmd/qlsoak/router.go
+++ b/cmd/qlsoak/router.go
@@ -20,6 +20,7 @@
 	_readyPort      = 8002
 	_operationsPort = 8003
 	_peerPort       = 8004
+	_offloadPort    = 8005
 	// _stopDeadline is the time that a planned stop may take.
 	_stopDeadline = 3 * time.Second
 	// _restartDelay is the time between the end of a process and its restart.
@@ -29,8 +30,9 @@
   "id": %q, "zone": "zone-%d",
   "caller-address": "%[3]s:%[4]d", "ready-address": "%[3]s:%[5]d",
   "operations-address": "%[3]s:%[6]d", "peer-address": "%[3]s:%[7]d",
+  "offload-address": "%[3]s:%[14]d",
   "seeds": [%[8]s], "store": %[9]q,
-  "memory-mb": 128, "descriptors": 1024, "processors": 1, "processor-part": 1,
+  "memory-mb": 128, "descriptors": 1024, "processors": 1, "processor-part": 0.02,
   "stop-deadline": %[10]q, "balancer-notice": "400ms",
   "retry-ratio": %[11]v, "retry-window": %[12]q, "retry-allowance": %[13]v,
   "placement": "owner", "log-level": "info"
@@ -80,7 +82,7 @@
 		return nil, errors.Trace(err)
 	}
 	settings := fmt.Sprintf(_settingsTemplate, n.id, i%_zoneCount, n.ip, _callerPort, _readyPort, _operationsPort, _peerPort, seeds,
-		n.storeProxy.address(), _stopDeadline.String(), _retryRatio, _retryWindow.String(), _retryAllowance)
+		n.storeProxy.address(), _stopDeadline.String(), _retryRatio, _retryWindow.String(), _retryAllowance, _offloadPort)
 	if err := os.WriteFile(n.settingsPath, []byte(settings), 0o600); err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/cmd/quetzallaned/hangup_test.go
+++ b/cmd/quetzallaned/hangup_test.go
@@ -17,7 +17,7 @@
 const _hangupSettings = `{
   "id": "r1", "zone": "z1",
   "caller-address": "127.0.0.1:%d", "ready-address": "127.0.0.1:%d",
-  "operations-address": "127.0.0.1:%d", "peer-address": "127.0.0.1:%d",
+  "operations-address": "127.0.0.1:%d", "peer-address": "127.0.0.1:%d", "offload-address": "127.0.0.1:%d",
   "seeds": [], "store": "127.0.0.1:1",
   "memory-mb": 128, "descriptors": 1024, "processors": 1, "processor-part": 1,
   "stop-deadline": "3s", "balancer-notice": "400ms",
@@ -56,7 +56,7 @@
 // SIGHUP still reloads on it.
 func TestRouterStartedWithoutHangupReloads(t *testing.T) {
 	settings := filepath.Join(t.TempDir(), "r1.json")
-	ports := make([]any, 4)
+	ports := make([]any, 5)
 	for i := range ports {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
--- a/internal/qlconn/usable.go
+++ b/internal/qlconn/usable.go
@@ -18,12 +18,12 @@
 }
 
 // ClosedByPeer reports, without blocking, whether the other end has closed a
-// connection and all received bytes were read. It is also true if this end has
-// closed the connection, but false if the other end has reset it. It may be
-// called while another goroutine reads from the connection.
+// connection and all received bytes were read, or has reset it. It is also true if
+// this end has closed the connection. It may be called while another goroutine reads
+// from the connection.
 func ClosedByPeer(conn net.Conn) bool {
 	n, ok, err := peek(conn)
-	return ok && n == 0 && err != syscall.EAGAIN
+	return ok && n <= 0 && err != syscall.EAGAIN && err != syscall.EINTR
 }
 
 // HasUnreadBytes reports, without blocking, whether a connection holds received
--- a/internal/qledge/load.go
+++ b/internal/qledge/load.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/quetzallane/quetzallane/internal/qloffload"
 	"github.com/quetzallane/quetzallane/internal/qlplace"
 	"github.com/quetzallane/quetzallane/internal/qlshare"
 	"go.uber.org/zap"
@@ -31,6 +32,8 @@
 	// requests refused because of the processor's load.
 	decided uint64
 	refused uint64
+	// offloads are the counters of offloaded requests.
+	offloads qloffload.Stats
 	// lateByRouter counts the late first events that each router has reported.
 	lateByRouter map[string]uint64
 }
@@ -54,6 +57,18 @@
 	e.logRejections()
 }
 
+// logOffloads logs how many requests were offloaded since the last line, if any were.
+func (e *Edge) logOffloads() {
+	stats, last := e.offloader.Stats(), e.lastLogged.offloads
+	if stats == last {
+		return
+	}
+	e.lastLogged.offloads = stats
+	e.log.Info("requests-offloaded", zap.Uint64("offloaded", stats.Offloaded-last.Offloaded), zap.Uint64("declined", stats.Declined-last.Declined),
+		zap.Uint64("broken", stats.Broken-last.Broken), zap.Uint64("unreachable", stats.Unreachable-last.Unreachable),
+		zap.Int64("active", e.offloader.Active()), zap.Float64("own-rate", e.budget.Rate()), zap.Int("peers", e.offloader.Peers().Count()))
+}
+
 // logRejections logs the customers with the most connections that were rejected since the
 // last lines.
 func (e *Edge) logRejections() {
--- /dev/null
+++ b/internal/qledge/offload.go
@@ -0,0 +1,75 @@
+package qledge
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/quetzallane/quetzallane/internal/qlintake"
+	"github.com/quetzallane/quetzallane/internal/qloffload"
+	"go.uber.org/zap"
+)
+
+// newCallerListener returns the listener for callers' connections.
+func (e *Edge) newCallerListener(listener net.Listener, server *http.Server) net.Listener {
+	return &limitListener{
+		Listener: listener,
+		admit:    e.callers.admit,
+		intake: qlintake.New(qlintake.Config{
+			Overloaded:  func() bool { return e.shedder.RefusedFraction() > 0 },
+			Refuse:      func(head qlintake.Head) ([]byte, bool) { return e.forwarder.RefuseHead(head.Get) },
+			IdleTimeout: func() time.Duration { return server.IdleTimeout },
+			Offloader:   e.offloader,
+			Stamp: func() qloffload.Stamp {
+				return qloffload.Stamp{
+					Revision:   e.revision.Load(),
+					Waited:     e.fleet.Lag(),
+					AskToClose: e.callers.isCrowded(),
+				}
+			},
+			OnState: e.callers.onStateChange,
+		}),
+		onReject: func(request []byte) {
+			e.callers.countRejection(e.forwarder.CustomerOf(qlintake.Head(request).Get))
+		},
+		log: e.log,
+	}
+}
+
+// declinesOffload reports whether this router declines a request of another one: it has no
+// processor time to spare, or is stopping. It also declines requests of routers with
+// another configuration, since a caller would get answers by either in turn.
+func (e *Edge) declinesOffload(stamp qloffload.Stamp) bool {
+	return e.stopping.Load() || stamp.Revision != e.revision.Load() ||
+		e.shedder.RefusedFraction() > 0 || e.fleet.Lag() > _maxOffloadLag || e.forwarder.MemoryHalfUsed()
+}
+
+// _maxOffloadLag is the scheduling lag above which a router takes no requests from others.
+const _maxOffloadLag = 30 * time.Millisecond
+
+// offloadPeers returns the routers of this zone that may take requests.
+func (e *Edge) offloadPeers() []qloffload.Peer {
+	_, port, err := net.SplitHostPort(e.settings.OffloadAddress)
+	if err != nil {
+		e.log.Error("offload-address-invalid", zap.Error(err))
+		return nil
+	}
+	var peers []qloffload.Peer
+	for _, neighbor := range e.fleet.Core().Neighbors() {
+		host, _, err := net.SplitHostPort(neighbor.Address)
+		if err != nil {
+			e.log.Warn("router-address-invalid", zap.String("address", neighbor.Address), zap.Error(err))
+			continue
+		}
+		peers = append(peers, qloffload.NewPeer(net.JoinHostPort(host, port), neighbor.Capacity))
+	}
+	return peers
+}
+
+// awaitOffloaded waits until other routers have answered all offloaded requests. The
+// server takes the connections of their callers for idle.
+func (e *Edge) awaitOffloaded(deadline time.Time) {
+	for time.Now().Before(deadline) && e.offloader.Active() > 0 {
+		time.Sleep(_unreadPollInterval)
+	}
+}
--- a/internal/qledge/operations.go
+++ b/internal/qledge/operations.go
@@ -67,6 +67,7 @@
 func (e *Edge) answerVars(w http.ResponseWriter, _ *http.Request) {
 	packets, packetBytes := e.fleet.Traffic()
 	open, closed, rejected := e.callers.counts()
+	offloads := e.offloader.Stats()
 	counters := []struct {
 		name  string
 		value int64
@@ -82,6 +83,12 @@
 		{name: "idle-connections-closed", value: int64(closed)},
 		{name: "connections-rejected", value: int64(rejected)},
 		{name: "refused-by-processor", value: int64(e.shedder.RefusedCount())},
+		{name: "offloads-active", value: e.offloader.Active()},
+		{name: "offloaded", value: int64(offloads.Offloaded)},
+		{name: "offloads-taken", value: int64(e.offloads.Taken())},
+		{name: "offloads-declined", value: int64(offloads.Declined)},
+		{name: "offloads-broken", value: int64(offloads.Broken)},
+		{name: "offloads-unreachable", value: int64(offloads.Unreachable)},
 		{name: "quarantines", value: int64(len(e.quarantines.Load().Quarantines()))},
 		{name: "quarantines-started", value: e.quarantinesStarted.Load()},
 	}
@@ -128,6 +135,7 @@
 			"refusals":               e.shedder.TopRefusals(now, _maxDumpedCustomers),
 			"quarantines":            quarantines,
 			"crashes":                crashes,
+			"offloading":             e.offloader.Stats(),
 			"upstreams":              upstreamState(e.catalog.Entries()),
 		}
 	})
--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -42,6 +42,7 @@
 	"github.com/quetzallane/quetzallane/internal/qlforward"
 	"github.com/quetzallane/quetzallane/internal/qlintake"
 	"github.com/quetzallane/quetzallane/internal/qllog"
+	"github.com/quetzallane/quetzallane/internal/qloffload"
 	"github.com/quetzallane/quetzallane/internal/qlowner"
 	"github.com/quetzallane/quetzallane/internal/qlplace"
 	"github.com/quetzallane/quetzallane/internal/qlquarantine"
@@ -108,14 +109,21 @@
 
 // Edge is one router.
 type Edge struct {
-	config          Config
-	settings        *qlsetting.Edge
-	log             *zap.Logger
-	started         time.Time
-	fleet           *qlfleet.Fleet
-	forwarder       *qlforward.Forwarder
-	callers         *callerConnections
-	shedder         *qlshed.Shedder
+	config    Config
+	settings  *qlsetting.Edge
+	log       *zap.Logger
+	started   time.Time
+	fleet     *qlfleet.Fleet
+	forwarder *qlforward.Forwarder
+	callers   *callerConnections
+	shedder   *qlshed.Shedder
+	// budget and offloader decide which requests other routers handle.
+	budget    *qloffload.Budget
+	offloader *qloffload.Offloader
+	// offloads takes requests of other routers.
+	offloads *qloffload.Server
+	// revision is that of the configuration in force.
+	revision        atomic.Uint64
 	documentsLoaded atomic.Bool
 	// quarantines are those in force.
 	quarantines        atomic.Pointer[qlquarantine.List]
@@ -132,8 +140,10 @@
 	catalog          *qlcatalog.Catalog
 	feed             *qlfeed.Feed
 	fetching         bool
-	nextPruneAt      time.Duration
-	lastLogged       loggedCounters
+	// liveChanged is set if the live routers have changed since the last tick.
+	liveChanged bool
+	nextPruneAt time.Duration
+	lastLogged  loggedCounters
 
 	randomMu sync.Mutex
 	random   *rand.Rand
@@ -144,6 +154,7 @@
 func New(config Config) (*Edge, error) {
 	settings := config.Settings
 	config.Source = config.Source.withoutPanics()
+	cores := settings.ProcessorFraction * float64(settings.Processors)
 	e := &Edge{
 		config:   config,
 		settings: settings,
@@ -156,7 +167,14 @@
 		shedder:  qlshed.New(),
 		random:   newRandom(),
 		callers:  newCallerConnections(settings.Descriptors, settings.MemoryMB),
+		budget:   qloffload.NewBudget(cores),
 	}
+	e.offloader = qloffload.New(qloffload.Config{
+		Budget:   e.budget,
+		MemoryMB: settings.MemoryMB,
+		Clock:    e.clock,
+		Log:      e.log,
+	})
 	runtime.GOMAXPROCS(settings.Processors)
 	debug.SetGCPercent(_gcPercent)
 	debug.SetMemoryLimit(int64(_memoryLimitFraction * float64(settings.MemoryMB) * _megabyte))
@@ -167,7 +185,7 @@
 			Zone:             settings.Zone,
 			Address:          settings.PeerAddress,
 			Incarnation:      uint64(e.started.UnixMilli()),
-			Capacity:         uint32(_millicoresPerCore * settings.ProcessorFraction * float64(settings.Processors)),
+			Capacity:         uint32(_millicoresPerCore * cores),
 			Random:           newRandom(),
 			Seeds:            peerAddresses(settings, e.log),
 			Revisions:        e.revisions,
@@ -232,6 +250,11 @@
 		Random:         newRandom(),
 		Log:            e.log,
 	})
+	e.offloads = qloffload.NewServer(qloffload.ServerConfig{
+		Handler:  e.forwarder,
+		Declines: e.declinesOffload,
+		Log:      e.log,
+	})
 	return e, nil
 }
 
@@ -287,13 +310,20 @@
 // process handles its events.
 func (e *Edge) tick(now, lag time.Duration) {
 	e.shedder.RecordLag(now, lag)
+	e.budget.RecordLag(lag)
 	e.checkStoreLoss(now)
 	e.publishIfChanged(now)
+	if e.liveChanged {
+		e.liveChanged = false
+		e.offloader.Peers().Set(now, e.offloadPeers())
+	}
 	if now >= e.nextPruneAt {
 		e.nextPruneAt = now + _pruneInterval
 		e.forwarder.Prune()
+		e.offloader.Prune()
 		e.logPlacement(now)
 		e.logOverload(now, lag)
+		e.logOffloads()
 	}
 }
 
@@ -312,6 +342,10 @@
 	if err != nil {
 		return errors.Annotate(err, "listen for callers")
 	}
+	offloadListener, err := config.Listen(background, "tcp4", e.settings.OffloadAddress)
+	if err != nil {
+		return errors.Annotate(err, "listen for offloaded requests")
+	}
 	fleetEnded := make(chan struct{})
 	go func() {
 		defer close(fleetEnded)
@@ -325,24 +359,17 @@
 		zap.String("peers", e.settings.PeerAddress), zap.Strings("seeds", e.settings.Seeds))
 	server := e.newCallerServer(ctx)
 	go func() {
-		if err := server.Serve(&limitListener{
-			Listener: listener,
-			admit:    e.callers.admit,
-			intake: qlintake.New(qlintake.Config{
-				Overloaded:  func() bool { return e.shedder.RefusedFraction() > 0 },
-				Refuse:      func(head qlintake.Head) ([]byte, bool) { return e.forwarder.RefuseHead(head.Get) },
-				IdleTimeout: func() time.Duration { return server.IdleTimeout },
-			}),
-			onReject: func(request []byte) {
-				e.callers.countRejection(e.forwarder.CustomerOf(qlintake.Head(request).Get))
-			},
-			log: e.log,
-		}); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(e.newCallerListener(listener, server)); !errors.Is(err, http.ErrServerClosed) {
 			e.log.Error("callers-not-served", zap.Error(err))
 		}
 	}()
+	go func() {
+		if err := e.offloads.Serve(offloadListener); !errors.Is(err, net.ErrClosed) {
+			e.log.Error("offloads-not-served", zap.Error(err))
+		}
+	}()
 	<-ctx.Done()
-	err = e.stop(server)
+	err = e.stop(server, offloadListener)
 	cancel()
 	<-fleetEnded
 	return errors.Trace(err)
@@ -395,20 +422,27 @@
 // stop makes a planned stop. First the router reports that it is not ready, and
 // accepts connections until the balancer has noticed; then it waits for the
 // last requests. It returns an error if requests were cut off at the deadline.
-func (e *Edge) stop(server *http.Server) error {
+func (e *Edge) stop(server *http.Server, offloadListener net.Listener) error {
 	began := time.Now()
 	e.stopping.Store(true)
 	e.forwarder.SetClosing()
+	e.offloader.SetClosing()
 	e.fleet.Call(func(time.Duration) { e.fleet.Core().Leave() })
 	e.log.Info("stopping", zap.Int64("active", e.forwarder.Active()))
 	deadline := began.Add(e.settings.StopDeadline.Std() - _stopMargin)
 	time.Sleep(e.settings.BalancerNotice.Std())
 	e.forwarder.SetRefusing()
 	e.awaitPendingRequests(time.Now().Add(min(_maxUnreadWait, time.Until(deadline))))
+	e.awaitOffloaded(deadline)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	err := server.Shutdown(ctx)
-	cut := e.forwarder.Active()
+	if closeErr := offloadListener.Close(); err == nil {
+		err = closeErr
+	}
+	e.offloads.Shutdown(ctx)
+	e.offloader.Close()
+	cut := e.forwarder.Active() + e.offloader.Active()
 	e.log.Info("stopped", zap.Int64("cut", cut), zap.Duration("took", time.Since(began)))
 	if cut > 0 {
 		return errors.Errorf("stop cut %d requests", cut)
--- a/internal/qledge/reader.go
+++ b/internal/qledge/reader.go
@@ -118,6 +118,7 @@
 // setLiveRouters sets the live routers, and ends a pause if this router has
 // become a watcher.
 func (e *Edge) setLiveRouters(live []qlring.Node) {
+	e.liveChanged = true
 	if e.feed.SetRouters(live) {
 		e.endStorePause()
 	}
--- a/internal/qledge/standin_test.go
+++ b/internal/qledge/standin_test.go
@@ -250,7 +250,7 @@
 // its settings.
 func startEdge(t *testing.T, id string, store *fakeStore, change func(settings *qlsetting.Edge)) *runningEdge {
 	t.Helper()
-	ports := freePorts(t, 4)
+	ports := freePorts(t, 5)
 	settings := &qlsetting.Edge{
 		ID:                id,
 		Zone:              "z1",
@@ -258,6 +258,7 @@
 		ReadyAddress:      ports[1],
 		OperationsAddress: ports[2],
 		PeerAddress:       ports[3],
+		OffloadAddress:    ports[4],
 		MemoryMB:          256,
 		Descriptors:       1000,
 		Processors:        1,
@@ -361,7 +362,12 @@
 // descending order.
 func startSizedFleet(t *testing.T, fractions []float64, stores ...*fakeStore) []*runningEdge {
 	t.Helper()
-	_, port, err := net.SplitHostPort(freePorts(t, 1)[0])
+	free := freePorts(t, 2)
+	_, port, err := net.SplitHostPort(free[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, offloadPort, err := net.SplitHostPort(free[1])
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -369,6 +375,7 @@
 	for i, store := range stores {
 		fleet = append(fleet, startEdge(t, fmt.Sprintf("r%d", i+1), store, func(settings *qlsetting.Edge) {
 			settings.PeerAddress = net.JoinHostPort(loopbackAddress(i+1), port)
+			settings.OffloadAddress = net.JoinHostPort(loopbackAddress(i+1), offloadPort)
 			settings.Seeds = []string{loopbackAddress(1) + ":1"}
 			settings.ProcessorFraction = fractions[i]
 		}))
--- a/internal/qledge/state.go
+++ b/internal/qledge/state.go
@@ -33,6 +33,7 @@
 		return
 	}
 	e.table = table
+	e.revision.Store(table.Revision())
 	e.rawConfiguration = raw
 	e.publish()
 	e.fleet.Core().Placer().SetCapacity(table.Limits().TokensPerSecond)
--- a/internal/qlforward/exchange.go
+++ b/internal/qlforward/exchange.go
@@ -21,6 +21,9 @@
 	service  *qlroute.Service
 	customer string
 	body     []byte
+	// offloadedBy is the address of the router that the caller has connected to, if that
+	// has offloaded the request.
+	offloadedBy string
 	// attempts counts the sends after which an upstream may have received the
 	// request.
 	attempts int
--- a/internal/qlforward/metrics.go
+++ b/internal/qlforward/metrics.go
@@ -167,6 +167,14 @@
 		zap.String("cause", cause))
 }
 
+// offloadField returns the log field of an offloaded request.
+func (x *exchange) offloadField() zap.Field {
+	if x.offloadedBy == "" {
+		return zap.Skip()
+	}
+	return zap.String("offloaded-by", x.offloadedBy)
+}
+
 // recordEnd counts and logs the end of a request. The log volume is limited by
 // event name, so answered requests have a name of their own.
 func (f *Forwarder) recordEnd(x *exchange, code qlcode.Code, status int) {
@@ -210,6 +218,7 @@
 		zap.Duration("first-event", x.timeToFirstEvent),
 		zap.Duration("predicted", x.predicted),
 		zap.String("decided-by", x.decider),
+		x.offloadField(),
 		zap.Uint64("revision", revision),
 		zap.Uint64("list-revision", listRevision),
 		zap.Int64("last-event", x.lastEventID),
--- a/internal/qlforward/qlforward.go
+++ b/internal/qlforward/qlforward.go
@@ -34,6 +34,7 @@
 	"github.com/quetzallane/quetzallane/internal/qlbudget"
 	"github.com/quetzallane/quetzallane/internal/qlcatalog"
 	"github.com/quetzallane/quetzallane/internal/qlconn"
+	"github.com/quetzallane/quetzallane/internal/qloffload"
 	"github.com/quetzallane/quetzallane/internal/qlpace"
 	"github.com/quetzallane/quetzallane/pkg/qlcode"
 	"go.uber.org/zap"
@@ -189,6 +190,12 @@
 	return f.memoryBytes.Load()
 }
 
+// MemoryHalfUsed reports whether active requests use more than half of the memory that they
+// may use.
+func (f *Forwarder) MemoryHalfUsed() bool {
+	return f.memoryBytes.Load() > f.config.MaxMemoryBytes/2
+}
+
 // Prune closes idle connections that expired or whose upstream is not ready,
 // and removes the load figures of upstreams that are not ready.
 func (f *Forwarder) Prune() {
@@ -222,6 +229,9 @@
 		caller:  f.config.Dialect.ReadCaller(request.Header),
 	}
 	defer f.recoverPanic(x)
+	if origin, ok := qloffload.OriginOf(request.Context()); ok {
+		x.start, x.offloadedBy = x.start.Add(-origin.Waited()), origin.From()
+	}
 	if x.caller.HeaderError != nil {
 		f.config.Log.Info("header-unreadable", zap.String("id", x.caller.ID), zap.String("from", "caller"),
 			zap.Error(x.caller.HeaderError))
--- /dev/null
+++ b/internal/qlintake/offload_test.go
@@ -0,0 +1,292 @@
+package qlintake
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/quetzallane/quetzallane/internal/qloffload"
+	"go.uber.org/zap"
+)
+
+// offloadingServer is a server whose intake offloads all requests to another router.
+type offloadingServer struct {
+	t        *testing.T
+	address  string
+	declines atomic.Bool
+	other    *qloffload.Server
+	intake   *Intake
+	// overloaded makes the intake look whether requests are still waited for.
+	overloaded atomic.Bool
+	// left receives a value when the other router's request is canceled.
+	left chan struct{}
+	// held makes the other router hold requests to /held until it is closed.
+	held chan struct{}
+	// states counts what the intake told about connections.
+	active atomic.Int64
+	idle   atomic.Int64
+}
+
+func newOffloadingServer(t *testing.T) *offloadingServer {
+	t.Helper()
+	s := &offloadingServer{
+		t:    t,
+		left: make(chan struct{}, 1),
+		held: make(chan struct{}),
+	}
+	s.other = qloffload.NewServer(qloffload.ServerConfig{
+		Handler:  http.HandlerFunc(s.serveOther),
+		Declines: func(qloffload.Stamp) bool { return s.declines.Load() },
+		Log:      zap.NewNop(),
+	})
+	others := s.listen()
+	go func() { _ = s.other.Serve(others) }()
+	started := time.Now()
+	offloader := qloffload.New(qloffload.Config{
+		Budget:   qloffload.NewBudget(0),
+		MemoryMB: 100,
+		Clock:    func() time.Duration { return time.Since(started) },
+		Log:      zap.NewNop(),
+	})
+	offloader.Peers().Set(0, []qloffload.Peer{qloffload.NewPeer(others.Addr().String(), 1)})
+	t.Cleanup(offloader.Close)
+	inner := s.listen()
+	s.address = inner.Addr().String()
+	server := &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			_, _ = fmt.Fprintf(w, "here %d", len(body))
+		}),
+	}
+	s.intake = New(Config{
+		Overloaded:  s.overloaded.Load,
+		Refuse:      func(Head) ([]byte, bool) { return nil, false },
+		IdleTimeout: func() time.Duration { return time.Minute },
+		Offloader:   offloader,
+		Stamp:       func() qloffload.Stamp { return qloffload.Stamp{} },
+		OnState: func(_ net.Conn, state http.ConnState) {
+			if state == http.StateActive {
+				s.active.Add(1)
+				return
+			}
+			s.idle.Add(1)
+		},
+	})
+	go func() {
+		_ = server.Serve(&listener{
+			Listener: inner,
+			accepted: make(chan net.Conn, 100),
+			intake:   s.intake,
+		})
+	}()
+	t.Cleanup(func() { _ = server.Close() })
+	caller := s.dial()
+	for end := time.Now().Add(2 * time.Second); !strings.HasPrefix(caller.ask(post("/", "", 1)), "there"); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no request was offloaded within 2 s")
+		}
+	}
+	return s
+}
+
+func (s *offloadingServer) listen() net.Listener {
+	s.t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+func (s *offloadingServer) serveOther(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	_, _ = fmt.Fprintf(w, "there %d", len(body))
+	controller := http.NewResponseController(w)
+	switch r.URL.Path {
+	case "/broken":
+		_ = controller.Flush()
+		panic(http.ErrAbortHandler)
+	case "/large":
+		for range 64 {
+			_, _ = w.Write(bytes.Repeat([]byte("x"), 32<<10))
+			_ = controller.Flush()
+		}
+	case "/held":
+		_ = controller.Flush()
+		select {
+		case <-r.Context().Done():
+			s.left <- struct{}{}
+		case <-s.held:
+		}
+	}
+}
+
+// offloadCaller is a caller with one connection.
+type offloadCaller struct {
+	t      *testing.T
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+func (s *offloadingServer) dial() *offloadCaller {
+	s.t.Helper()
+	conn, err := net.Dial("tcp4", s.address)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	return &offloadCaller{
+		t:      s.t,
+		conn:   conn,
+		reader: bufio.NewReader(conn),
+	}
+}
+
+// ask sends a request, in pieces, and returns the body of the answer, or the error.
+func (c *offloadCaller) ask(pieces ...string) string {
+	c.t.Helper()
+	for _, piece := range pieces {
+		if _, err := io.WriteString(c.conn, piece); err != nil {
+			return err.Error()
+		}
+		if len(pieces) > 1 {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	return c.read()
+}
+
+func (c *offloadCaller) read() string {
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return err.Error()
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err.Error()
+	}
+	return string(body)
+}
+
+func TestOffloadedAndOtherRequestsTakeTurns(t *testing.T) {
+	s := newOffloadingServer(t)
+	caller := s.dial()
+	for i, c := range []struct {
+		declines bool
+		pieces   []string
+		want     string
+	}{
+		{pieces: []string{post("/", "", 10)}, want: "there 10"},
+		{declines: true, pieces: []string{post("/", "", 11)}, want: "here 11"},
+		{pieces: []string{post("/", "", 9000)}, want: "there 9000"},
+		{pieces: []string{post("/", "", 40000)}, want: "there 40000"},
+		{declines: true, pieces: []string{post("/", "", 40001)}, want: "here 40001"},
+		{pieces: []string{post("/", "", qloffload.MaxRequestBytes)}, want: fmt.Sprint("here ", qloffload.MaxRequestBytes)},
+		{pieces: []string{post("/", "", 5000)[:3000], post("/", "", 5000)[3000:]}, want: "there 5000"},
+		{pieces: []string{"GET / HTTP/1.1\r\nHost: h\r\nExpect: x\r\n\r\n"}, want: ""},
+	} {
+		s.declines.Store(c.declines)
+		got := caller.ask(c.pieces...)
+		if c.want != "" && got != c.want {
+			t.Errorf("request %d: got %q, want %q", i, got, c.want)
+		}
+		// A router that has declined a request is left alone for a while.
+		if c.declines {
+			time.Sleep(250 * time.Millisecond)
+		}
+	}
+	if got, want := s.idle.Load(), s.active.Load(); got == 0 || got > want {
+		t.Errorf("connections became idle %d times and active %d times", got, want)
+	}
+}
+
+func TestPipelinedRequestsAreNotOffloaded(t *testing.T) {
+	s := newOffloadingServer(t)
+	caller := s.dial()
+	if got, want := caller.ask(post("/", "", 3)+post("/", "", 4)), "here 3"; got != want {
+		t.Errorf("first: got %q, want %q", got, want)
+	}
+	if got, want := caller.read(), "here 4"; !strings.HasSuffix(got, " 4") {
+		t.Errorf("second: got %q, want %q", got, want)
+	}
+}
+
+// TestBrokenOffloadedAnswerIsNotComplete guards against half an answer that a caller takes
+// for a whole one.
+func TestBrokenOffloadedAnswerIsNotComplete(t *testing.T) {
+	s := newOffloadingServer(t)
+	if got := s.dial().ask(post("/broken", "", 1)); strings.HasPrefix(got, "there") {
+		t.Errorf("got a complete answer %q", got)
+	}
+}
+
+func TestLargeOffloadedAnswerIsWhole(t *testing.T) {
+	s := newOffloadingServer(t)
+	caller := s.dial()
+	if _, err := io.WriteString(caller.conn, post("/large", "", 1)); err != nil {
+		t.Fatal(err)
+	}
+	// The caller reads late, so that the answer does not fit its connection.
+	time.Sleep(100 * time.Millisecond)
+	if got, want := len(caller.read()), len("there 1")+64*(32<<10); got != want {
+		t.Errorf("body: got %d bytes, want %d", got, want)
+	}
+	if got, want := caller.ask(post("/", "", 2)), "there 2"; got != want {
+		t.Errorf("next request: got %q, want %q", got, want)
+	}
+}
+
+// TestRequestOfCallerThatHasLeftIsNotOffloaded guards against requests that wait unread at
+// an overloaded router until their callers give up, and run then.
+func TestRequestOfCallerThatHasLeftIsNotOffloaded(t *testing.T) {
+	s := newOffloadingServer(t)
+	s.overloaded.Store(true)
+	inner := s.listen()
+	caller, err := net.Dial("tcp4", inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := inner.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = accepted.Close() }()
+	if _, err := io.WriteString(caller, post("/", "", 1)); err != nil {
+		t.Fatal(err)
+	}
+	_ = caller.Close()
+	time.Sleep(50 * time.Millisecond)
+	taken := s.other.Taken()
+	if n, err := s.intake.Wrap(accepted).Read(make([]byte, 4096)); err != io.EOF {
+		t.Errorf("read: got %d bytes, %v, want io.EOF", n, err)
+	}
+	if got := s.other.Taken(); got != taken {
+		t.Errorf("requests at the other router: got %d, want %d", got, taken)
+	}
+}
+
+func TestCallerThatLeavesCancelsOffloadedRequest(t *testing.T) {
+	s := newOffloadingServer(t)
+	caller := s.dial()
+	if _, err := io.WriteString(caller.conn, post("/held", "", 1)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := caller.reader.ReadByte(); err != nil {
+		t.Fatal(err)
+	}
+	_ = caller.conn.Close()
+	select {
+	case <-s.left:
+	case <-time.After(2 * time.Second):
+		t.Error("the request was not canceled within 2 s")
+	}
+}
--- a/internal/qlintake/qlintake.go
+++ b/internal/qlintake/qlintake.go
@@ -12,6 +12,10 @@
 // length, and pipelined requests, which were sent before the previous one was
 // answered.
 //
+// A VM that receives more than it should handle itself also offloads requests from here to
+// routers with idle processors, see qloffload. The same connection's next request may be
+// served here again.
+//
 // # Usage
 //
 //	intake := qlintake.New(qlintake.Config{Overloaded: overloaded, Refuse: refuse, IdleTimeout: timeout})
@@ -22,13 +26,15 @@
 	"bytes"
 	"io"
 	"net"
+	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/quetzallane/quetzallane/internal/qlbuffer"
+	"github.com/quetzallane/quetzallane/internal/qloffload"
 )
 
 const (
@@ -49,24 +55,26 @@
 	Refuse func(head Head) (answer []byte, closes bool)
 	// IdleTimeout returns how long a connection may stay idle after a refusal.
 	IdleTimeout func() time.Duration
+	// Offloader passes requests on to other routers; it may be nil.
+	Offloader *qloffload.Offloader
+	// Stamp returns what other routers are told about a request.
+	Stamp func() qloffload.Stamp
+	// OnState is called when a connection becomes active or idle by a request that is
+	// offloaded, of which the server does not know.
+	OnState func(conn net.Conn, state http.ConnState)
 }
 
 // Intake wraps accepted connections, which share its buffers.
 type Intake struct {
 	config  Config
-	buffers sync.Pool
+	buffers *qlbuffer.Pool
 }
 
 // New returns an intake with the given configuration.
 func New(config Config) *Intake {
 	return &Intake{
-		config: config,
-		buffers: sync.Pool{
-			New: func() any {
-				buffer := make([]byte, _bufferSize)
-				return &buffer
-			},
-		},
+		config:  config,
+		buffers: qlbuffer.NewPool(_bufferSize),
 	}
 }
 
@@ -108,6 +116,8 @@
 	// requestPending is set while a request that was read is being refused or has
 	// not reached the server yet, and while the server handles it.
 	requestPending atomic.Bool
+	// offloaded is set while another router handles a request.
+	offloaded atomic.Bool
 	// passThrough is set once the boundaries of requests are unknown. All further
 	// data is then passed on unexamined.
 	passThrough bool
@@ -124,7 +134,7 @@
 // not idle, it may also return true while the server handles the request. Any goroutine
 // may call it.
 func (c *Conn) RequestPending() bool {
-	return c.requestPending.Load()
+	return c.requestPending.Load() || c.offloaded.Load()
 }
 
 // Read reads data of the requests that the server is to serve.
@@ -198,23 +208,32 @@
 			c.remaining = max(c.remaining-1, 0)
 			return nil
 		}
-		if !ok || !c.intake.config.Overloaded() {
-			return nil
-		}
-		c.admissionChecked = true
-		answer, closes := c.intake.config.Refuse(head)
-		if answer == nil {
+		if !ok {
 			return nil
 		}
-		if err := c.drain(); err != nil {
-			return err
+		if c.intake.config.Overloaded() {
+			c.admissionChecked = true
+			if answer, closes := c.intake.config.Refuse(head); answer != nil {
+				if err := c.refuse(answer, closes); err != nil {
+					return err
+				}
+				continue
+			}
 		}
-		if err := c.writeRefusal(answer, closes); err != nil {
+		if served, err := c.offload(head); err != nil || !served {
 			return err
 		}
 	}
 }
 
+// refuse answers the current request with a refusal.
+func (c *Conn) refuse(answer []byte, closes bool) error {
+	if err := c.drain(); err != nil {
+		return err
+	}
+	return c.writeRefusal(answer, closes)
+}
+
 // drain reads the rest of a refused request. If the connection were closed before
 // that, the caller might not see the answer.
 func (c *Conn) drain() error {
@@ -236,31 +255,12 @@
 // fill reads the data that has arrived into a buffer. While it waits for data, it
 // holds no buffer, so that idle connections need none.
 func (c *Conn) fill() error {
-	n, readErr := 0, error(nil)
-	err := c.raw.Read(func(descriptor uintptr) bool {
-		buffer, _ := c.intake.buffers.Get().(*[]byte)
-		for {
-			n, readErr = syscall.Read(int(descriptor), *buffer)
-			if readErr != syscall.EINTR {
-				break
-			}
-		}
-		if readErr == nil && n > 0 {
-			c.requestPending.Store(true)
-			c.buffer, c.buffered = buffer, (*buffer)[:n]
-			return true
-		}
-		c.intake.buffers.Put(buffer)
-		return readErr != syscall.EAGAIN
-	})
-	switch {
-	case err != nil:
+	buffer, n, err := c.intake.buffers.Read(c.raw)
+	if err != nil {
 		return err
-	case readErr != nil:
-		return errors.Trace(readErr)
-	case n <= 0:
-		return io.EOF
 	}
+	c.requestPending.Store(true)
+	c.buffer, c.buffered = buffer, (*buffer)[:n]
 	return nil
 }
 
--- /dev/null
+++ b/internal/qloffload/frame.go
@@ -0,0 +1,117 @@
+package qloffload
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// frameKind is the kind of a frame on a link.
+type frameKind byte
+
+const (
+	// frameRequest is a whole request, after its stamp.
+	frameRequest frameKind = iota + 1
+	// frameCancel: the caller has disconnected.
+	frameCancel
+	// frameAnswer is a part of the answer, as the caller gets it.
+	frameAnswer
+	// frameEnd: the answer is complete.
+	frameEnd
+	// frameDeclined: the request was not handled and will not be.
+	frameDeclined
+	// frameBroken: the answer has broken off.
+	frameBroken
+)
+
+const (
+	// A frame's head is its kind, the number of its request on the link, and the length of
+	// the rest.
+	_frameHeadBytes  = 1 + 4 + 4
+	_stampBytes      = 1 + 8 + 4
+	_maxPayloadBytes = 256 << 10
+	// _flagAskToClose is set in a stamp if the caller is to close its connection.
+	_flagAskToClose = 1
+)
+
+// Stamp is what an offloading router tells about a request.
+type Stamp struct {
+	// Revision is that of its configuration.
+	Revision uint64
+	// Waited is how long the request has waited there.
+	Waited time.Duration
+	// AskToClose is set if the caller is to close its connection after the answer.
+	AskToClose bool
+}
+
+// appendFrame appends a frame.
+func appendFrame(to []byte, kind frameKind, id uint32, payload []byte) []byte {
+	to = appendFrameHead(to, kind, id, len(payload))
+	return append(to, payload...)
+}
+
+func appendFrameHead(to []byte, kind frameKind, id uint32, length int) []byte {
+	to = append(to, byte(kind))
+	to = binary.BigEndian.AppendUint32(to, id)
+	return binary.BigEndian.AppendUint32(to, uint32(length))
+}
+
+// appendRequest appends the frame of a request.
+func appendRequest(to []byte, id uint32, stamp Stamp, request []byte) []byte {
+	to = appendFrameHead(to, frameRequest, id, _stampBytes+len(request))
+	flags := byte(0)
+	if stamp.AskToClose {
+		flags |= _flagAskToClose
+	}
+	to = append(to, flags)
+	to = binary.BigEndian.AppendUint64(to, stamp.Revision)
+	to = binary.BigEndian.AppendUint32(to, uint32(max(stamp.Waited, 0).Milliseconds()))
+	return append(to, request...)
+}
+
+// splitRequest returns the stamp and the request of a frame's payload.
+func splitRequest(payload []byte) (stamp Stamp, request []byte, err error) {
+	if len(payload) < _stampBytes {
+		return Stamp{}, nil, errors.NotValidf("request of %d bytes", len(payload))
+	}
+	return Stamp{
+		AskToClose: payload[0]&_flagAskToClose != 0,
+		Revision:   binary.BigEndian.Uint64(payload[1:]),
+		Waited:     time.Duration(binary.BigEndian.Uint32(payload[9:])) * time.Millisecond,
+	}, payload[_stampBytes:], nil
+}
+
+// frameReader splits received bytes into frames.
+type frameReader struct {
+	// rest is a frame that has not arrived whole.
+	rest []byte
+}
+
+// read calls handle for each whole frame. The payload is valid until handle returns.
+func (r *frameReader) read(data []byte, handle func(kind frameKind, id uint32, payload []byte) error) error {
+	if len(r.rest) > 0 {
+		r.rest = append(r.rest, data...)
+		data = r.rest
+	}
+	for len(data) >= _frameHeadBytes {
+		length := int(binary.BigEndian.Uint32(data[5:]))
+		if length > _maxPayloadBytes {
+			return errors.Errorf("a frame of %d bytes exceeds %d", length, _maxPayloadBytes)
+		}
+		end := _frameHeadBytes + length
+		if len(data) < end {
+			break
+		}
+		if err := handle(frameKind(data[0]), binary.BigEndian.Uint32(data[1:]), data[_frameHeadBytes:end]); err != nil {
+			return errors.Trace(err)
+		}
+		data = data[end:]
+	}
+	if len(data) == 0 {
+		r.rest = nil
+		return nil
+	}
+	r.rest = append([]byte(nil), data...)
+	return nil
+}
--- /dev/null
+++ b/internal/qloffload/link.go
@@ -0,0 +1,322 @@
+package qloffload
+
+import (
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/quetzallane/quetzallane/internal/qlbuffer"
+	"go.uber.org/zap"
+)
+
+const (
+	// _dialTimeout limits the time until another router accepts a link.
+	_dialTimeout = 500 * time.Millisecond
+	// The _keepAlive constants and _unackedTimeout detect the loss of the other router.
+	_keepAliveIdle     = time.Second
+	_keepAliveInterval = time.Second
+	_keepAliveCount    = 3
+	_unackedTimeout    = 3 * time.Second
+	// _tcpUserTimeout is the option TCP_USER_TIMEOUT, which package syscall lacks.
+	_tcpUserTimeout = 0x12
+	// _hello is what a router sends first on each link that it accepts.
+	_hello = 'Q'
+)
+
+// setTimeouts makes a link break when the other end is lost.
+func setTimeouts(conn *net.TCPConn) error {
+	err := conn.SetKeepAliveConfig(net.KeepAliveConfig{
+		Enable:   true,
+		Idle:     _keepAliveIdle,
+		Interval: _keepAliveInterval,
+		Count:    _keepAliveCount,
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	var optionErr error
+	err = raw.Control(func(descriptor uintptr) {
+		optionErr = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, _tcpUserTimeout, int(_unackedTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(optionErr)
+}
+
+// link is a connection to a router that takes requests. Many requests share it.
+type link struct {
+	offloader *Offloader
+	address   string
+	conn      *net.TCPConn
+	queue     *sendQueue
+
+	mu        sync.Mutex
+	lastID    uint32
+	exchanges map[uint32]*Exchange
+	// unsent are the exchanges whose requests are still queued.
+	unsent []*Exchange
+	broken bool
+	// usedAt is when the last request was sent.
+	usedAt time.Duration
+}
+
+// dial opens a link and waits until the other router has accepted it.
+func (o *Offloader) dial(address string) (*link, error) {
+	dialer := net.Dialer{
+		Timeout: _dialTimeout,
+	}
+	raw, err := dialer.Dial("tcp4", address)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	conn, ok := raw.(*net.TCPConn)
+	if !ok {
+		return nil, errors.NotSupportedf("connection of type %T", raw)
+	}
+	if err := awaitHello(conn); err != nil {
+		_ = conn.Close()
+		return nil, errors.Trace(err)
+	}
+	l := &link{
+		offloader: o,
+		address:   address,
+		conn:      conn,
+		exchanges: make(map[uint32]*Exchange),
+		usedAt:    o.config.Clock(),
+	}
+	l.queue = newSendQueue(l.markSent)
+	return l, nil
+}
+
+func awaitHello(conn *net.TCPConn) error {
+	if err := setTimeouts(conn); err != nil {
+		return errors.Trace(err)
+	}
+	if err := conn.SetReadDeadline(time.Now().Add(_dialTimeout)); err != nil {
+		return errors.Trace(err)
+	}
+	var hello [1]byte
+	if _, err := conn.Read(hello[:]); err != nil {
+		return errors.Annotate(err, "link not accepted")
+	}
+	if hello[0] != _hello {
+		return errors.NotValidf("first byte %q of a link", hello[0])
+	}
+	return errors.Trace(conn.SetReadDeadline(time.Time{}))
+}
+
+// start queues a request, and reports false if it is certain not to be sent.
+func (l *link) start(exchange *Exchange, stamp Stamp, request []byte) bool {
+	l.mu.Lock()
+	if l.broken {
+		l.mu.Unlock()
+		return false
+	}
+	l.lastID++
+	exchange.link, exchange.id = l, l.lastID
+	l.exchanges[exchange.id] = exchange
+	l.unsent = append(l.unsent, exchange)
+	l.usedAt = l.offloader.config.Clock()
+	l.mu.Unlock()
+	l.offloader.active.Add(1)
+	err := l.queue.add(true, func(to []byte) []byte { return appendRequest(to, exchange.id, stamp, request) })
+	if err == nil {
+		return true
+	}
+	if l.remove(exchange.id) == nil {
+		// The link broke meanwhile, which has ended the exchange.
+		return true
+	}
+	l.offloader.active.Add(-1)
+	return false
+}
+
+// markSent records that all queued requests are being written.
+func (l *link) markSent() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, exchange := range l.unsent {
+		exchange.sent = true
+	}
+	l.unsent = nil
+}
+
+// remove ends the link's part in an exchange. It returns nil if that has ended before.
+func (l *link) remove(id uint32) *Exchange {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	exchange := l.exchanges[id]
+	delete(l.exchanges, id)
+	return exchange
+}
+
+// run writes requests and reads answers until the link breaks or is closed.
+func (l *link) run(buffers *qlbuffer.Pool) {
+	go func() {
+		if err := l.queue.run(l.conn); err != nil {
+			l.offloader.config.Log.Info("offload-link-not-written", zap.String("address", l.address), zap.Error(err))
+		}
+		// The reader notices the end.
+		_ = l.conn.Close()
+	}()
+	err := readFrames(l.conn, buffers, l.receive)
+	l.fail(err)
+}
+
+// readFrames reads frames until the connection ends.
+func readFrames(conn *net.TCPConn, buffers *qlbuffer.Pool, handle func(kind frameKind, id uint32, payload []byte) error) error {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	var frames frameReader
+	for {
+		buffer, n, err := buffers.Read(raw)
+		if err != nil {
+			return err
+		}
+		err = frames.read((*buffer)[:n], handle)
+		buffers.Put(buffer)
+		if err != nil {
+			return errors.Trace(err)
+		}
+	}
+}
+
+// receive handles a frame of the other router. One of an unknown request is late: the
+// caller has disconnected.
+func (l *link) receive(kind frameKind, id uint32, payload []byte) error {
+	switch kind {
+	case frameAnswer:
+		l.mu.Lock()
+		exchange := l.exchanges[id]
+		l.mu.Unlock()
+		if exchange == nil {
+			return nil
+		}
+		if err := exchange.caller.Write(payload); err != nil {
+			// The caller's reader notices that, too, and cancels.
+			l.offloader.config.Log.Debug("offload-answer-not-written", zap.Error(err))
+		}
+	case frameEnd:
+		l.finish(id, Answered)
+	case frameDeclined:
+		l.offloader.declined.Add(1)
+		l.offloader.peers.Declined(l.offloader.config.Clock(), l.address)
+		l.finish(id, NotTaken)
+	case frameBroken:
+		l.offloader.broken.Add(1)
+		l.finish(id, Broken)
+	case frameRequest, frameCancel:
+		return errors.NotValidf("frame of kind %d in an answer", kind)
+	}
+	return nil
+}
+
+func (l *link) finish(id uint32, outcome Outcome) {
+	if exchange := l.remove(id); exchange != nil {
+		exchange.finish(outcome)
+	}
+}
+
+// fail closes the link. Requests that were not written have not been received, the outcome
+// of the others is unknown.
+func (l *link) fail(err error) {
+	// Nothing more is written from here on.
+	_ = l.conn.Close()
+	l.queue.close()
+	l.offloader.removeLink(l)
+	l.mu.Lock()
+	l.broken = true
+	outcomes := make(map[*Exchange]Outcome, len(l.exchanges))
+	for _, exchange := range l.exchanges {
+		outcomes[exchange] = NotTaken
+		if exchange.sent {
+			outcomes[exchange] = Broken
+			l.offloader.broken.Add(1)
+		}
+	}
+	clear(l.exchanges)
+	l.mu.Unlock()
+	if len(outcomes) > 0 {
+		l.offloader.peers.Unreachable(l.offloader.config.Clock(), l.address)
+		l.offloader.config.Log.Info("offload-link-broken", zap.String("address", l.address), zap.Int("requests", len(outcomes)), zap.Error(err))
+	}
+	for exchange, outcome := range outcomes {
+		exchange.finish(outcome)
+	}
+}
+
+// idleFor returns how long the link has had no request.
+func (l *link) idleFor(now time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.exchanges) > 0 {
+		return 0
+	}
+	return now - l.usedAt
+}
+
+// Outcome is how the offloading of a request ended.
+type Outcome int
+
+const (
+	// Answered: the whole answer was passed on.
+	Answered Outcome = iota + 1
+	// NotTaken: the other router has not handled the request and will not.
+	NotTaken
+	// Broken: the answer broke off, or the caller has disconnected. The request may have
+	// run.
+	Broken
+)
+
+// Exchange is one request that was sent to another router.
+type Exchange struct {
+	offloader *Offloader
+	link      *link
+	id        uint32
+	caller    Caller
+	done      chan struct{}
+	outcome   Outcome
+	// sent is set once the request may have reached the other router. The link's lock
+	// guards it.
+	sent bool
+}
+
+// Done is closed when the exchange has ended.
+func (x *Exchange) Done() <-chan struct{} {
+	return x.done
+}
+
+// Outcome returns how the exchange has ended; it is valid once Done is closed.
+func (x *Exchange) Outcome() Outcome {
+	return x.outcome
+}
+
+// Cancel ends the exchange because its caller has disconnected.
+func (x *Exchange) Cancel() {
+	if x.link.remove(x.id) == nil {
+		return
+	}
+	err := x.link.queue.add(true, func(to []byte) []byte { return appendFrame(to, frameCancel, x.id, nil) })
+	if err != nil {
+		// The other router keeps working on a request of a caller that has left, unless
+		// its link breaks.
+		_ = x.link.conn.Close()
+	}
+	x.finish(Broken)
+}
+
+func (x *Exchange) finish(outcome Outcome) {
+	x.offloader.active.Add(-1)
+	x.outcome = outcome
+	x.caller.Finish(outcome)
+	close(x.done)
+}
--- /dev/null
+++ b/internal/qloffload/qloffload.go
@@ -0,0 +1,233 @@
+// Package qloffload passes callers' requests on to routers with idle processors.
+//
+// The load balancer chooses a router by the caller, so that one small VM may receive half
+// of a fleet's requests while the others idle. Such a VM offloads what exceeds its budget:
+// it sends the request, as it has received it, to another router of its zone, and passes
+// the answer on as it comes. Two routers share one connection for this (a link), so that a
+// busy one reads and writes once for many requests. The other router handles the request
+// as if its caller had connected there.
+//
+// # What is known about a request
+//
+// A router that cannot take a request declines it before it handles it. One that is still
+// queued when its link breaks has not been received. In both cases it is served, or
+// refused, where its caller has connected. Once it was sent and not declined, only an
+// answer tells whether it has run: if the link breaks, the caller's connection is reset, so
+// that an answer that has begun does not look complete. Offloaded requests are not
+// offloaded again. If the caller disconnects, the other router is told to cancel.
+//
+// # Usage
+//
+//	offloader := qloffload.New(qloffload.Config{Budget: budget, MemoryMB: 112, Clock: clock, Log: log})
+//	offloader.Peers().Set(now, peers)
+//	if offloader.Wanted() {
+//		exchange := offloader.Start(request, stamp, qloffload.Caller{Write: write, Finish: finish}) // nil: not sent
+//	}
+package qloffload
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/quetzallane/quetzallane/internal/qlbuffer"
+	"go.uber.org/zap"
+)
+
+const (
+	// MaxRequestBytes bounds the requests that are offloaded.
+	MaxRequestBytes = 64 << 10
+	// _bufferSize is in bytes. A link is read for many requests at once.
+	_bufferSize = 64 << 10
+	// _maxActivePerMB bounds the requests that are offloaded at a time, per 1 MiB of memory:
+	// each holds its request until the answer begins.
+	_maxActivePerMB = 8
+	// _linkIdleTimeout is how long a link is kept without requests.
+	_linkIdleTimeout = 30 * time.Second
+)
+
+// Config configures an Offloader.
+type Config struct {
+	// Budget decides which requests this router handles itself.
+	Budget *Budget
+	// MemoryMB is the memory that the process may use, in units of 1 MiB.
+	MemoryMB int
+	// Clock returns the time on a monotonic clock.
+	Clock func() time.Duration
+	Log   *zap.Logger
+}
+
+// Offloader offloads requests. It is safe for concurrent use.
+type Offloader struct {
+	config    Config
+	peers     *Peers
+	buffers   *qlbuffer.Pool
+	maxActive int64
+	active    atomic.Int64
+	closing   atomic.Bool
+
+	offloaded   atomic.Uint64
+	declined    atomic.Uint64
+	broken      atomic.Uint64
+	unreachable atomic.Uint64
+
+	mu sync.Mutex
+	// links holds the open links by address, nil while one is being opened.
+	links map[string]*link
+}
+
+// New returns an offloader without peers.
+func New(config Config) *Offloader {
+	return &Offloader{
+		config:    config,
+		peers:     NewPeers(),
+		buffers:   qlbuffer.NewPool(_bufferSize),
+		maxActive: int64(_maxActivePerMB * config.MemoryMB),
+		links:     make(map[string]*link),
+	}
+}
+
+// Peers returns the routers that may take requests.
+func (o *Offloader) Peers() *Peers {
+	return o.peers
+}
+
+// SetClosing makes the router offload no further requests, since it is stopping.
+func (o *Offloader) SetClosing() {
+	o.closing.Store(true)
+}
+
+// Active returns the number of requests that are offloaded at present.
+func (o *Offloader) Active() int64 {
+	return o.active.Load()
+}
+
+// Stats counts requests since the start.
+type Stats struct {
+	Offloaded uint64 `json:"offloaded"`
+	// Declined counts those that another router declined.
+	Declined uint64 `json:"declined"`
+	// Broken counts those of which the outcome is unknown to this router.
+	Broken uint64 `json:"broken"`
+	// Unreachable counts failed attempts to reach a router.
+	Unreachable uint64 `json:"unreachable"`
+}
+
+// Stats returns the counters since the start.
+func (o *Offloader) Stats() Stats {
+	return Stats{
+		Offloaded:   o.offloaded.Load(),
+		Declined:    o.declined.Load(),
+		Broken:      o.broken.Load(),
+		Unreachable: o.unreachable.Load(),
+	}
+}
+
+// Wanted counts the next request against the budget, and reports whether it should be
+// offloaded.
+func (o *Offloader) Wanted() bool {
+	return !o.config.Budget.Take(o.config.Clock()) && !o.closing.Load() && o.active.Load() < o.maxActive && o.peers.Count() > 0
+}
+
+// Caller is the connection of an offloaded request's caller. The goroutine that reads from
+// the link calls the functions, which must not block.
+type Caller struct {
+	// Write passes a part of the answer on.
+	Write func(data []byte) error
+	// Finish is called once, after the last Write.
+	Finish func(outcome Outcome)
+}
+
+// Start sends a whole request to another router. It returns nil if none has received it.
+func (o *Offloader) Start(request []byte, stamp Stamp, caller Caller) *Exchange {
+	l := o.chooseLink()
+	if l == nil {
+		return nil
+	}
+	exchange := &Exchange{
+		offloader: o,
+		caller:    caller,
+		done:      make(chan struct{}),
+	}
+	if !l.start(exchange, stamp, request) {
+		return nil
+	}
+	o.offloaded.Add(1)
+	return exchange
+}
+
+// chooseLink returns an open link, or nil. Links are opened in the background, so that no
+// request waits for that.
+func (o *Offloader) chooseLink() *link {
+	for range _maxTries {
+		address, ok := o.peers.Choose(o.config.Clock(), rand.Float64())
+		if !ok {
+			return nil
+		}
+		o.mu.Lock()
+		l, known := o.links[address]
+		if !known {
+			o.links[address] = nil
+			go o.openLink(address)
+		}
+		o.mu.Unlock()
+		if l != nil {
+			return l
+		}
+	}
+	return nil
+}
+
+// _maxTries bounds the routers that are tried for one request.
+const _maxTries = 4
+
+// openLink opens a link and serves it until it ends.
+func (o *Offloader) openLink(address string) {
+	l, err := o.dial(address)
+	if err != nil {
+		o.unreachable.Add(1)
+		o.peers.Unreachable(o.config.Clock(), address)
+		o.config.Log.Info("offload-unreachable", zap.String("address", address), zap.Error(err))
+		o.mu.Lock()
+		delete(o.links, address)
+		o.mu.Unlock()
+		return
+	}
+	o.mu.Lock()
+	o.links[address] = l
+	o.mu.Unlock()
+	l.run(o.buffers)
+}
+
+// removeLink removes a link that has ended.
+func (o *Offloader) removeLink(ended *link) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.links[ended.address] == ended {
+		delete(o.links, ended.address)
+	}
+}
+
+// Prune closes the links that had no request for long.
+func (o *Offloader) Prune() {
+	now := o.config.Clock()
+	o.closeLinks(func(l *link) bool { return l.idleFor(now) >= _linkIdleTimeout })
+}
+
+// Close closes all links.
+func (o *Offloader) Close() {
+	o.closeLinks(func(*link) bool { return true })
+}
+
+func (o *Offloader) closeLinks(ends func(l *link) bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for address, l := range o.links {
+		if l != nil && ends(l) {
+			delete(o.links, address)
+			// The link's reader notices this.
+			l.queue.close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/qloffload/server.go
@@ -0,0 +1,251 @@
+package qloffload
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/quetzallane/quetzallane/internal/qlbuffer"
+	"go.uber.org/zap"
+)
+
+// ServerConfig configures a Server.
+type ServerConfig struct {
+	// Handler handles the requests.
+	Handler http.Handler
+	// Declines reports whether a request with the stamp is declined.
+	Declines func(stamp Stamp) bool
+	Log      *zap.Logger
+}
+
+// Server takes requests that other routers offload.
+type Server struct {
+	config  ServerConfig
+	buffers *qlbuffer.Pool
+	readers sync.Pool
+	active  atomic.Int64
+	taken   atomic.Uint64
+
+	mu    sync.Mutex
+	links map[*serverLink]bool
+}
+
+// NewServer returns a server with the given configuration.
+func NewServer(config ServerConfig) *Server {
+	return &Server{
+		config:  config,
+		buffers: qlbuffer.NewPool(_bufferSize),
+		readers: sync.Pool{
+			New: func() any { return bufio.NewReader(nil) },
+		},
+		links: make(map[*serverLink]bool),
+	}
+}
+
+// Taken returns how many requests of other routers were handled since the start.
+func (s *Server) Taken() uint64 {
+	return s.taken.Load()
+}
+
+// Serve accepts links until the listener is closed.
+func (s *Server) Serve(listener net.Listener) error {
+	for {
+		accepted, err := listener.Accept()
+		if err != nil {
+			return errors.Trace(err)
+		}
+		conn, ok := accepted.(*net.TCPConn)
+		if !ok {
+			_ = accepted.Close()
+			return errors.NotSupportedf("connection of type %T", accepted)
+		}
+		go s.serveLink(conn)
+	}
+}
+
+// Shutdown waits until all requests have ended, or the context does, and closes all links.
+// The listener has to be closed, and requests declined, by then.
+func (s *Server) Shutdown(ctx context.Context) {
+	ticker := time.NewTicker(_shutdownPollInterval)
+	defer ticker.Stop()
+	for s.active.Load() > 0 && ctx.Err() == nil {
+		<-ticker.C
+	}
+	s.mu.Lock()
+	links := make([]*serverLink, 0, len(s.links))
+	for l := range s.links {
+		links = append(links, l)
+	}
+	s.mu.Unlock()
+	for _, l := range links {
+		l.queue.close()
+		select {
+		case <-l.written:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// _shutdownPollInterval is the time between checks for requests that have not ended.
+const _shutdownPollInterval = 10 * time.Millisecond
+
+// serverLink is a link that another router has opened.
+type serverLink struct {
+	server *Server
+	conn   *net.TCPConn
+	from   string
+	queue  *sendQueue
+	// written is closed once nothing more is written.
+	written chan struct{}
+	// ctx ends with the link.
+	ctx context.Context
+
+	mu      sync.Mutex
+	cancels map[uint32]context.CancelFunc
+}
+
+func (s *Server) serveLink(conn *net.TCPConn) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	l := &serverLink{
+		server:  s,
+		conn:    conn,
+		from:    conn.RemoteAddr().String(),
+		queue:   newSendQueue(func() {}),
+		written: make(chan struct{}),
+		ctx:     ctx,
+		cancels: make(map[uint32]context.CancelFunc),
+	}
+	s.mu.Lock()
+	s.links[l] = true
+	s.mu.Unlock()
+	err := setTimeouts(conn)
+	if err == nil {
+		err = l.queue.add(true, func(to []byte) []byte { return append(to, _hello) })
+	}
+	go func() {
+		defer close(l.written)
+		if err := l.queue.run(conn); err != nil {
+			s.config.Log.Info("offload-link-not-written", zap.String("router", l.from), zap.Error(err))
+		}
+		_ = conn.Close()
+	}()
+	if err == nil {
+		err = readFrames(conn, s.buffers, l.receive)
+	}
+	s.config.Log.Debug("offload-link-ended", zap.String("router", l.from), zap.Error(err))
+	l.queue.close()
+	_ = conn.Close()
+	s.mu.Lock()
+	delete(s.links, l)
+	s.mu.Unlock()
+}
+
+// receive handles a frame of the offloading router.
+func (l *serverLink) receive(kind frameKind, id uint32, payload []byte) error {
+	switch kind {
+	case frameRequest:
+		stamp, request, err := splitRequest(payload)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		if l.server.config.Declines(stamp) {
+			return l.queue.add(true, func(to []byte) []byte { return appendFrame(to, frameDeclined, id, nil) })
+		}
+		l.start(id, stamp, bytes.Clone(request))
+	case frameCancel:
+		l.mu.Lock()
+		cancel := l.cancels[id]
+		l.mu.Unlock()
+		if cancel != nil {
+			cancel()
+		}
+	case frameAnswer, frameEnd, frameDeclined, frameBroken:
+		return errors.NotValidf("frame of kind %d in a request", kind)
+	}
+	return nil
+}
+
+func (l *serverLink) start(id uint32, stamp Stamp, request []byte) {
+	ctx, cancel := context.WithCancel(context.WithValue(l.ctx, originKey{}, Origin{
+		stamp: stamp,
+		from:  l.from,
+	}))
+	l.mu.Lock()
+	l.cancels[id] = cancel
+	l.mu.Unlock()
+	l.server.active.Add(1)
+	l.server.taken.Add(1)
+	go func() {
+		defer l.server.active.Add(-1)
+		w := &answerWriter{
+			link:       l,
+			id:         id,
+			header:     make(http.Header),
+			askToClose: stamp.AskToClose,
+		}
+		kind := frameBroken
+		if l.handle(ctx, w, request) && w.finish() == nil {
+			kind = frameEnd
+		}
+		l.mu.Lock()
+		delete(l.cancels, id)
+		l.mu.Unlock()
+		cancel()
+		// An error means that the link has ended, and the other router knows.
+		_ = l.queue.add(true, func(to []byte) []byte { return appendFrame(to, kind, id, nil) })
+	}()
+}
+
+// handle handles a request and reports whether its answer is whole.
+func (l *serverLink) handle(ctx context.Context, w *answerWriter, raw []byte) (whole bool) {
+	defer func() {
+		if cause := recover(); cause != nil && cause != http.ErrAbortHandler {
+			l.server.config.Log.Error("offloaded-request-panicked", zap.Any("cause", cause), zap.Stack("stack"))
+		}
+	}()
+	reader, _ := l.server.readers.Get().(*bufio.Reader)
+	defer l.server.readers.Put(reader)
+	reader.Reset(bytes.NewReader(raw))
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		// The answer is that of the HTTP server.
+		w.header.Set("Content-Type", "text/plain; charset=utf-8")
+		w.WriteHeader(http.StatusBadRequest)
+		return true
+	}
+	request.RemoteAddr = l.from
+	l.server.config.Handler.ServeHTTP(w, request.WithContext(ctx))
+	return true
+}
+
+// Origin says where an offloaded request comes from.
+type Origin struct {
+	stamp Stamp
+	from  string
+}
+
+// Waited returns how long the request has waited at the router that has offloaded it.
+func (o Origin) Waited() time.Duration {
+	return o.stamp.Waited
+}
+
+// From returns the address of that router.
+func (o Origin) From() string {
+	return o.from
+}
+
+type originKey struct{}
+
+// OriginOf returns the origin of an offloaded request, by its context; ok is false for a
+// caller's own request.
+func OriginOf(ctx context.Context) (origin Origin, ok bool) {
+	origin, ok = ctx.Value(originKey{}).(Origin)
+	return origin, ok
+}
--- a/internal/qlowner/qlowner.go
+++ b/internal/qlowner/qlowner.go
@@ -301,6 +301,30 @@
 	return c.members.State()
 }
 
+// Neighbor is a live router of this one's zone.
+type Neighbor struct {
+	// Address is where it receives packets.
+	Address string
+	// Capacity is the processor capacity of its VM in thousandths of a core.
+	Capacity uint32
+}
+
+// Neighbors returns the live routers of this one's zone, without this one.
+func (c *Core) Neighbors() []Neighbor {
+	var neighbors []Neighbor
+	for _, node := range c.live {
+		router := c.routers[node.ID()]
+		if node.ID() == c.config.Self || node.Zone() != c.config.Zone || router == nil {
+			continue
+		}
+		neighbors = append(neighbors, Neighbor{
+			Address:  router.GetAddress(),
+			Capacity: router.GetCapacity(),
+		})
+	}
+	return neighbors
+}
+
 // LiveCount returns the number of live routers, this one included unless it is
 // leaving and others are live.
 func (c *Core) LiveCount() int {
--- a/internal/qlsetting/edge.go
+++ b/internal/qlsetting/edge.go
@@ -20,6 +20,9 @@
 	OperationsAddress string `json:"operations-address"`
 	// PeerAddress is where other routers reach this one, over TCP and UDP.
 	PeerAddress string `json:"peer-address"`
+	// OffloadAddress is where other routers of the zone send requests that exceed what
+	// their own processors can serve. All routers use the same port.
+	OffloadAddress string `json:"offload-address"`
 	// Seeds are the addresses of some routers through which this one joins the
 	// fleet. Their ports are ignored, since all routers use the same peer port.
 	Seeds []string `json:"seeds"`
@@ -91,6 +94,7 @@
 		{name: "ready-address", value: s.ReadyAddress},
 		{name: "operations-address", value: s.OperationsAddress},
 		{name: "peer-address", value: s.PeerAddress},
+		{name: "offload-address", value: s.OffloadAddress},
 		{name: "store", value: s.Store},
 	})
 	if name != "" {
