Connections above a router's limit are judged by the customer of their request

Cause: above its limit a router waited up to 1 ms for the request on each new connection before it accepted the next, so the accept queue refused, and it rejected whoever came. A customer that sends no more than an even share is kept, up to the descriptors and memory that the limit leaves. A rejection has the Retry-After of the router's other refusals. Evidence: TestConnectionsOfOneCustomerKeepOutNoOther fails without the change (the other customer is rejected with 503 as well).

--- a/internal/qledge/connection.go
+++ b/internal/qledge/connection.go
@@ -5,12 +5,9 @@
 	"net"
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/quetzallane/quetzallane/internal/qlconn"
-	"github.com/quetzallane/quetzallane/internal/qlforward"
 	"github.com/quetzallane/quetzallane/internal/qlintake"
-	"go.uber.org/zap"
 )
 
 const (
@@ -38,6 +35,8 @@
 	crowdedThreshold int
 	evictThreshold   int
 	maxOpen          int
+	// maxOpenLight is the maximum for customers that send no more than an even share.
+	maxOpenLight int
 
 	mu   sync.Mutex
 	open int
@@ -63,6 +62,7 @@
 		crowdedThreshold: int(_crowdedFraction * float64(descriptors)),
 		evictThreshold:   int(_evictFraction * limit),
 		maxOpen:          int(_rejectFraction * limit),
+		maxOpenLight:     int(limit),
 		idle:             list.New(),
 		idleElements:     make(map[net.Conn]*list.Element),
 
@@ -85,16 +85,19 @@
 	return c.open, c.idleClosed, c.rejected
 }
 
-// admit reports whether to keep a new connection, and counts it as rejected if
-// not.
+// admit reports whether to keep a new connection of any customer.
 func (c *callerConnections) admit() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.open < c.maxOpen {
-		return true
-	}
-	c.rejected++
-	return false
+	return c.open < c.maxOpen
+}
+
+// admitLight reports whether to keep a new connection of a customer that sends no more than
+// an even share. One customer's many connections must not keep it out.
+func (c *callerConnections) admitLight() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open < c.maxOpenLight
 }
 
 // acceptedCount returns how many connections were accepted and kept since the start.
@@ -104,10 +107,11 @@
 	return c.accepted
 }
 
-// countRejection records whose connection was rejected.
+// countRejection counts a rejected connection of the customer.
 func (c *callerConnections) countRejection(customer string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.rejected++
 	if _, counted := c.rejectedByCustomer[customer]; counted || len(c.rejectedByCustomer) < _maxCountedCustomers {
 		c.rejectedByCustomer[customer]++
 	}
@@ -187,60 +191,3 @@
 	c.idleClosed++
 	return victim
 }
-
-const (
-	// _rejectReadTimeout is how long to wait for the request on a connection
-	// that is rejected, and _rejectReadBytes how much of it is read at most.
-	_rejectReadTimeout = time.Millisecond
-	_rejectReadBytes   = 64 << 10
-)
-
-// limitListener is a listener that rejects connections above the limit.
-type limitListener struct {
-	net.Listener
-	admit  func() bool
-	intake *qlintake.Intake
-	// onReject is called with the request on a connection that is rejected, or as much
-	// of it as has arrived.
-	onReject func(request []byte)
-	log      *zap.Logger
-	// buffer holds requests that are refused; only Accept uses it.
-	buffer [_rejectReadBytes]byte
-}
-
-// Accept returns the next connection that is not rejected.
-func (l *limitListener) Accept() (net.Conn, error) {
-	for {
-		conn, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		if l.admit() {
-			return l.intake.Wrap(conn), nil
-		}
-		l.reject(conn)
-	}
-}
-
-// reject answers a request that has arrived with a refusal, so that its caller
-// knows that it was not processed. A caller that has sent nothing yet finds the
-// connection closed and unused.
-func (l *limitListener) reject(conn net.Conn) {
-	err := conn.SetDeadline(time.Now().Add(_rejectReadTimeout))
-	n := 0
-	if err == nil {
-		n, err = conn.Read(l.buffer[:])
-	}
-	l.onReject(l.buffer[:n])
-	if n > 0 {
-		_, err = conn.Write(qlforward.RawRefusal())
-	}
-	if closeErr := conn.Close(); err == nil {
-		err = closeErr
-	}
-	if err != nil {
-		// Usually no request arrived in time. How many connections were
-		// rejected is logged and exported as a metric.
-		l.log.Debug("connection-rejected", zap.Stringer("caller", conn.RemoteAddr()), zap.Error(err))
-	}
-}
--- a/internal/qledge/connection_test.go
+++ b/internal/qledge/connection_test.go
@@ -1,7 +1,9 @@
 package qledge
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -11,8 +13,8 @@
 
 	"github.com/juju/errors"
 	"github.com/quetzallane/quetzallane/internal/qlconn"
-	"github.com/quetzallane/quetzallane/internal/qlforward"
 	"github.com/quetzallane/quetzallane/internal/qlintake"
+	"github.com/quetzallane/quetzallane/internal/qlsetting"
 	"github.com/quetzallane/quetzallane/internal/qlshed"
 	"go.uber.org/zap"
 )
@@ -24,15 +26,18 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = listener.Close() }()
-	limited := &limitListener{
+	limited := newLimitListener(listenerConfig{
 		Listener: listener,
-		admit:    c.admit,
-		onReject: func([]byte) {},
-		intake: qlintake.New(qlintake.Config{
+		Intake: qlintake.New(qlintake.Config{
 			Overloaded: func() bool { return false },
 		}),
-		log: zap.NewNop(),
-	}
+		Admit: c.admit,
+		AdmitRequest: func([]byte) bool {
+			c.countRejection("")
+			return false
+		},
+		Log: zap.NewNop(),
+	})
 	go func() {
 		for {
 			conn, err := limited.Accept()
@@ -76,16 +81,19 @@
 		t.Fatal(err)
 	}
 	time.Sleep(20 * time.Millisecond)
-	limited := &limitListener{
-		Listener: listener,
-		admit:    func() bool { return false },
-		onReject: func([]byte) {},
-		log:      zap.NewNop(),
-	}
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\n\r\n"
+	limited := newLimitListener(listenerConfig{
+		Listener:     listener,
+		Intake:       qlintake.New(qlintake.Config{}),
+		Admit:        func() bool { return false },
+		AdmitRequest: func([]byte) bool { return false },
+		Refusal:      func() []byte { return []byte(refusal) },
+		Log:          zap.NewNop(),
+	})
 	go func() { _, _ = limited.Accept() }()
 	_ = caller.SetReadDeadline(time.Now().Add(time.Second))
 	got, err := io.ReadAll(caller)
-	if err != nil || string(got) != string(qlforward.RawRefusal()) {
+	if err != nil || string(got) != refusal {
 		t.Errorf("got %q, %v, want the refusal", got, err)
 	}
 }
@@ -192,8 +200,10 @@
 func TestConnectionIsPendingWhileIntakeRefusesRequest(t *testing.T) {
 	caller, accepted := tcpPair(t)
 	intake := qlintake.New(qlintake.Config{
-		Overloaded:  func() bool { return true },
-		Refuse:      func(qlintake.Head) ([]byte, bool) { return qlforward.RawRefusal(), false },
+		Overloaded: func() bool { return true },
+		Refuse: func(qlintake.Head) ([]byte, bool) {
+			return []byte("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"), false
+		},
 		IdleTimeout: func() time.Duration { return time.Minute },
 	})
 	conn := intake.Wrap(accepted)
@@ -220,3 +230,64 @@
 		t.Error("a connection whose request was refused was still reported as pending")
 	}
 }
+
+// TestConnectionsOfOneCustomerKeepOutNoOther guards against a customer that fills a router's
+// connections, and against callers that wait behind its new ones.
+func TestConnectionsOfOneCustomerKeepOutNoOther(t *testing.T) {
+	r := startEdge(t, "r1", newFakeStore(), func(settings *qlsetting.Edge) {
+		settings.Descriptors = 100
+	})
+	r.awaitState(t, "1 u1")
+	ask := func(customer string) (status int, conn net.Conn, took time.Duration) {
+		t.Helper()
+		began := time.Now()
+		conn, err := net.Dial("tcp4", r.callers)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		_ = conn.SetDeadline(time.Now().Add(2 * time.Second))
+		if _, err := fmt.Fprintf(conn, "GET /held HTTP/1.1\r\nHost: h\r\n%s: %s\r\n\r\n", _keyHeader, customer); err != nil {
+			return 0, conn, time.Since(began)
+		}
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			return 0, conn, time.Since(began)
+		}
+		return response.StatusCode, conn, time.Since(began)
+	}
+	// Connections that have sent a part of their first request are not idle.
+	for range r.edge.callers.maxOpen {
+		conn, err := net.Dial("tcp4", r.callers)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+		if _, err := io.WriteString(conn, "GET /"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	awaitTrue(func() bool { return !r.edge.callers.admit() })
+	for range 20 {
+		r.edge.shedder.Admit(r.edge.clock(), _heavyCustomer, 0)
+	}
+	r.edge.shedder.Admit(r.edge.clock(), _lightCustomer, 0)
+	// Silent connections above the limit wait for their request beside each other.
+	for range 50 {
+		conn, err := net.Dial("tcp4", r.callers)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+	}
+	const most = _firstRequestWait + 200*time.Millisecond
+	if status, _, took := ask(_lightCustomer); status != http.StatusNotFound || took > most {
+		t.Errorf("another customer: got status %d after %v, want it served with 404 within %v", status, took, most)
+	}
+	if status, _, _ := ask(_heavyCustomer); status != http.StatusServiceUnavailable {
+		t.Errorf("the same customer: got status %d, want 503", status)
+	}
+	if got := r.edge.callers.takeRejections()[_heavyCustomer]; got != 1 {
+		t.Errorf("rejections of the same customer: got %d, want 1", got)
+	}
+}
--- a/internal/qledge/offload.go
+++ b/internal/qledge/offload.go
@@ -12,10 +12,10 @@
 
 // newCallerListener returns the listener for callers' connections.
 func (e *Edge) newCallerListener(listener net.Listener, server *http.Server) net.Listener {
-	return &limitListener{
+	return newLimitListener(listenerConfig{
 		Listener: listener,
-		admit:    e.callers.admit,
-		intake: qlintake.New(qlintake.Config{
+		Admit:    e.callers.admit,
+		Intake: qlintake.New(qlintake.Config{
 			Overloaded:  func() bool { return e.shedder.RefusedFraction() > 0 },
 			Refuse:      func(head qlintake.Head) ([]byte, bool) { return e.forwarder.RefuseHead(head.Get) },
 			IdleTimeout: func() time.Duration { return server.IdleTimeout },
@@ -29,11 +29,21 @@
 			},
 			OnState: e.callers.onStateChange,
 		}),
-		onReject: func(request []byte) {
-			e.callers.countRejection(e.forwarder.CustomerOf(qlintake.Head(request).Get))
-		},
-		log: e.log,
+		AdmitRequest: e.admitRequest,
+		Refusal:      e.forwarder.RawRefusal,
+		Log:          e.log,
+	})
+}
+
+// admitRequest reports whether a connection above the limit is kept for its request, and
+// counts it as rejected if not.
+func (e *Edge) admitRequest(request []byte) bool {
+	customer := e.forwarder.CustomerOf(qlintake.Head(request).Get)
+	if customer != "" && e.callers.admitLight() && e.shedder.IsLight(e.clock(), customer) {
+		return true
 	}
+	e.callers.countRejection(customer)
+	return false
 }
 
 // declinesOffload reports whether this router declines a request of another one: it has no
--- a/internal/qledge/standin_test.go
+++ b/internal/qledge/standin_test.go
@@ -222,7 +222,7 @@
 }
 
 // freePorts returns addresses on loopback that were free a moment ago.
-func freePorts(t *testing.T, count int) []string {
+func freePorts(t testing.TB, count int) []string {
 	t.Helper()
 	var addresses []string
 	for range count {
@@ -248,7 +248,7 @@
 
 // startEdge runs an Edge until the test ends. change, which may be nil, alters
 // its settings.
-func startEdge(t *testing.T, id string, store *fakeStore, change func(settings *qlsetting.Edge)) *runningEdge {
+func startEdge(t testing.TB, id string, store *fakeStore, change func(settings *qlsetting.Edge)) *runningEdge {
 	t.Helper()
 	ports := freePorts(t, 5)
 	settings := &qlsetting.Edge{
@@ -323,7 +323,7 @@
 }
 
 // awaitState waits until the documents in force are the wanted ones.
-func (r *runningEdge) awaitState(t *testing.T, want string) {
+func (r *runningEdge) awaitState(t testing.TB, want string) {
 	t.Helper()
 	got := ""
 	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
@@ -360,7 +360,7 @@
 
 // startSizedFleet is like startFleet for VMs with these fractions of a processor, in
 // descending order.
-func startSizedFleet(t *testing.T, fractions []float64, stores ...*fakeStore) []*runningEdge {
+func startSizedFleet(t testing.TB, fractions []float64, stores ...*fakeStore) []*runningEdge {
 	t.Helper()
 	free := freePorts(t, 2)
 	_, port, err := net.SplitHostPort(free[0])
--- a/internal/qlforward/answer.go
+++ b/internal/qlforward/answer.go
@@ -94,8 +94,9 @@
 
 // RawRefusal returns the bytes of an overloaded router's response, for a
 // connection that no HTTP server reads and that is closed after the response.
-func RawRefusal() []byte {
-	return rawRefusal(_rejectedRetry, true)
+func (f *Forwarder) RawRefusal() []byte {
+	retryAfter, _ := f.config.Backoff()
+	return rawRefusal(max(retryAfter, _rejectedRetry), true)
 }
 
 // rawRefusal returns the bytes of the response of an overloaded router;
--- a/internal/qlintake/qlintake.go
+++ b/internal/qlintake/qlintake.go
@@ -240,6 +240,11 @@
 	if err := c.SetReadDeadline(time.Now().Add(c.intake.config.IdleTimeout())); err != nil {
 		return errors.Trace(err)
 	}
+	return c.readRest()
+}
+
+// readRest reads the rest of the current request and discards it.
+func (c *Conn) readRest() error {
 	for {
 		n := min(c.remaining, len(c.buffered))
 		c.consume(n)
--- /dev/null
+++ b/internal/qlintake/reject.go
@@ -0,0 +1,54 @@
+package qlintake
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/quetzallane/quetzallane/internal/qlconn"
+)
+
+// _rejectTimeout limits the time to read a request that is rejected and to answer it.
+const _rejectTimeout = 20 * time.Millisecond
+
+var errNoData = errors.New("no data has arrived")
+
+// ReadFirst reads the first data of a connection that the server has not read from, within
+// the time, or only what has arrived if that is 0. The data is valid until the connection is
+// read from or rejected.
+func (c *Conn) ReadFirst(within time.Duration) (data []byte, err error) {
+	if within <= 0 && !qlconn.HasUnreadBytes(c.TCPConn) {
+		return nil, errNoData
+	}
+	if within > 0 {
+		if err := c.SetReadDeadline(time.Now().Add(within)); err != nil {
+			return nil, errors.Trace(err)
+		}
+	}
+	if err := c.fill(); err != nil {
+		return nil, err
+	}
+	return c.buffered, errors.Trace(c.SetReadDeadline(time.Time{}))
+}
+
+// Reject answers the request of which ReadFirst has read the first data, if any, and closes
+// the connection.
+func (c *Conn) Reject(answer func() []byte) error {
+	if len(c.buffered) == 0 {
+		return errors.Trace(c.TCPConn.Close())
+	}
+	_, length, ok := parse(c.buffered)
+	if c.remaining = length; !ok {
+		c.remaining = len(c.buffered)
+	}
+	err := c.SetDeadline(time.Now().Add(_rejectTimeout))
+	if err == nil {
+		err = c.readRest()
+	}
+	if err == nil {
+		_, err = c.Write(answer())
+	}
+	if closeErr := c.TCPConn.Close(); err == nil {
+		err = closeErr
+	}
+	return errors.Trace(err)
+}
--- a/internal/qlshed/qlshed.go
+++ b/internal/qlshed/qlshed.go
@@ -251,6 +251,20 @@
 	return false
 }
 
+// IsLight reports whether a customer has sent no more requests in the window than an even
+// share of all.
+func (s *Shedder) IsLight(now time.Duration, customer string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.advance(now)
+	all := 0.0
+	for _, r := range s.customers {
+		all += sum(&r.received)
+	}
+	r := s.customers[customer]
+	return r == nil || sum(&r.received)*float64(len(s.customers)) <= all
+}
+
 // receivedRate returns the rate of requests in the current slot and the one before, in
 // requests a second.
 func (s *Shedder) receivedRate(now time.Duration) float64 {
