A flooded router needs less memory: connections reach the HTTP server late

Cause: each connection had an HTTP server's buffers and a stack of 16 KB (84 to 88 MB of the runtime at 1,400 connections), and up to 4,096 connections that were not accepted yet held unread requests, which count as the process's. Change: the listener refuses and offloads requests itself and returns a connection to the server with its first request for it. The accept queue is limited by memory; the runtime may use half of the memory, not 0.7. The line of an overload has the runtime's memory.

--- a/internal/qledge/connection.go
+++ b/internal/qledge/connection.go
@@ -5,7 +5,9 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 
+	"github.com/juju/errors"
 	"github.com/quetzallane/quetzallane/internal/qlconn"
 	"github.com/quetzallane/quetzallane/internal/qlintake"
 )
@@ -26,8 +28,32 @@
 	// users' requirements, held in the kernel.
 	_connectionMemoryFraction = 0.5
 	_connectionBytes          = 32 << 10
+	// _acceptQueueMemoryFraction is the fraction of the memory that requests on connections
+	// which were not accepted yet may use, at _acceptQueueBytes each. They count as the
+	// process's.
+	_acceptQueueMemoryFraction = 0.1
+	_acceptQueueBytes          = 10 << 10
 )
 
+// limitAcceptQueue bounds the connections that wait to be accepted, by the megabytes of
+// memory that the process may use.
+func limitAcceptQueue(listener net.Listener, megabytes int) error {
+	limited, ok := listener.(syscall.Conn)
+	if !ok {
+		return errors.NotSupportedf("listener of type %T", listener)
+	}
+	raw, err := limited.SyscallConn()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	length := int(_acceptQueueMemoryFraction * float64(megabytes) * _megabyte / _acceptQueueBytes)
+	var listenErr error
+	if err := raw.Control(func(descriptor uintptr) { listenErr = syscall.Listen(int(descriptor), length) }); err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(listenErr)
+}
+
 // callerConnections keeps callers' connections within the process's file
 // descriptors and memory. Without it, a retry storm would exhaust them: each
 // retry comes on a connection of its own and leaves it idle.
--- a/internal/qledge/connection_test.go
+++ b/internal/qledge/connection_test.go
@@ -36,15 +36,15 @@
 			c.countRejection("")
 			return false
 		},
-		Log: zap.NewNop(),
+		OnState:             c.onStateChange,
+		FirstRequestTimeout: func() time.Duration { return time.Minute },
+		Log:                 zap.NewNop(),
 	})
 	go func() {
 		for {
-			conn, err := limited.Accept()
-			if err != nil {
+			if _, err := limited.Accept(); err != nil {
 				return
 			}
-			c.recordState(conn, http.StateNew)
 		}
 	}()
 	for i := range 10 {
--- a/internal/qledge/listener.go
+++ b/internal/qledge/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -15,7 +16,7 @@
 	_firstRequestWait = 20 * time.Millisecond
 	// _maxWaitingConnections bounds the connections above the limit that wait for their
 	// request. Further ones are rejected at once.
-	_maxWaitingConnections = 256
+	_maxWaitingConnections = 128
 )
 
 // listenerConfig configures a limitListener.
@@ -29,12 +30,20 @@
 	AdmitRequest func(request []byte) bool
 	// Refusal returns the answer to a request whose connection is rejected.
 	Refusal func() []byte
-	Log     *zap.Logger
+	// OnState is called when a connection is accepted, and when it ends before Accept has
+	// returned it.
+	OnState func(conn net.Conn, state http.ConnState)
+	// FirstRequestTimeout returns how long to wait for the first request on a connection.
+	FirstRequestTimeout func() time.Duration
+	Log                 *zap.Logger
 }
 
-// limitListener is a listener that rejects connections above the limit. It never waits for
-// a caller, so that those of a customer that opens thousands of connections do not keep
-// others in the accept queue until they give up.
+// limitListener is a listener that rejects connections above the limit, and returns others
+// once they have a request for the server. Most connections of an overloaded router never
+// have one: their requests are refused or offloaded, for which the server's memory and
+// processor time are not needed. It never waits for a caller, so that those of a customer
+// that opens thousands of connections do not keep others in the accept queue until they
+// give up.
 type limitListener struct {
 	net.Listener
 	config   listenerConfig
@@ -43,6 +52,10 @@
 	failed   chan error
 	closed   chan struct{}
 	waiting  chan struct{}
+
+	mu sync.Mutex
+	// unreturned are the connections that Accept has not returned yet.
+	unreturned map[*qlintake.Conn]struct{}
 }
 
 func newLimitListener(config listenerConfig) *limitListener {
@@ -53,7 +66,24 @@
 		failed:   make(chan error, 1),
 		closed:   make(chan struct{}),
 		waiting:  make(chan struct{}, _maxWaitingConnections),
+
+		unreturned: make(map[*qlintake.Conn]struct{}),
+	}
+}
+
+// Close stops accepting and closes the connections that Accept has not returned, except
+// those with a request.
+func (l *limitListener) Close() error {
+	err := l.Listener.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for conn := range l.unreturned {
+		if !hasPendingRequest(conn) {
+			// Its reader notices this.
+			_ = conn.Close()
+		}
 	}
+	return err
 }
 
 // Accept returns the next connection that is kept.
@@ -78,7 +108,7 @@
 			return
 		}
 		if l.config.Admit() {
-			l.accepted <- l.config.Intake.Wrap(conn)
+			l.keep(l.config.Intake.Wrap(conn))
 			continue
 		}
 		select {
@@ -93,6 +123,36 @@
 	}
 }
 
+// keep serves a connection until it has a request for the server.
+func (l *limitListener) keep(accepted net.Conn) {
+	l.config.OnState(accepted, http.StateNew)
+	conn, ok := accepted.(*qlintake.Conn)
+	if !ok {
+		l.accepted <- accepted
+		return
+	}
+	l.mu.Lock()
+	l.unreturned[conn] = struct{}{}
+	l.mu.Unlock()
+	go func() {
+		err := conn.AwaitRequest(l.config.FirstRequestTimeout())
+		l.mu.Lock()
+		delete(l.unreturned, conn)
+		l.mu.Unlock()
+		if err == nil {
+			select {
+			case l.accepted <- conn:
+				return
+			case <-l.closed:
+				err = conn.Reject(l.config.Refusal)
+			}
+		}
+		_ = conn.Close()
+		l.config.OnState(conn, http.StateClosed)
+		l.config.Log.Debug("connection-ended", zap.Stringer("caller", conn.RemoteAddr()), zap.Error(err))
+	}()
+}
+
 // admitOrReject decides by the request on a connection above the limit. A refused request
 // is answered, so that its caller knows that it was not processed. A caller that has sent
 // nothing yet finds the connection closed and unused.
@@ -104,11 +164,8 @@
 	}
 	request, err := conn.ReadFirst(wait)
 	if l.config.AdmitRequest(request) {
-		select {
-		case l.accepted <- conn:
-			return
-		case <-l.closed:
-		}
+		l.keep(conn)
+		return
 	}
 	if rejectErr := conn.Reject(l.config.Refusal); err == nil {
 		err = rejectErr
--- a/internal/qledge/load.go
+++ b/internal/qledge/load.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"runtime/metrics"
 	"slices"
 	"time"
 
@@ -48,7 +49,7 @@
 	}
 	e.log.Info("router-overloaded", zap.Duration("lag", lag), zap.Float64("refused-part", refusedFraction),
 		zap.Uint64("refused", refused-e.lastLogged.refused), zap.Int("connections", open), zap.Uint64("connections-accepted", e.callers.acceptedCount()), zap.Uint64("idle-closed", closed), zap.Uint64("connections-rejected", rejected),
-		zap.Int64("active", e.forwarder.Active()), zap.Int64("memory-held", e.forwarder.MemoryBytes()))
+		zap.Int64("active", e.forwarder.Active()), zap.Int64("memory-held", e.forwarder.MemoryBytes()), memoryField())
 	e.lastLogged.refused = refused
 	for _, customer := range e.shedder.TopRefusals(now, _maxLoggedCustomers) {
 		e.log.Info("router-refusals", zap.String("customer", customer.Customer),
@@ -57,6 +58,24 @@
 	e.logRejections()
 }
 
+// memoryField returns how the runtime uses this process's memory, in bytes.
+func memoryField() zap.Field {
+	samples := []metrics.Sample{
+		{Name: "/memory/classes/heap/objects:bytes"},
+		{Name: "/memory/classes/heap/stacks:bytes"},
+		{Name: "/memory/classes/total:bytes"},
+		{Name: "/sched/goroutines:goroutines"},
+	}
+	metrics.Read(samples)
+	values := make([]uint64, 0, len(samples))
+	for _, sample := range samples {
+		if sample.Value.Kind() == metrics.KindUint64 {
+			values = append(values, sample.Value.Uint64())
+		}
+	}
+	return zap.Uint64s("heap-stacks-total-goroutines", values)
+}
+
 // logOffloads logs how many requests were offloaded since the last line, if any were.
 func (e *Edge) logOffloads() {
 	stats, last := e.offloader.Stats(), e.lastLogged.offloads
--- a/internal/qledge/offload.go
+++ b/internal/qledge/offload.go
@@ -31,7 +31,10 @@
 		}),
 		AdmitRequest: e.admitRequest,
 		Refusal:      e.forwarder.RawRefusal,
-		Log:          e.log,
+		OnState:      e.callers.onStateChange,
+
+		FirstRequestTimeout: func() time.Duration { return server.ReadHeaderTimeout },
+		Log:                 e.log,
 	})
 }
 
--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -78,9 +78,10 @@
 	// processor time.
 	_gcPercent = 200
 	// _memoryLimitFraction is the fraction of the VM's memory that the runtime
-	// may use before it collects garbage more often; _requestMemoryFraction is
+	// may use before it collects garbage more often: requests that were not read yet
+	// count as the process's memory, too. _requestMemoryFraction is
 	// the fraction that active requests, including their bodies, may use.
-	_memoryLimitFraction   = 0.7
+	_memoryLimitFraction   = 0.5
 	_requestMemoryFraction = 0.25
 	_megabyte              = 1 << 20
 	// _millicoresPerCore converts the VM's capacity, which routers announce in
@@ -343,6 +344,9 @@
 	if err != nil {
 		return errors.Annotate(err, "listen for callers")
 	}
+	if err := limitAcceptQueue(listener, e.settings.MemoryMB); err != nil {
+		return errors.Annotate(err, "limit the accept queue")
+	}
 	offloadListener, err := config.Listen(background, "tcp4", e.settings.OffloadAddress)
 	if err != nil {
 		return errors.Annotate(err, "listen for offloaded requests")
@@ -399,7 +403,12 @@
 		ReadHeaderTimeout: _defaultHeaderTimeout,
 		IdleTimeout:       _defaultIdleTimeout,
 		ErrorLog:          zap.NewStdLog(e.log),
-		ConnState:         e.callers.onStateChange,
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			// The listener has counted the connection.
+			if state != http.StateNew {
+				e.callers.onStateChange(conn, state)
+			}
+		},
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
 			return context.WithValue(ctx, connectionKey{}, conn)
 		},
--- a/internal/qlintake/qlintake.go
+++ b/internal/qlintake/qlintake.go
@@ -59,8 +59,8 @@
 	Offloader *qloffload.Offloader
 	// Stamp returns what other routers are told about a request.
 	Stamp func() qloffload.Stamp
-	// OnState is called when a connection becomes active or idle by a request that is
-	// offloaded, of which the server does not know.
+	// OnState is called when a connection becomes active or idle by a request of which the
+	// server does not know. It may be nil if there is no Offloader.
 	OnState func(conn net.Conn, state http.ConnState)
 }
 
@@ -231,7 +231,14 @@
 	if err := c.drain(); err != nil {
 		return err
 	}
-	return c.writeRefusal(answer, closes)
+	if err := c.writeRefusal(answer, closes); err != nil {
+		return err
+	}
+	if c.intake.config.OnState != nil && len(c.buffered) == 0 {
+		c.requestPending.Store(false)
+		c.intake.config.OnState(c, http.StateIdle)
+	}
+	return nil
 }
 
 // drain reads the rest of a refused request. If the connection were closed before
--- a/internal/qlintake/reject.go
+++ b/internal/qlintake/reject.go
@@ -30,6 +30,15 @@
 	return c.buffered, errors.Trace(c.SetReadDeadline(time.Time{}))
 }
 
+// AwaitRequest waits for a request that the server is to serve, and refuses or offloads
+// those before it. The first one has to come within the time.
+func (c *Conn) AwaitRequest(within time.Duration) error {
+	if err := c.SetReadDeadline(time.Now().Add(within)); err != nil {
+		return errors.Trace(err)
+	}
+	return c.nextRequest()
+}
+
 // Reject answers the request of which ReadFirst has read the first data, if any, and closes
 // the connection.
 func (c *Conn) Reject(answer func() []byte) error {
