An odd entry of another writer leaves the rest of the store's list readable

Reported by other operators: one odd entry among the replicas', and the machines that read the list ended or stopped following it. Here, an entry whose value is no base64 text, or not text at all, failed the whole reply, so each read and watch after it failed, and the routers kept an old list. Nesting of 100,000 levels and numbers too large were refused before, too; no process ended. Change: each item of a reply is decoded by itself; a faulty one is logged (store-item-faulty) and replaces what the store had under its key.

--- a/internal/qledge/reader.go
+++ b/internal/qledge/reader.go
@@ -86,6 +86,7 @@
 		if err != nil {
 			return 0, errors.Trace(err)
 		}
+		items = e.withoutFaulty(items)
 		e.fleet.Post(func(now time.Duration) { e.applyAllDocuments(now, items, revision) })
 		return revision, nil
 	}
@@ -93,10 +94,27 @@
 	if err != nil {
 		return 0, errors.Trace(err)
 	}
+	items = e.withoutFaulty(items)
 	e.fleet.Post(func(now time.Duration) { e.applyStoreChanges(now, items, next.after, revision) })
 	return revision, nil
 }
 
+// withoutFaulty logs the items that cannot be read. Those of an upstream stay, since they
+// replace what the store had of it.
+func (e *Edge) withoutFaulty(items []Item) []Item {
+	kept := items[:0]
+	for _, item := range items {
+		if item.Fault != nil {
+			e.log.Info("store-item-faulty", zap.String("upstream", item.ID), zap.Uint64("revision", item.Revision), zap.Error(item.Fault))
+			if item.ID == "" || item.Revision == 0 {
+				continue
+			}
+		}
+		kept = append(kept, item)
+	}
+	return kept
+}
+
 // recordStoreFailure records a failed call and returns the pause before the
 // next.
 func (e *Edge) recordStoreFailure() (pause time.Duration) {
--- a/internal/qledge/source.go
+++ b/internal/qledge/source.go
@@ -22,6 +22,9 @@
 	Value         []byte
 	Revision      uint64
 	Deleted       bool
+	// Fault is why an item of the store cannot be read. Its value is then unknown, and its
+	// id and revision are as far as they can be read.
+	Fault error
 }
 
 // Source reads the platform's documents. All revisions are the store's. A call
