A resumed stream goes on with events of its own only

Reported by other operators: a stream had begun and broke off, the next replica answered with an error, and callers found the error in their stream, or the stream ended as if it were complete. Here, an answer of status 200 without events, or with an event without id, ended the stream as complete; failures, refusals, unsigned answers, those of other requests and bytes that are no HTTP did not. Change: a resumed answer has to be an event stream, and an event without id before the next expected one breaks it off. A stream of which the caller has events without ids is not resumed: it would begin again.

--- a/internal/qlevent/qlevent.go
+++ b/internal/qlevent/qlevent.go
@@ -77,21 +77,36 @@
 }
 
 // After returns the events that follow the event with the id last; ok is false
-// if ids are missing between last and the first of them.
+// if ids are missing between last and the first of them, or if an event before that has no
+// id: it belongs to another stream.
 func After(events []byte, last int64) (rest []byte, ok bool) {
 	for len(events) > 0 {
 		event := events
 		if end := bytes.Index(events, _blankLine); end >= 0 {
 			event = events[:end+len(_blankLine)]
 		}
-		if id, found := LastID(event); found && id > last {
+		id, found := LastID(event)
+		switch {
+		case found && id > last:
 			return events, id == last+1
+		case !found && !isComment(event):
+			return nil, false
 		}
 		events = events[len(event):]
 	}
 	return nil, true
 }
 
+// isComment reports whether an event has no fields.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if line = bytes.TrimSpace(line); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // parseID parses the first line of the text as an event id.
 func parseID(text []byte) (int64, bool) {
 	if end := bytes.IndexByte(text, '\n'); end >= 0 {
--- a/internal/qlforward/engine.go
+++ b/internal/qlforward/engine.go
@@ -123,7 +123,7 @@
 		x.sent = x.sentBeforeAttempt
 		return f.takeRetry(x)
 	case attemptBroken:
-		return !f.mayCrashAnother(x, entry, err) && x.route.Repeatable() && f.takeRetry(x)
+		return !f.mayCrashAnother(x, entry, err) && x.resumable() && f.takeRetry(x)
 	case attemptDone:
 	}
 	return false
@@ -310,6 +310,9 @@
 // event.
 func (f *Forwarder) forwardStream(x *exchange, e *qlconn.Exchange, placementID uint64) (attemptResult, error) {
 	controller := http.NewResponseController(x.w)
+	if x.streamStarted && !isEventStream(e.Response()) {
+		return attemptBroken, errors.New("the resumed stream has no events")
+	}
 	if !x.streamStarted {
 		x.streamHeader = e.Response().Header
 		if err := controller.SetWriteDeadline(x.deadline.Add(_writeGrace)); err != nil {
@@ -365,7 +368,7 @@
 // brokenOff reports whether a stream of events that ended without an error was broken off:
 // within an event, or before the first one if only the connection's end shows its own.
 func (x *exchange) brokenOff(response *http.Response, events, rest []byte) bool {
-	if !strings.HasPrefix(response.Header.Get("Content-Type"), _eventStream) {
+	if !isEventStream(response) {
 		return false
 	}
 	if len(bytes.TrimSpace(rest)) > 0 {
@@ -375,7 +378,15 @@
 	return unframed && len(events) == 0 && x.progress < progressEvents
 }
 
-const _eventStream = "text/event-stream"
+func isEventStream(response *http.Response) bool {
+	return strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
+}
+
+// resumable reports whether another engine may go on with the answer. A stream of which the
+// caller has events without ids would begin again.
+func (x *exchange) resumable() bool {
+	return x.route.Repeatable() && (!x.streamStarted || x.hasLastEventID)
+}
 
 // recordEvents records that events of this attempt have come.
 func (f *Forwarder) recordEvents(x *exchange, placementID uint64) {
