A lagging router limits how many connections it accepts

Cause: a new connection costs two to three times a refusal before it is known whose it is, and each one was accepted at once. Change: qlshed.AcceptLimit: above a lag of 60 ms, and for 1 s after it, a router accepts 4,000 connections a second per core; the others wait in the kernel's queue, which is bounded.

--- a/internal/qledge/connection_test.go
+++ b/internal/qledge/connection_test.go
@@ -31,6 +31,7 @@
 		Intake: qlintake.New(qlintake.Config{
 			Overloaded: func() bool { return false },
 		}),
+		Delay: func() time.Duration { return 0 },
 		Admit: c.admit,
 		AdmitRequest: func([]byte) bool {
 			c.countRejection("")
@@ -85,6 +86,7 @@
 	limited := newLimitListener(listenerConfig{
 		Listener:     listener,
 		Intake:       qlintake.New(qlintake.Config{}),
+		Delay:        func() time.Duration { return 0 },
 		Admit:        func() bool { return false },
 		AdmitRequest: func([]byte) bool { return false },
 		Refusal:      func() []byte { return []byte(refusal) },
--- a/internal/qledge/listener.go
+++ b/internal/qledge/listener.go
@@ -23,6 +23,9 @@
 type listenerConfig struct {
 	Listener net.Listener
 	Intake   *qlintake.Intake
+	// Delay returns how long to wait before the next connection is accepted, 0 to accept
+	// it.
+	Delay func() time.Duration
 	// Admit reports whether a new connection is within the limit.
 	Admit func() bool
 	// AdmitRequest reports whether a connection above the limit is kept for the customer
@@ -102,6 +105,9 @@
 func (l *limitListener) run() {
 	defer close(l.closed)
 	for {
+		for delay := l.config.Delay(); delay > 0; delay = l.config.Delay() {
+			time.Sleep(delay)
+		}
 		conn, err := l.Listener.Accept()
 		if err != nil {
 			l.failed <- err
--- a/internal/qledge/offload.go
+++ b/internal/qledge/offload.go
@@ -14,6 +14,7 @@
 func (e *Edge) newCallerListener(listener net.Listener, server *http.Server) net.Listener {
 	return newLimitListener(listenerConfig{
 		Listener: listener,
+		Delay:    func() time.Duration { return e.acceptLimit.Delay(e.clock(), e.fleet.Lag()) },
 		Admit:    e.callers.admit,
 		Intake: qlintake.New(qlintake.Config{
 			Overloaded:  func() bool { return e.shedder.RefusedFraction() > 0 },
--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -110,14 +110,15 @@
 
 // Edge is one router.
 type Edge struct {
-	config    Config
-	settings  *qlsetting.Edge
-	log       *zap.Logger
-	started   time.Time
-	fleet     *qlfleet.Fleet
-	forwarder *qlforward.Forwarder
-	callers   *callerConnections
-	shedder   *qlshed.Shedder
+	config      Config
+	settings    *qlsetting.Edge
+	log         *zap.Logger
+	started     time.Time
+	fleet       *qlfleet.Fleet
+	forwarder   *qlforward.Forwarder
+	acceptLimit *qlshed.AcceptLimit
+	callers     *callerConnections
+	shedder     *qlshed.Shedder
 	// budget and offloader decide which requests other routers handle.
 	budget    *qloffload.Budget
 	offloader *qloffload.Offloader
@@ -169,6 +170,8 @@
 		random:   newRandom(),
 		callers:  newCallerConnections(settings.Descriptors, settings.MemoryMB),
 		budget:   qloffload.NewBudget(cores),
+
+		acceptLimit: qlshed.NewAcceptLimit(cores),
 	}
 	e.offloader = qloffload.New(qloffload.Config{
 		Budget:   e.budget,
