Upstreams that say they leave, or ask for a pause, get no requests

Change: qlpause, a bounded table of one start of an upstream to the time. Plain calls and placements skip them, a placed request is checked again before it is sent, and where all of a service want nothing, callers get the shortest pause left, plus up to a quarter, at once. A pause counts as no failure. Pauses above a minute count as one: a faulty upstream must not take itself out for good. Both fields are kept from callers. Log lines, counters, the state dump. Each router believes what it has heard itself; leaving is not yet told to others. Evidence: TestLeavingUpstreamGetsNoFurtherRequest and TestPausedUpstreamsGetNoRequests fail without the checks (109 and 201 requests at the leaving upstream, want 1; 100 at paused ones, want 2).

--- a/internal/qlforward/engine.go
+++ b/internal/qlforward/engine.go
@@ -143,7 +143,7 @@
 		Zone:             f.config.Zone,
 		Prompt:           *x.caller.Prompt,
 		LatencyObjective: x.route.LatencyObjective(),
-		Excluded:         x.excluded,
+		Excluded:         f.withPaused(x),
 		AlreadyAdmitted:  x.sent || x.streamStarted,
 	})
 	f.recordPlacement(x, &decision)
@@ -170,7 +170,11 @@
 	if decision.Reason == qlplace.NoEngine {
 		code = qlcode.NoUpstream
 	}
-	f.refuse(x, code, decision.RetryAfter, decision.Reason.String())
+	retryAfter := decision.RetryAfter
+	if pause, all := f.shortestPause(x); all {
+		retryAfter = max(retryAfter, pause)
+	}
+	f.refuse(x, code, retryAfter, decision.Reason.String())
 }
 
 // endUnanswered ends a request for which no engine sent a complete answer.
@@ -241,6 +245,10 @@
 		outcome = qlengine.Abandoned
 		return attemptNotSent, errQuarantined
 	}
+	if f.isPaused(entry) {
+		outcome = qlengine.Abandoned
+		return attemptNotSent, errPaused
+	}
 	e, err := f.send(ctx, x, entry, f.streamHeadTimeout(x))
 	switch {
 	case x.callerGone():
--- a/internal/qlforward/exchange.go
+++ b/internal/qlforward/exchange.go
@@ -39,8 +39,10 @@
 	// crashed counts the upstreams of plain services that crashed while they ran the
 	// request.
 	crashed int
-	// upstream is the id of the upstream that was tried last.
-	upstream string
+	// upstream is the id of the upstream that was tried last, and upstreamStart when that
+	// was started, in Unix milliseconds.
+	upstream      string
+	upstreamStart int64
 	// progress is how much of an answer that upstream has sent.
 	progress answerProgress
 	// answerBeganAt is when the head of that upstream's answer came, by Config.Clock.
--- a/internal/qlforward/header.go
+++ b/internal/qlforward/header.go
@@ -48,6 +48,10 @@
 	for _, name := range connectionHeaders(from) {
 		to.Del(name)
 	}
+	// What an upstream says about itself would be taken for this router's own words.
+	for _, name := range f.config.Dialect.UpstreamOnly {
+		to.Del(name)
+	}
 	// Without an explicit nil, net/http guesses a Content-Type from the body.
 	if _, ok := from["Content-Type"]; !ok {
 		to["Content-Type"] = nil
--- a/internal/qlforward/metrics.go
+++ b/internal/qlforward/metrics.go
@@ -22,6 +22,8 @@
 	byKind     expvar.Map
 	byService  expvar.Map
 	byReason   expvar.Map
+	// pauses counts what upstreams have said about further requests to them.
+	pauses expvar.Map
 	// histogramsByKind holds the durations by the kind of route.
 	histogramsByKind    map[qlroute.Kind]*kindHistograms
 	firstEvent          Histogram
@@ -59,6 +61,7 @@
 	each("kinds", &m.byKind)
 	each("services", &m.byService)
 	each("placements", &m.byReason)
+	each("pauses", &m.pauses)
 	each("first-event", &m.firstEvent)
 	each("whole-answer", &m.wholeAnswer)
 	each("predicted-first-event", &m.predictedFirstEvent)
--- a/internal/qlforward/plain.go
+++ b/internal/qlforward/plain.go
@@ -52,7 +52,7 @@
 	for {
 		entry, ok := f.pickUpstream(x)
 		if !ok {
-			f.refuseUnlessSent(x, qlcode.NoUpstream, "no upstream is listed, or all were tried")
+			f.endWithoutUpstream(x)
 			return
 		}
 		reply, err := f.callPlain(x, entry)
@@ -134,6 +134,16 @@
 	f.refuse(x, code, _shedRetry, cause)
 }
 
+// endWithoutUpstream ends a request for which there is no upstream, or no further one.
+func (f *Forwarder) endWithoutUpstream(x *exchange) {
+	pause, all := f.shortestPause(x)
+	if all && !x.sent {
+		f.refuse(x, qlcode.QueueFull, pause, "all upstreams want no requests")
+		return
+	}
+	f.refuseUnlessSent(x, qlcode.NoUpstream, "no upstream is listed, or all were tried")
+}
+
 // endCallerGone ends a request whose caller has closed its connection.
 func (f *Forwarder) endCallerGone(x *exchange) {
 	x.cause = "the caller left"
@@ -151,6 +161,9 @@
 		NotRepeatable: !x.route.Repeatable(),
 	}
 	for _, entry := range entries {
+		if f.isPaused(entry) {
+			continue
+		}
 		criteria.Candidates = append(criteria.Candidates, qlbalance.Upstream{
 			ID:    entry.ID,
 			Zone:  entry.Zone,
--- a/internal/qlforward/qlforward.go
+++ b/internal/qlforward/qlforward.go
@@ -36,6 +36,7 @@
 	"github.com/quetzallane/quetzallane/internal/qlconn"
 	"github.com/quetzallane/quetzallane/internal/qloffload"
 	"github.com/quetzallane/quetzallane/internal/qlpace"
+	"github.com/quetzallane/quetzallane/internal/qlpause"
 	"github.com/quetzallane/quetzallane/pkg/qlcode"
 	"go.uber.org/zap"
 )
@@ -129,6 +130,8 @@
 	budgets   map[string]*qlbudget.Budget
 
 	beginning beginningAttempts
+	// pauses holds the upstreams that get no requests at present.
+	pauses *qlpause.Table
 }
 
 // New returns a forwarder without a view. Until SetView is called, it refuses
@@ -140,6 +143,7 @@
 		balancers: make(map[string]*qlbalance.Balancer),
 		pacers:    make(map[string]*qlpace.Pacer),
 		budgets:   make(map[string]*qlbudget.Budget),
+		pauses:    qlpause.New(),
 	}
 	f.lastPlacementID.Store(config.Random.Uint64() >> _placementIDShift)
 	f.pool = qlconn.New(qlconn.Config{
@@ -208,6 +212,7 @@
 		addresses[entry.Address] = true
 	}
 	f.pool.Prune(func(address string) bool { return addresses[address] })
+	f.pauses.Prune(f.config.Clock())
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, balancer := range f.balancers {
@@ -378,7 +383,7 @@
 // send sends the request to an upstream once and waits for the head of the
 // response, for at most headTimeout unless that is 0. Canceling ctx breaks the answer off.
 func (f *Forwarder) send(ctx context.Context, x *exchange, entry qlcatalog.Entry, headTimeout time.Duration) (*qlconn.Exchange, error) {
-	x.upstream, x.progress = entry.ID, progressNone
+	x.upstream, x.upstreamStart, x.progress = entry.ID, entry.StartMillis, progressNone
 	routers := max(f.config.Placement.RouterCount(), 1)
 	e, err := f.pool.Do(ctx, &qlconn.Request{
 		Address:        entry.Address,
--- a/internal/qlforward/types.go
+++ b/internal/qlforward/types.go
@@ -91,7 +91,12 @@
 	HasLoad bool
 	Running int
 	Waiting int
-	// LoadError is the error of a load report that is invalid.
+	// Leaving is set if the upstream states that it is leaving.
+	Leaving bool
+	// Pause is for how long an upstream that has turned the request away wants nothing
+	// from this router; 0 if it states no time.
+	Pause time.Duration
+	// LoadError is the error of a load report, or of a pause, that is invalid.
 	LoadError error
 }
 
@@ -107,6 +112,8 @@
 	ReadHead func(get func(name string) string) (id, key string)
 	// SetOutgoing sets the headers of a request to an upstream.
 	SetOutgoing func(header http.Header, outgoing Outgoing)
+	// UpstreamOnly are the header fields of responses that callers do not get.
+	UpstreamOnly []string
 	// ReadAnswer parses the headers of an upstream's response.
 	ReadAnswer func(response *http.Response) Answer
 }
