--- a/cmd/qlsoak/world.go
+++ b/cmd/qlsoak/world.go
@@ -149,6 +149,7 @@
 		return errors.Trace(err)
 	}
 	r.ledger.recordDrain(u.id)
+	u.SetLeaving()
 	go func() {
 		time.Sleep(2 * _maxDrainDelay)
 		r.store.Remove(u.id)
