Stalls of a router are seen at once; fewer connections wait to be accepted

Cause: the queue held what the VM takes in 1.5 s, and accepting slowed down at a lag that offloading itself makes. The measured lag was that of the last datagram that had come back: a stall that lasts until now did not show. Change: accepting is limited above a lag of 0.25 s, for 0.3 s; up to 1,000 connections per core wait. Fleet.Lag also counts how late the next tick is. A caller that has left is looked for before each send while the router lags.

--- a/internal/qledge/connection.go
+++ b/internal/qledge/connection.go
@@ -28,16 +28,15 @@
 	// users' requirements, held in the kernel.
 	_connectionMemoryFraction = 0.5
 	_connectionBytes          = 32 << 10
-	// _acceptQueueMemoryFraction is the fraction of the memory that requests on connections
-	// which were not accepted yet may use, at _acceptQueueBytes each. They count as the
-	// process's.
-	_acceptQueueMemoryFraction = 0.1
-	_acceptQueueBytes          = 10 << 10
+	// _acceptQueuePerCore is how many connections may wait to be accepted, per core. Their
+	// unread requests count as the process's memory, and their callers wait.
+	_acceptQueuePerCore = 1000
+	_minAcceptQueue     = 100
 )
 
-// limitAcceptQueue bounds the connections that wait to be accepted, by the megabytes of
-// memory that the process may use.
-func limitAcceptQueue(listener net.Listener, megabytes int) error {
+// limitAcceptQueue bounds the connections that wait to be accepted by a VM with so many
+// cores.
+func limitAcceptQueue(listener net.Listener, cores float64) error {
 	limited, ok := listener.(syscall.Conn)
 	if !ok {
 		return errors.NotSupportedf("listener of type %T", listener)
@@ -46,7 +45,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	length := int(_acceptQueueMemoryFraction * float64(megabytes) * _megabyte / _acceptQueueBytes)
+	length := max(int(_acceptQueuePerCore*cores), _minAcceptQueue)
 	var listenErr error
 	if err := raw.Control(func(descriptor uintptr) { listenErr = syscall.Listen(int(descriptor), length) }); err != nil {
 		return errors.Trace(err)
--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -347,7 +347,7 @@
 	if err != nil {
 		return errors.Annotate(err, "listen for callers")
 	}
-	if err := limitAcceptQueue(listener, e.settings.MemoryMB); err != nil {
+	if err := limitAcceptQueue(listener, e.settings.ProcessorFraction*float64(e.settings.Processors)); err != nil {
 		return errors.Annotate(err, "limit the accept queue")
 	}
 	offloadListener, err := config.Listen(background, "tcp4", e.settings.OffloadAddress)
@@ -392,7 +392,7 @@
 // meanwhile.
 func (e *Edge) callerLeft(ctx context.Context) bool {
 	conn, ok := ctx.Value(connectionKey{}).(net.Conn)
-	return ok && e.shedder.RefusedFraction() > 0 && qlconn.ClosedByPeer(conn)
+	return ok && (e.shedder.RefusedFraction() > 0 || e.fleet.Lag() > _unreadLagThreshold) && qlconn.ClosedByPeer(conn)
 }
 
 // newCallerServer returns the server for callers. It has the limits of the
--- a/internal/qlfleet/qlfleet.go
+++ b/internal/qlfleet/qlfleet.go
@@ -85,7 +85,10 @@
 	packetsSent  atomic.Int64
 	bytesSent    atomic.Int64
 	echo         echo
-	lagging      atomic.Bool
+	// lastTickAt is when the control goroutine has ticked last, in nanoseconds of
+	// Config.Clock.
+	lastTickAt atomic.Int64
+	lagging    atomic.Bool
 	// waiters holds, by request, the channels that decisions are sent on. Only
 	// the control goroutine uses it.
 	waiters map[uint64]chan qlplace.Decision
@@ -141,9 +144,13 @@
 	return int(f.liveCount.Load())
 }
 
-// Lag returns how long received datagrams wait until this process reads them.
+// Lag returns how long received datagrams wait until this process reads them, or how
+// late its next tick is, whichever is longer. The latter shows a stall that has lasted
+// until now.
 func (f *Fleet) Lag() time.Duration {
-	return f.echo.lag(f.config.Clock())
+	now := f.config.Clock()
+	sinceTick := now - time.Duration(f.lastTickAt.Load())
+	return max(f.echo.lag(now), sinceTick-_tickInterval)
 }
 
 // Lagging reports whether this process handles its events late, or did so
@@ -198,6 +205,7 @@
 
 // tick performs the periodic work. lateBy is how late the timer for it was handled.
 func (f *Fleet) tick(now, lateBy time.Duration) {
+	f.lastTickAt.Store(int64(now))
 	lag := max(lateBy, f.echo.lag(now))
 	if f.echo.startIfDue(now) {
 		f.send(f.config.Core.Address, &qlfleetwire.Packet{
--- a/internal/qlshed/accept.go
+++ b/internal/qlshed/accept.go
@@ -7,14 +7,14 @@
 
 const (
 	// _acceptLag is the scheduling lag above which new connections are limited.
-	_acceptLag = 60 * time.Millisecond
+	_acceptLag = 250 * time.Millisecond
 	// _acceptsPerCore is the rate of new connections then, per core, in connections a
 	// second. Accepting, reading and refusing one takes some 60 us of a core: this leaves
 	// most of the processor to the connections that are open.
 	_acceptsPerCore = 4000
 	// _acceptHold is how long new connections are limited after a lag. The lag falls before
 	// the flood has ended.
-	_acceptHold = time.Second
+	_acceptHold = 300 * time.Millisecond
 	// _acceptBurst is for how long of the rate connections may be accepted at once.
 	_acceptBurst = 20 * time.Millisecond
 )
