Soaks side by side have addresses of their own

Change: a run claims a block of addresses by a listener that it keeps. Evidence: TestSoaksSideBySideShareNoAddresses; by the process id all claims of a process were the same block. Callers of the product saw nothing: the fault was the soak's own.

--- a/cmd/qlsoak/soak.go
+++ b/cmd/qlsoak/soak.go
@@ -54,6 +54,8 @@
 
 // soakRun is the run of one seed.
 type soakRun struct {
+	// block is the block of loopback addresses of the routers.
+	block   int
 	options options
 	seed    uint64
 	random  *rand.Rand
@@ -147,6 +149,11 @@
 		store:   qlsim.NewStore(),
 		ledger:  newLedger(plannedOnly),
 	}
+	var claim net.Listener
+	if r.block, claim, err = claimBlock(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	defer func() { _ = claim.Close() }()
 	ctx, cancel := context.WithCancel(ctx)
 	schedule, err := r.execute(ctx, plannedOnly)
 	cancel()
@@ -214,10 +221,29 @@
 	return "  timeline of " + attempt + ":\n" + text.String()
 }
 
-// routerIP returns the loopback address of router i. It depends on the process id,
-// so that soaks running at the same time rarely share addresses.
+// routerIP returns the loopback address of router i.
 func (r *soakRun) routerIP(i int) string {
-	return fmt.Sprintf("127.%d.%d.%d", 10+os.Getpid()%200, 1+i/250, 1+i%250)
+	return fmt.Sprintf("127.%d.%d.%d", _firstBlock+r.block, 1+i/250, 1+i%250)
+}
+
+const (
+	// _firstBlock is the second number of the first block of loopback addresses, and
+	// _blockCount the number of blocks.
+	_firstBlock = 10
+	_blockCount = 200
+)
+
+// claimBlock returns a block of loopback addresses that no other soak uses until the
+// listener is closed.
+func claimBlock() (block int, claim net.Listener, err error) {
+	for i := range _blockCount {
+		block = (os.Getpid() + i) % _blockCount
+		claim, err = net.Listen("tcp4", fmt.Sprintf("127.%d.255.1:%d", _firstBlock+block, _callerPort))
+		if err == nil {
+			return block, claim, nil
+		}
+	}
+	return 0, nil, errors.Annotate(err, "no free block of loopback addresses")
 }
 
 // execute starts the store, upstreams, routers and callers, injects faults, checks
