A router that lags closes refused connections and offloads nothing

Cause: 1,500 kept connections with a request each make a VM of 0.192 cores lag by half a second and more, so it reads late that callers disconnect, also those of offloaded requests. Change: above a lag of 0.25 s refused callers are asked to close their connection, as new ones are limited there; above 0.1 s (0.2 s before) nothing is offloaded.

--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -244,9 +244,7 @@
 			conn, ok := ctx.Value(connectionKey{}).(*qlintake.Conn)
 			return ok && conn.AdmissionChecked() || e.shedder.Admit(e.clock(), customer, rand.Float64())
 		},
-		Backoff: func() (time.Duration, bool) {
-			return e.shedder.Backoff(e.clock(), rand.Float64())
-		},
+		Backoff:        e.backoff,
 		ReadDelay:      fleet.Lag,
 		Lagging:        fleet.Lagging,
 		CallerLeft:     e.callerLeft,
@@ -386,6 +384,16 @@
 // connectionKey is the key of a request's connection in the request's context.
 type connectionKey struct{}
 
+// backoff returns the Retry-After of a request that is refused for this VM's load, and
+// whether its caller is to close the connection. Requests on kept connections alone can
+// make a router lag: while it lags too much for callers that leave to be noticed in time,
+// it keeps fewer of them, and limits new ones.
+func (e *Edge) backoff() (retryAfter time.Duration, closes bool) {
+	now := e.clock()
+	retryAfter, elsewhere := e.shedder.Backoff(now, rand.Float64())
+	return retryAfter, elsewhere || e.fleet.Lag() > qlshed.AcceptLag
+}
+
 // callerLeft reports whether a caller has closed its connection. It checks only
 // while the processor is overloaded: the server notices by itself, but late
 // then, and requests that waited unread may be of callers that have given up
--- a/internal/qlforward/qlforward.go
+++ b/internal/qlforward/qlforward.go
@@ -89,9 +89,9 @@
 	// Admit reports whether this VM has processor time for a request of the
 	// customer; the context is that of the request.
 	Admit func(ctx context.Context, customer string) bool
-	// Backoff returns the Retry-After of a request that Admit refused, and
-	// whether new connections already reach other routers.
-	Backoff func() (retryAfter time.Duration, otherRouters bool)
+	// Backoff returns the Retry-After of a request that Admit refused, and whether
+	// its caller is to close the connection.
+	Backoff func() (retryAfter time.Duration, closes bool)
 	// ReadDelay returns how long requests currently wait at this VM before they
 	// are read.
 	ReadDelay func() time.Duration
@@ -307,8 +307,8 @@
 	if f.config.Admit(x.request.Context(), x.customer) {
 		return true
 	}
-	retryAfter, otherRouters := f.config.Backoff()
-	if otherRouters {
+	retryAfter, closes := f.config.Backoff()
+	if closes {
 		x.w.Header().Set("Connection", "close")
 	}
 	f.refuse(x, qlcode.RouterOverloaded, retryAfter, _overloadedCause)
--- a/internal/qloffload/qloffload.go
+++ b/internal/qloffload/qloffload.go
@@ -45,7 +45,7 @@
 	_maxActivePerMB = 8
 	// _maxLag is the lag above which a router offloads nothing: it would not notice in time
 	// that callers disconnect.
-	_maxLag = 200 * time.Millisecond
+	_maxLag = 100 * time.Millisecond
 	// _linkIdleTimeout is how long a link is kept without requests.
 	_linkIdleTimeout = 30 * time.Second
 )
--- a/internal/qlshed/accept.go
+++ b/internal/qlshed/accept.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// _acceptLag is the scheduling lag above which new connections are limited.
-	_acceptLag = 250 * time.Millisecond
+	// AcceptLag is the scheduling lag above which new connections are limited.
+	AcceptLag = 250 * time.Millisecond
 	// _acceptsPerCore is the rate of new connections then, per core, in connections a
 	// second. Accepting, reading and refusing one takes some 60 us of a core: this leaves
 	// most of the processor to the connections that are open.
@@ -50,7 +50,7 @@
 	burst := max(l.rate*_acceptBurst.Seconds(), 1)
 	l.tokens = min(l.tokens+l.rate*(now-l.refilledAt).Seconds(), burst)
 	l.refilledAt = now
-	if lag > _acceptLag {
+	if lag > AcceptLag {
 		l.limitedUntil = now + _acceptHold
 	}
 	switch {
