Tests split as the linter asks; a decline after the answer has begun ends the connection

A router that declined a request whose answer it had begun, which ours do not, would have left its caller's connection with a buffer that was in use again. Change: as the title says; no check is less strict.

--- a/internal/qlforward/pause_test.go
+++ b/internal/qlforward/pause_test.go
@@ -29,6 +29,12 @@
 	return h
 }
 
+func repeat(count int, run func()) {
+	for range count {
+		run()
+	}
+}
+
 // TestLeavingUpstreamGetsNoFurtherRequest has an upstream say that it is leaving in one
 // answer, and sends 200 more requests, ten at a time.
 func TestLeavingUpstreamGetsNoFurtherRequest(t *testing.T) {
@@ -43,26 +49,17 @@
 		a := newFakeUpstream(t, "a", respond(200, c.answer, "id: 1\ndata: x\n\n"))
 		b := newFakeUpstream(t, "b", respond(200, "Signature: s\r\nContent-Type: text/event-stream\r\n", "id: 1\ndata: x\n\n"))
 		h := newPauseHarness(t, &atomic.Int64{}, a, b)
-		for range 20 {
+		send := func() {
 			if got := h.send(t, http.MethodPost, c.path, c.header, ""); got.status != http.StatusOK || got.header.Get("Leaving") != "" {
-				t.Fatalf("%s: got status %d, header %v, want 200 without the upstream's own field", c.path, got.status, got.header)
-			}
-			if a.count() > 0 {
-				break
+				t.Errorf("%s: got status %d, header %v, want 200 without the upstream's own field", c.path, got.status, got.header)
 			}
 		}
-		if a.count() != 1 {
-			t.Fatalf("%s: the upstream got %d requests, want 1", c.path, a.count())
+		for end := time.Now().Add(2 * time.Second); a.count() == 0 && time.Now().Before(end); {
+			send()
 		}
 		var running sync.WaitGroup
 		for range 10 {
-			running.Go(func() {
-				for range 20 {
-					if got := h.send(t, http.MethodPost, c.path, c.header, ""); got.status != http.StatusOK {
-						t.Errorf("%s: got status %d, want 200", c.path, got.status)
-					}
-				}
-			})
+			running.Go(func() { repeat(20, send) })
 		}
 		running.Wait()
 		if got, want := a.count(), 1; got != want {
--- a/internal/qlintake/offload.go
+++ b/internal/qlintake/offload.go
@@ -115,6 +115,10 @@
 		c.remaining = 0
 		return true, fillErr
 	}
+	if request == nil {
+		// The other router has declined a request whose answer it had begun.
+		return true, errors.Trace(io.ErrUnexpectedEOF)
+	}
 	if fillErr == nil {
 		buffered = append(buffered, c.buffered...)
 		c.intake.buffers.Put(c.buffer)
--- a/internal/qloffload/link.go
+++ b/internal/qloffload/link.go
@@ -271,12 +271,12 @@
 type Outcome int
 
 const (
-	// Answered: the whole answer was passed on.
+	// Answered means that the whole answer was passed on.
 	Answered Outcome = iota + 1
-	// NotTaken: the other router has not handled the request and will not.
+	// NotTaken means that the other router has not handled the request and will not.
 	NotTaken
-	// Broken: the answer broke off, or the caller has disconnected. The request may have
-	// run.
+	// Broken means that the answer broke off, or the caller has disconnected. The request
+	// may have run.
 	Broken
 )
 
--- a/internal/qloffload/qloffload_test.go
+++ b/internal/qloffload/qloffload_test.go
@@ -98,6 +98,15 @@
 	return a.body.String()
 }
 
+// awaitText waits up to 2 s until the answer has the text.
+func (a *answer) awaitText(text string) {
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if strings.Contains(a.String(), text) {
+			return
+		}
+	}
+}
+
 // start offloads a request. It tries until the link is open.
 func (f *testFleet) start(request string) (*Exchange, *answer) {
 	f.t.Helper()
@@ -210,8 +219,7 @@
 func TestLeavingCallerCancelsItsRequest(t *testing.T) {
 	f := newTestFleet(t)
 	exchange, a := f.start(get("/held"))
-	for end := time.Now().Add(2 * time.Second); !strings.Contains(a.String(), "event 2") && time.Now().Before(end); time.Sleep(time.Millisecond) {
-	}
+	a.awaitText("event 2")
 	exchange.Cancel()
 	f.awaitOutcome(a, Broken)
 	select {
@@ -226,8 +234,7 @@
 func TestLostLinkBreaksAnswers(t *testing.T) {
 	f := newTestFleet(t)
 	_, a := f.start(get("/held"))
-	for end := time.Now().Add(2 * time.Second); !strings.Contains(a.String(), "event 2") && time.Now().Before(end); time.Sleep(time.Millisecond) {
-	}
+	a.awaitText("event 2")
 	f.server.mu.Lock()
 	for l := range f.server.links {
 		_ = l.conn.SetLinger(0)
@@ -278,8 +285,7 @@
 func TestShutdownFinishesRequests(t *testing.T) {
 	f := newTestFleet(t)
 	_, a := f.start(get("/held"))
-	for end := time.Now().Add(2 * time.Second); !strings.Contains(a.String(), "event 2") && time.Now().Before(end); time.Sleep(time.Millisecond) {
-	}
+	a.awaitText("event 2")
 	_, other := f.start(get("/plain"))
 	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 	defer cancel()
