--- a/internal/qledge/operations.go
+++ b/internal/qledge/operations.go
@@ -85,7 +85,7 @@
 		{name: "refused-by-processor", value: int64(e.shedder.RefusedCount())},
 		{name: "offloads-active", value: e.offloader.Active()},
 		{name: "offloaded", value: int64(offloads.Offloaded)},
-		{name: "offloads-taken", value: int64(e.offloads.Taken())},
+		{name: "offloads-taken", value: int64(e.offloadServer.Taken())},
 		{name: "offloads-declined", value: int64(offloads.Declined)},
 		{name: "offloads-broken", value: int64(offloads.Broken)},
 		{name: "offloads-unreachable", value: int64(offloads.Unreachable)},
--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -122,8 +122,8 @@
 	// budget and offloader decide which requests other routers handle.
 	budget    *qloffload.Budget
 	offloader *qloffload.Offloader
-	// offloads takes requests of other routers.
-	offloads *qloffload.Server
+	// offloadServer takes requests of other routers.
+	offloadServer *qloffload.Server
 	// revision is that of the configuration in force.
 	revision        atomic.Uint64
 	documentsLoaded atomic.Bool
@@ -253,7 +253,7 @@
 		Random:         newRandom(),
 		Log:            e.log,
 	})
-	e.offloads = qloffload.NewServer(qloffload.ServerConfig{
+	e.offloadServer = qloffload.NewServer(qloffload.ServerConfig{
 		Handler:  e.forwarder,
 		Declines: e.declinesOffload,
 		Log:      e.log,
@@ -370,7 +370,7 @@
 		}
 	}()
 	go func() {
-		if err := e.offloads.Serve(offloadListener); !errors.Is(err, net.ErrClosed) {
+		if err := e.offloadServer.Serve(offloadListener); !errors.Is(err, net.ErrClosed) {
 			e.log.Error("offloads-not-served", zap.Error(err))
 		}
 	}()
@@ -461,7 +461,7 @@
 	if closeErr := offloadListener.Close(); err == nil {
 		err = closeErr
 	}
-	e.offloads.Shutdown(ctx)
+	e.offloadServer.Shutdown(ctx)
 	e.offloader.Close()
 	cut := e.forwarder.Active() + e.offloader.Active()
 	e.log.Info("stopped", zap.Int64("cut", cut), zap.Duration("took", time.Since(began)))
