--- a/internal/qledge/standin_test.go
+++ b/internal/qledge/standin_test.go
@@ -31,6 +31,7 @@
 const (
 	_heavyCustomer = "heavy"
 	_lightCustomer = "light"
+	_otherCustomer = "other"
 	_keyHeader     = "Key"
 )
 
@@ -56,6 +57,10 @@
 	// reads counts reads of all documents, watches the other calls.
 	reads   int
 	watches int
+	// onHead and onRequest are called when this store's router examines a request's head
+	// before the server has it, and when it handles a request; they may be nil.
+	onHead    func()
+	onRequest func()
 }
 
 func newFakeStore() *fakeStore {
@@ -134,6 +139,7 @@
 				Customers: []qlroute.CustomerConfig{
 					{Name: _heavyCustomer, Keys: []string{_heavyCustomer}},
 					{Name: _lightCustomer, Keys: []string{_lightCustomer}},
+					{Name: _otherCustomer, Keys: []string{_otherCustomer}},
 				},
 			}
 			_, err := fmt.Sscan(string(data), &document.Revision)
@@ -156,6 +162,26 @@
 	}
 }
 
+// dialect returns a dialect of which only the caller's key is known.
+func (s *fakeStore) dialect() qlforward.Dialect {
+	return qlforward.Dialect{
+		ReadCaller: func(header http.Header) qlforward.Caller {
+			if s.onRequest != nil {
+				s.onRequest()
+			}
+			return qlforward.Caller{Key: header.Get(_keyHeader)}
+		},
+		ReadHead: func(get func(name string) string) (id, key string) {
+			if s.onHead != nil {
+				s.onHead()
+			}
+			return "", get(_keyHeader)
+		},
+		SetOutgoing: func(http.Header, qlforward.Outgoing) {},
+		ReadAnswer:  func(*http.Response) qlforward.Answer { return qlforward.Answer{} },
+	}
+}
+
 func (s *fakeStore) configuration() Item {
 	return Item{
 		Configuration: true,
@@ -274,13 +300,8 @@
 	edge, err := New(Config{
 		Settings: settings,
 		Source:   store.source(),
-		Dialect: qlforward.Dialect{
-			ReadCaller:  func(header http.Header) qlforward.Caller { return qlforward.Caller{Key: header.Get(_keyHeader)} },
-			ReadHead:    func(get func(name string) string) (id, key string) { return "", get(_keyHeader) },
-			SetOutgoing: func(http.Header, qlforward.Outgoing) {},
-			ReadAnswer:  func(*http.Response) qlforward.Answer { return qlforward.Answer{} },
-		},
-		Log: zap.NewNop(),
+		Dialect:  store.dialect(),
+		Log:      zap.NewNop(),
 	})
 	if err != nil {
 		t.Fatal(err)
