qlforward: An answer that ends right after its head is no success

What callers saw: an upstream sent the whole head of an answer without a length and closed its connection. On routes of plain services, and on streaming routes if the answer was no stream of events, callers got its status, signature and an empty body, framed as whole (Content-Length: 0).

Cause: such an answer ends with its connection, so net/http reports io.EOF for its body at once. Streams of events had a check for this (brokenOff), complete answers (readReply) and other bodies on streaming routes had none. Class: the end of a connection taken for the end of an answer.

Fix: an answer without length and chunks, with no byte of a body, is broken: 502, or another attempt where the route allows one. A HEAD request's answer, 204, 304, a stated length of 0 and a refusal as not run are as before. It costs a sound upstream that ends an empty body by closing: its answer is replaced by 502.

The tests cut answers after each byte of head and body (with a length, in chunks, without a length; closed and reset; on a first and on a reused connection; one and two attempts; before and after the first event of a resumed stream). Nothing else failed: a cut within the head was never taken for an answer, nothing unrepeatable ran twice. A body without a length that is closed, not reset, after its first bytes can't be told from a whole one and still passes; so does a stream closed between two events.

--- a/internal/qlforward/engine.go
+++ b/internal/qlforward/engine.go
@@ -373,17 +373,25 @@
 // errEndsWithinEvent ends a stream that ended without an error, but not between events.
 var errEndsWithinEvent = errors.New("the stream ended within an event")
 
-// brokenOff reports whether a stream of events that ended without an error was broken off:
-// within an event, or before the first one if only the connection's end shows its own.
+// errEndsAfterHead ends an answer without a length whose connection was closed after its head.
+var errEndsAfterHead = errors.New("the answer ended after its head")
+
+// brokenOff reports whether a stream that ended without an error was broken off: within an
+// event, or before the first one if only the connection's end shows its own.
 func (x *exchange) brokenOff(response *http.Response, events, rest []byte) bool {
 	if !isEventStream(response) {
-		return false
+		return endsWithConnection(response) && x.progress < progressPart
 	}
 	if len(bytes.TrimSpace(rest)) > 0 {
 		return true
 	}
-	unframed := response.ContentLength < 0 && len(response.TransferEncoding) == 0
-	return unframed && len(events) == 0 && x.progress < progressEvents
+	return endsWithConnection(response) && len(events) == 0 && x.progress < progressEvents
+}
+
+// endsWithConnection reports whether only the end of its connection shows that a response
+// has ended.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Request.Method != http.MethodHead
 }
 
 func isEventStream(response *http.Response) bool {
--- a/internal/qlforward/plain.go
+++ b/internal/qlforward/plain.go
@@ -274,8 +274,9 @@
 }
 
 // readReply reads the body of a response. A body longer than _maxReplyBytes is
-// an error, and so is a response without a signature, unless it states that the
-// request was not run.
+// an error, and so is a response without a signature or with no byte before the
+// end of the connection that ends it, unless it states that the request was not
+// run.
 func (f *Forwarder) readReply(e *qlconn.Exchange, answer Answer) (*upstreamReply, error) {
 	response := e.Response()
 	reply := &upstreamReply{
@@ -292,6 +293,9 @@
 	if !reply.answer.Signed && !reply.answer.NotRun {
 		return nil, errors.Errorf("answer without signature, status %d", response.StatusCode)
 	}
+	if len(body) == 0 && endsWithConnection(response) && !reply.answer.NotRun {
+		return nil, errEndsAfterHead
+	}
 	reply.body = body
 	return reply, nil
 }
