Count what becomes of each customer's requests at a router

An overloaded router refuses most requests by their head, offloads them, or rejects or closes their connections.

Package qloutcome counts all ends by customer: result codes where they are recorded (recordEnd, also of requests refused by their head), requests that were offloaded and what became of them, connections accepted, rejected (their request read, not read, answered) and closed while idle. Once a second a router that turned away, offloaded or cut anything logs customer-outcomes for the 20 customers with the most; the last second is in /debug/state.

--- a/internal/qledge/connection.go
+++ b/internal/qledge/connection.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 	"github.com/quetzallane/quetzallane/internal/qlconn"
 	"github.com/quetzallane/quetzallane/internal/qlintake"
+	"github.com/quetzallane/quetzallane/internal/qloutcome"
 )
 
 const (
@@ -63,6 +64,9 @@
 	// maxOpenLight is the maximum for customers that send no more than an even share.
 	maxOpenLight int
 
+	// outcomes counts what becomes of connections; it may be nil.
+	outcomes *qloutcome.Counter
+
 	mu   sync.Mutex
 	open int
 	idle *list.List
@@ -183,6 +187,7 @@
 	// A connection that holds a request is not idle: the server has not read it
 	// yet. It is kept, although recordState has counted it as closed.
 	if victim := c.recordState(conn, state); victim != nil && !hasPendingRequest(victim) {
+		c.outcomes.Add("", qloutcome.IdleClosed)
 		// The server notices this and reports the connection as closed.
 		_ = victim.Close()
 	}
@@ -202,6 +207,7 @@
 	case http.StateNew:
 		c.open++
 		c.accepted++
+		c.outcomes.Add("", qloutcome.Accepted)
 	case http.StateIdle:
 		c.idleElements[conn] = c.idle.PushBack(conn)
 	case http.StateClosed, http.StateHijacked:
--- a/internal/qledge/load.go
+++ b/internal/qledge/load.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/quetzallane/quetzallane/internal/qloffload"
+	"github.com/quetzallane/quetzallane/internal/qloutcome"
 	"github.com/quetzallane/quetzallane/internal/qlplace"
 	"github.com/quetzallane/quetzallane/internal/qlshare"
 	"go.uber.org/zap"
@@ -24,6 +25,9 @@
 	// _maxLoggedRouters bounds the routers whose late first events the owner
 	// logs at a time.
 	_maxLoggedRouters = 5
+	// _maxOutcomeRows bounds the customers whose outcomes are logged at a time, those with
+	// the most first.
+	_maxOutcomeRows = 20
 )
 
 // loggedCounters holds the counters as of the last log lines about load, so
@@ -37,6 +41,8 @@
 	offloads qloffload.Stats
 	// lateByRouter counts the late first events that each router has reported.
 	lateByRouter map[string]uint64
+	// outcomes are those of the last second.
+	outcomes []qloutcome.Row
 }
 
 // logOverload logs this VM's load while its processor's load causes refusals or
@@ -88,6 +94,24 @@
 		zap.Int64("active", e.offloader.Active()), zap.Float64("own-rate", e.budget.Rate()), zap.Int("peers", e.offloader.Peers().Count()))
 }
 
+// logOutcomes logs how the requests and connections of the customers with the most of them
+// have ended since the last lines, if this router turned any away, offloaded any or cut any
+// off.
+func (e *Edge) logOutcomes() {
+	interval := e.outcomes.Take(_maxOutcomeRows)
+	e.lastLogged.outcomes = interval.Rows()
+	if !interval.Notable() {
+		return
+	}
+	for _, row := range interval.Rows() {
+		fields := []zap.Field{zap.String("customer", row.Customer)}
+		for _, count := range row.Counts {
+			fields = append(fields, zap.Int(count.Name, count.Count))
+		}
+		e.log.Info("customer-outcomes", fields...)
+	}
+}
+
 // logRejections logs the customers with the most connections that were rejected since the
 // last lines.
 func (e *Edge) logRejections() {
--- a/internal/qledge/offload.go
+++ b/internal/qledge/offload.go
@@ -7,6 +7,7 @@
 
 	"github.com/quetzallane/quetzallane/internal/qlintake"
 	"github.com/quetzallane/quetzallane/internal/qloffload"
+	"github.com/quetzallane/quetzallane/internal/qloutcome"
 	"go.uber.org/zap"
 )
 
@@ -39,13 +40,23 @@
 	})
 }
 
+// customerOf returns the customer of a request, of which this is the first part, or "".
+func (e *Edge) customerOf(request []byte) string {
+	return e.forwarder.CustomerOf(qlintake.Head(request).Get)
+}
+
 // admitRequest reports whether a connection above the limit is kept for its request, and
 // counts it as rejected if not.
 func (e *Edge) admitRequest(request []byte) bool {
-	customer := e.forwarder.CustomerOf(qlintake.Head(request).Get)
+	customer := e.customerOf(request)
 	if customer != "" && e.callers.admitLight() && e.shedder.IsLight(e.clock(), customer) {
 		return true
 	}
+	outcome := qloutcome.Rejected
+	if len(request) == 0 {
+		outcome = qloutcome.RejectedUnread
+	}
+	e.outcomes.Add(customer, outcome)
 	e.callers.countRejection(customer)
 	return false
 }
--- a/internal/qledge/operations.go
+++ b/internal/qledge/operations.go
@@ -136,6 +136,7 @@
 			"quarantines":            quarantines,
 			"crashes":                crashes,
 			"offloading":             e.offloader.Stats(),
+			"outcomes":               e.lastLogged.outcomes,
 			"pauses":                 e.forwarder.Pauses(),
 			"upstreams":              upstreamState(e.catalog.Entries()),
 		}
--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -43,8 +43,8 @@
 	"github.com/quetzallane/quetzallane/internal/qlintake"
 	"github.com/quetzallane/quetzallane/internal/qllog"
 	"github.com/quetzallane/quetzallane/internal/qloffload"
+	"github.com/quetzallane/quetzallane/internal/qloutcome"
 	"github.com/quetzallane/quetzallane/internal/qlowner"
-	"github.com/quetzallane/quetzallane/internal/qlplace"
 	"github.com/quetzallane/quetzallane/internal/qlquarantine"
 	"github.com/quetzallane/quetzallane/internal/qlroute"
 	"github.com/quetzallane/quetzallane/internal/qlsetting"
@@ -118,6 +118,7 @@
 	forwarder   *qlforward.Forwarder
 	acceptLimit *qlshed.AcceptLimit
 	callers     *callerConnections
+	outcomes    *qloutcome.Counter
 	shedder     *qlshed.Shedder
 	// budget and offloader decide which requests other routers handle.
 	budget    *qloffload.Budget
@@ -170,15 +171,20 @@
 		random:   newRandom(),
 		callers:  newCallerConnections(settings.Descriptors, settings.MemoryMB),
 		budget:   qloffload.NewBudget(cores),
+		outcomes: qloutcome.New(),
 
 		acceptLimit: qlshed.NewAcceptLimit(cores),
 	}
+	e.callers.outcomes = e.outcomes
 	e.offloader = qloffload.New(qloffload.Config{
 		Budget:   e.budget,
 		Lag:      func() time.Duration { return e.fleet.Lag() },
 		MemoryMB: settings.MemoryMB,
 		Clock:    e.clock,
 		Log:      e.log,
+
+		CustomerOf: e.customerOf,
+		Outcomes:   e.outcomes,
 	})
 	runtime.GOMAXPROCS(settings.Processors)
 	debug.SetGCPercent(_gcPercent)
@@ -247,6 +253,7 @@
 		Backoff:        e.backoff,
 		ReadDelay:      fleet.Lag,
 		Lagging:        fleet.Lagging,
+		Outcomes:       e.outcomes,
 		CallerLeft:     e.callerLeft,
 		MaxMemoryBytes: int64(_requestMemoryFraction * float64(settings.MemoryMB) * _megabyte),
 		Clock:          e.clock,
@@ -261,17 +268,6 @@
 	return e, nil
 }
 
-// placementPolicy returns the placement policy that a setting names.
-func placementPolicy(placement string) qlplace.Policy {
-	switch placement {
-	case qlsetting.PlacementAffinity:
-		return qlplace.Affinity
-	case qlsetting.PlacementLoad:
-		return qlplace.FewestActive
-	}
-	return qlplace.Predict
-}
-
 func newRandom() *rand.Rand {
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 }
@@ -327,6 +323,7 @@
 		e.logPlacement(now)
 		e.logOverload(now, lag)
 		e.logOffloads()
+		e.logOutcomes()
 	}
 }
 
--- a/internal/qledge/state.go
+++ b/internal/qledge/state.go
@@ -8,6 +8,7 @@
 	"github.com/quetzallane/quetzallane/internal/qlforward"
 	"github.com/quetzallane/quetzallane/internal/qlplace"
 	"github.com/quetzallane/quetzallane/internal/qlroute"
+	"github.com/quetzallane/quetzallane/internal/qlsetting"
 	"go.uber.org/zap"
 )
 
@@ -179,3 +180,14 @@
 	}
 	return configuration, e.catalog.ChangeRevision()
 }
+
+// placementPolicy returns the placement policy that a setting names.
+func placementPolicy(placement string) qlplace.Policy {
+	switch placement {
+	case qlsetting.PlacementAffinity:
+		return qlplace.Affinity
+	case qlsetting.PlacementLoad:
+		return qlplace.FewestActive
+	}
+	return qlplace.Predict
+}
--- a/internal/qlforward/answer.go
+++ b/internal/qlforward/answer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/quetzallane/quetzallane/internal/qloutcome"
 	"github.com/quetzallane/quetzallane/pkg/qlcode"
 	"go.uber.org/zap"
 )
@@ -96,6 +97,7 @@
 // RawRefusal returns the bytes of an overloaded router's response, for a
 // connection that no HTTP server reads and that is closed after the response.
 func (f *Forwarder) RawRefusal() []byte {
+	f.config.Outcomes.Add("", qloutcome.RejectedAnswered)
 	retryAfter, _ := f.config.Backoff()
 	return rawRefusal(max(retryAfter, _rejectedRetry), true)
 }
--- a/internal/qlforward/log_test.go
+++ b/internal/qlforward/log_test.go
@@ -9,10 +9,13 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 
 	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"github.com/quetzallane/quetzallane/internal/qloutcome"
+	"github.com/quetzallane/quetzallane/pkg/qlcode"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 )
@@ -88,3 +91,15 @@
 		t.Errorf("durations of the kind: got %s, want one", whole)
 	}
 }
+
+func TestEndsAreCountedByCustomerAndCode(t *testing.T) {
+	h := newHarness(t)
+	h.forwarder.config.Outcomes = qloutcome.New()
+	h.forwarder.recordEnd(&exchange{
+		customer: "acme",
+	}, qlcode.QueueFull, http.StatusTooManyRequests)
+	got := h.forwarder.config.Outcomes.Take(1).Rows()
+	if len(got) != 1 || got[0].Customer != "acme" || !slices.Equal(got[0].Counts, []qloutcome.Count{{Name: "queue-full", Count: 1}}) {
+		t.Errorf("got %+v, want one queue-full of acme", got)
+	}
+}
--- a/internal/qlforward/metrics.go
+++ b/internal/qlforward/metrics.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/quetzallane/quetzallane/internal/qloutcome"
 	"github.com/quetzallane/quetzallane/internal/qlplace"
 	"github.com/quetzallane/quetzallane/internal/qlroute"
 	"github.com/quetzallane/quetzallane/pkg/qlcode"
@@ -183,6 +184,7 @@
 func (f *Forwarder) recordEnd(x *exchange, code qlcode.Code, status int) {
 	took := time.Since(x.start)
 	f.metrics.results.Add(code.Name(), 1)
+	f.config.Outcomes.Add(x.customer, qloutcome.OfCode(code))
 	f.metrics.wholeAnswer.Observe(took)
 	route, kind := "", ""
 	if x.route != nil {
--- a/internal/qlforward/qlforward.go
+++ b/internal/qlforward/qlforward.go
@@ -35,6 +35,7 @@
 	"github.com/quetzallane/quetzallane/internal/qlcatalog"
 	"github.com/quetzallane/quetzallane/internal/qlconn"
 	"github.com/quetzallane/quetzallane/internal/qloffload"
+	"github.com/quetzallane/quetzallane/internal/qloutcome"
 	"github.com/quetzallane/quetzallane/internal/qlpace"
 	"github.com/quetzallane/quetzallane/internal/qlpause"
 	"github.com/quetzallane/quetzallane/pkg/qlcode"
@@ -102,6 +103,8 @@
 	// Lagging reports whether this process handles its events with a delay. The
 	// durations that it measures then say nothing about upstreams.
 	Lagging func() bool
+	// Outcomes counts how requests end; it may be nil.
+	Outcomes *qloutcome.Counter
 	// MaxMemoryBytes limits the memory of all active requests.
 	MaxMemoryBytes int64
 	// Clock returns the time on a monotonic clock.
--- a/internal/qloffload/link.go
+++ b/internal/qloffload/link.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 	"github.com/quetzallane/quetzallane/internal/qlbuffer"
+	"github.com/quetzallane/quetzallane/internal/qloutcome"
 	"go.uber.org/zap"
 )
 
@@ -205,6 +206,7 @@
 			return nil
 		}
 		if err := exchange.caller.Write(payload); err != nil {
+			exchange.count(qloutcome.OffloadUnwritten)
 			// The caller's reader notices that, too, and cancels.
 			l.offloader.config.Log.Debug("offload-answer-not-written", zap.Error(err))
 		}
@@ -225,6 +227,7 @@
 
 func (l *link) finish(id uint32, outcome Outcome) {
 	if exchange := l.remove(id); exchange != nil {
+		exchange.countEnd(outcome)
 		exchange.finish(outcome)
 	}
 }
@@ -253,6 +256,7 @@
 		l.offloader.config.Log.Info("offload-link-broken", zap.String("address", l.address), zap.Int("requests", len(outcomes)), zap.Error(err))
 	}
 	for exchange, outcome := range outcomes {
+		exchange.countEnd(outcome)
 		exchange.finish(outcome)
 	}
 }
@@ -286,6 +290,7 @@
 	link      *link
 	id        uint32
 	caller    Caller
+	customer  string
 	done      chan struct{}
 	outcome   Outcome
 	// sent is set once the request may have reached the other router. The link's lock
@@ -314,9 +319,26 @@
 		// its link breaks.
 		_ = x.link.conn.Close()
 	}
+	x.count(qloutcome.OffloadLeft)
 	x.finish(Broken)
 }
 
+func (x *Exchange) count(outcome qloutcome.Outcome) {
+	x.offloader.config.Outcomes.Add(x.customer, outcome)
+}
+
+// countEnd counts an end that the other router or the link has caused, unless the request
+// was answered.
+func (x *Exchange) countEnd(outcome Outcome) {
+	switch outcome {
+	case NotTaken:
+		x.count(qloutcome.OffloadDeclined)
+	case Broken:
+		x.count(qloutcome.OffloadBroken)
+	case Answered:
+	}
+}
+
 func (x *Exchange) finish(outcome Outcome) {
 	x.offloader.active.Add(-1)
 	x.outcome = outcome
--- a/internal/qloffload/qloffload.go
+++ b/internal/qloffload/qloffload.go
@@ -32,6 +32,7 @@
 	"time"
 
 	"github.com/quetzallane/quetzallane/internal/qlbuffer"
+	"github.com/quetzallane/quetzallane/internal/qloutcome"
 	"go.uber.org/zap"
 )
 
@@ -60,7 +61,12 @@
 	MemoryMB int
 	// Clock returns the time on a monotonic clock.
 	Clock func() time.Duration
-	Log   *zap.Logger
+	// CustomerOf returns the customer of a request, or "". It may be nil if there is no
+	// Outcomes.
+	CustomerOf func(request []byte) string
+	// Outcomes counts what becomes of requests; it may be nil.
+	Outcomes *qloutcome.Counter
+	Log      *zap.Logger
 }
 
 // Offloader offloads requests. It is safe for concurrent use.
@@ -156,10 +162,14 @@
 		caller:    caller,
 		done:      make(chan struct{}),
 	}
+	if o.config.Outcomes != nil {
+		exchange.customer = o.config.CustomerOf(request)
+	}
 	if !l.start(exchange, stamp, request) {
 		return nil
 	}
 	o.offloaded.Add(1)
+	exchange.count(qloutcome.Offloaded)
 	return exchange
 }
 
