qloffload: A part that a caller's connection does not take ends its answer

What callers saw: a caller that read the answer to an offloaded request slowly got it with a piece missing in the middle, in chunks that ended as whole.

Cause: callerWriter keeps at most 1 MiB of what the caller has not read and refuses a part beyond that (errSlowCaller). link.receive only logged the error, since the caller's reader was to notice it. That reader notices a connection that has ended, not a slow caller. Once the caller read on, the parts after the missing one were taken, and the last chunk made the answer look whole. Class: half an answer taken as whole.

Fix: the exchange is canceled on the first part that is not written. That resets the caller's connection, tells the other router to stop, and ignores the parts that follow.

--- a/internal/qlintake/offload_test.go
+++ b/internal/qlintake/offload_test.go
@@ -104,6 +104,10 @@
 	return l
 }
 
+// _hugeBlocks is the length of an answer that is larger than all buffers together, in units of
+// 16 KiB.
+const _hugeBlocks = 1024
+
 func (s *offloadingServer) serveOther(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	_, _ = fmt.Fprintf(w, "there %d", len(body))
@@ -112,9 +116,13 @@
 	case "/broken":
 		_ = controller.Flush()
 		panic(http.ErrAbortHandler)
-	case "/large":
-		for range 64 {
-			_, _ = w.Write(bytes.Repeat([]byte("x"), 32<<10))
+	case "/large", "/huge":
+		blocks, size := 64, 32<<10
+		if r.URL.Path == "/huge" {
+			blocks, size = _hugeBlocks, 16<<10
+		}
+		for range blocks {
+			_, _ = w.Write(bytes.Repeat([]byte("x"), size))
 			_ = controller.Flush()
 		}
 	case "/held":
@@ -289,3 +297,22 @@
 		t.Error("the request was not canceled within 2 s")
 	}
 }
+
+// TestSlowCallerGetsNoAnswerWithAGap guards against a part of an answer that is dropped since
+// its caller reads slowly, while the parts after it arrive and end the answer.
+func TestSlowCallerGetsNoAnswerWithAGap(t *testing.T) {
+	s := newOffloadingServer(t)
+	caller := s.dial()
+	tcp, _ := caller.conn.(*net.TCPConn)
+	if err := tcp.SetReadBuffer(128 << 10); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(caller.conn, post("/huge", "", 1)); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(300 * time.Millisecond)
+	got := caller.read()
+	if want := len("there 1") + _hugeBlocks*(16<<10); strings.HasPrefix(got, "there 1") && len(got) != want {
+		t.Errorf("got an answer of %d bytes that looks whole, want %d", len(got), want)
+	}
+}
--- a/internal/qloffload/link.go
+++ b/internal/qloffload/link.go
@@ -207,8 +207,9 @@
 		}
 		if err := exchange.caller.Write(payload); err != nil {
 			exchange.count(qloutcome.OffloadUnwritten)
-			// The caller's reader notices that, too, and cancels.
+			// Parts after a missing one would make the answer look whole.
 			l.offloader.config.Log.Debug("offload-answer-not-written", zap.Error(err))
+			exchange.Cancel()
 		}
 	case frameEnd:
 		l.finish(id, Answered)
