qloffload: The end of an answer is sent even if its link's queue is full

The caller's connection stayed taken, and a further request on it got no answer until the link broke.

Cause: the queue of a link refuses every frame beyond 1 MiB. The server dropped the frame that ends an exchange (whole, broken) with that error, as if the link had ended. A cancel that found no room closed the whole link, a declined request, too. Class: a bound on data that also drops control.

Fix: frames without a payload (end, broken, declined, cancel) are queued in a full queue, too. There is at most one of each kind for a request, and requests are bounded.

--- a/internal/qloffload/cut_test.go
+++ b/internal/qloffload/cut_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -158,3 +159,27 @@
 		}
 	}
 }
+
+// TestEndOfAnswerOnFullQueueIsSent guards against a caller that waits for ever for an answer
+// that has ended, since its end found no room in the link's queue.
+func TestEndOfAnswerOnFullQueueIsSent(t *testing.T) {
+	const unknownID = 1 << 30
+	f := newTestFleet(t)
+	fill := func(w http.ResponseWriter) {
+		writer, ok := w.(*answerWriter)
+		if !ok {
+			t.Errorf("got a writer of type %T", w)
+			return
+		}
+		part := make([]byte, _maxPayloadBytes)
+		for err := error(nil); err == nil; {
+			err = writer.link.queue.add(false, func(to []byte) []byte { return appendFrame(to, frameAnswer, unknownID, part) })
+		}
+	}
+	f.server.config.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fill(w)
+		panic(http.ErrAbortHandler)
+	})
+	_, a := f.start(get("/"))
+	f.awaitOutcome(a, Broken)
+}
--- a/internal/qloffload/link.go
+++ b/internal/qloffload/link.go
@@ -314,8 +314,7 @@
 	if x.link.remove(x.id) == nil {
 		return
 	}
-	err := x.link.queue.add(true, func(to []byte) []byte { return appendFrame(to, frameCancel, x.id, nil) })
-	if err != nil {
+	if err := x.link.queue.addControl(frameCancel, x.id); err != nil {
 		// The other router keeps working on a request of a caller that has left, unless
 		// its link breaks.
 		_ = x.link.conn.Close()
--- a/internal/qloffload/sendqueue.go
+++ b/internal/qloffload/sendqueue.go
@@ -59,12 +59,25 @@
 func (q *sendQueue) add(urgent bool, build func(to []byte) []byte) error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if !q.closed && len(q.pending) >= _maxQueueBytes {
+		return errQueueFull
+	}
+	return q.addLocked(urgent, build)
+}
+
+// addControl queues an urgent frame without a payload. It has room in a full queue: without
+// it, the other router would wait for ever.
+func (q *sendQueue) addControl(kind frameKind, id uint32) error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.addLocked(true, func(to []byte) []byte { return appendFrame(to, kind, id, nil) })
+}
+
+// addLocked queues a frame. The caller holds the lock.
+func (q *sendQueue) addLocked(urgent bool, build func(to []byte) []byte) error {
 	if q.closed {
 		return net.ErrClosed
 	}
-	if len(q.pending) >= _maxQueueBytes {
-		return errQueueFull
-	}
 	q.pending = build(q.pending)
 	if urgent && !q.blocked {
 		q.tryWrite()
--- a/internal/qloffload/server.go
+++ b/internal/qloffload/server.go
@@ -161,7 +161,7 @@
 			return errors.Trace(err)
 		}
 		if l.server.config.Declines(stamp) {
-			return l.queue.add(true, func(to []byte) []byte { return appendFrame(to, frameDeclined, id, nil) })
+			return l.queue.addControl(frameDeclined, id)
 		}
 		l.start(id, stamp, bytes.Clone(request))
 	case frameCancel:
@@ -204,7 +204,7 @@
 		l.mu.Unlock()
 		cancel()
 		// An error means that the link has ended, and the other router knows.
-		_ = l.queue.add(true, func(to []byte) []byte { return appendFrame(to, kind, id, nil) })
+		_ = l.queue.addControl(kind, id)
 	}()
 }
 
