--- a/internal/qlintake/offload_test.go
+++ b/internal/qlintake/offload_test.go
@@ -22,7 +22,10 @@
 	address  string
 	declines atomic.Bool
 	other    *qloffload.Server
-	intake   *Intake
+	// others is the address at which the other router takes requests.
+	others    string
+	offloader *qloffload.Offloader
+	intake    *Intake
 	// left receives a value when the other router's request is canceled.
 	left chan struct{}
 	// held makes the other router hold requests to /held until it is closed.
@@ -45,17 +48,18 @@
 		Log:      zap.NewNop(),
 	})
 	others := s.listen()
+	s.others = others.Addr().String()
 	go func() { _ = s.other.Serve(others) }()
 	started := time.Now()
-	offloader := qloffload.New(qloffload.Config{
+	s.offloader = qloffload.New(qloffload.Config{
 		Budget:   qloffload.NewBudget(0),
 		Lag:      func() time.Duration { return 0 },
 		MemoryMB: 100,
 		Clock:    func() time.Duration { return time.Since(started) },
 		Log:      zap.NewNop(),
 	})
-	offloader.Peers().Set(0, []qloffload.Peer{qloffload.NewPeer(others.Addr().String(), 1)})
-	t.Cleanup(offloader.Close)
+	s.offloader.Peers().Set(0, []qloffload.Peer{qloffload.NewPeer(s.others, 1)})
+	t.Cleanup(s.offloader.Close)
 	inner := s.listen()
 	s.address = inner.Addr().String()
 	server := &http.Server{
@@ -67,7 +71,7 @@
 	s.intake = New(Config{
 		Overloaded:  func() bool { return false },
 		IdleTimeout: func() time.Duration { return time.Minute },
-		Offloader:   offloader,
+		Offloader:   s.offloader,
 		Stamp:       func() qloffload.Stamp { return qloffload.Stamp{} },
 		OnState: func(_ net.Conn, state http.ConnState) {
 			if state == http.StateActive {
@@ -85,12 +89,7 @@
 		})
 	}()
 	t.Cleanup(func() { _ = server.Close() })
-	caller := s.dial()
-	for end := time.Now().Add(2 * time.Second); !strings.HasPrefix(caller.ask(post("/", "", 1)), "there"); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("no request was offloaded within 2 s")
-		}
-	}
+	s.dial().awaitOffloading()
 	return s
 }
 
@@ -125,6 +124,12 @@
 			_, _ = w.Write(bytes.Repeat([]byte("x"), size))
 			_ = controller.Flush()
 		}
+	case "/events":
+		for range 2 {
+			_ = controller.Flush()
+			_, _ = io.WriteString(w, " event")
+		}
+		_ = controller.Flush()
 	case "/held":
 		_ = controller.Flush()
 		select {
@@ -171,6 +176,16 @@
 	return c.read()
 }
 
+// awaitOffloading sends requests until one is offloaded.
+func (c *offloadCaller) awaitOffloading() {
+	c.t.Helper()
+	for end := time.Now().Add(2 * time.Second); !strings.HasPrefix(c.ask(post("/", "", 1)), "there"); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			c.t.Fatal("no request was offloaded within 2 s")
+		}
+	}
+}
+
 func (c *offloadCaller) read() string {
 	response, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
