Planned stop: answer active requests before the process ends

Callers saw: in a planned stop, requests that were passed on to an upstream and outlasted the grace, orders among them, ended with a closed connection and no answer, so that nobody could tell whether they had run.

Cause: at its deadline the router gave up waiting for active requests and ended the process, which closed their connections. Nothing in between told a request that the router stops, and a request taken late in the stop (or still waiting for an engine) was passed on however little time was left.

Now Forwarder.SetCutoff ends what is active 250 ms before the process does: 504 with result 304 (stop-cut) if the request may have run, 503 with Retry-After if it has not. One that is not sent yet when less than its latency objective is left is refused (208, stopping). A cut does not count against the upstream. Streams that have begun are broken off as before: there is no answer left to give.

The stop moves to a file of its own, unchanged otherwise. The stand-ins of qledge get routes, and upstreams with addresses.

--- a/internal/qledge/standin_test.go
+++ b/internal/qledge/standin_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/juju/errors"
 	"github.com/quetzallane/quetzallane/internal/qlcatalog"
-	"github.com/quetzallane/quetzallane/internal/qlforward"
 	"github.com/quetzallane/quetzallane/internal/qlroute"
 	"github.com/quetzallane/quetzallane/internal/qlsetting"
 	"github.com/quetzallane/quetzallane/pkg/qljson"
@@ -51,6 +50,11 @@
 	// watchPanics makes the next watch panic.
 	watchPanics bool
 	watchesHang bool
+	// routes and services are those of each configuration, and addresses those of the
+	// upstreams. Upstreams serve the service of their name, if it is one.
+	routes    []qlroute.RouteConfig
+	services  []qlroute.ServiceConfig
+	addresses map[string]string
 	// readStartDelay is how long the answer to a read of all documents takes to
 	// begin.
 	readStartDelay time.Duration
@@ -141,6 +145,8 @@
 					{Name: _lightCustomer, Keys: []string{_lightCustomer}},
 					{Name: _otherCustomer, Keys: []string{_otherCustomer}},
 				},
+				Routes:   s.routes,
+				Services: s.services,
 			}
 			_, err := fmt.Sscan(string(data), &document.Revision)
 			return document, errors.Trace(err)
@@ -153,9 +159,12 @@
 				return qlcatalog.Entry{}, errors.NotValidf("entry %q", id)
 			}
 			return qlcatalog.Entry{
-				ID:    id,
-				State: qlcatalog.Ready,
-				Raw:   data,
+				ID:      id,
+				Service: id,
+				Address: s.addresses[id],
+				Slots:   100,
+				State:   qlcatalog.Ready,
+				Raw:     data,
 			}, nil
 		},
 		Calls: func() int64 { return 0 },
@@ -164,22 +173,21 @@
 
 // dialect returns a dialect of which only the caller's key is known.
 func (s *fakeStore) dialect() qlforward.Dialect {
-	return qlforward.Dialect{
-		ReadCaller: func(header http.Header) qlforward.Caller {
-			if s.onRequest != nil {
-				s.onRequest()
-			}
-			return qlforward.Caller{Key: header.Get(_keyHeader)}
-		},
-		ReadHead: func(get func(name string) string) (id, key string) {
-			if s.onHead != nil {
-				s.onHead()
-			}
-			return "", get(_keyHeader)
-		},
-		SetOutgoing: func(http.Header, qlforward.Outgoing) {},
-		ReadAnswer:  func(*http.Response) qlforward.Answer { return qlforward.Answer{} },
+	dialect := testDialect()
+	readCaller, readHead := dialect.ReadCaller, dialect.ReadHead
+	dialect.ReadCaller = func(header http.Header) qlforward.Caller {
+		if s.onRequest != nil {
+			s.onRequest()
+		}
+		return readCaller(header)
+	}
+	dialect.ReadHead = func(get func(name string) string) (id, key string) {
+		if s.onHead != nil {
+			s.onHead()
+		}
+		return readHead(get)
 	}
+	return dialect
 }
 
 func (s *fakeStore) configuration() Item {
--- a/internal/qlforward/answer.go
+++ b/internal/qlforward/answer.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/quetzallane/quetzallane/internal/qloutcome"
 	"github.com/quetzallane/quetzallane/pkg/qlcode"
 	"go.uber.org/zap"
@@ -83,17 +82,6 @@
 	}
 }
 
-// failUnknownOutcome answers a request that may have run and for which no
-// complete answer was received: with 504 after the deadline, otherwise with
-// 502.
-func (f *Forwarder) failUnknownOutcome(x *exchange, err error) {
-	code := qlcode.UpstreamCut
-	if x.remaining() <= 0 {
-		code = qlcode.UpstreamTimeout
-	}
-	f.fail(x, code, errors.Cause(err).Error())
-}
-
 // RawRefusal returns the bytes of an overloaded router's response, for a
 // connection that no HTTP server reads and that is closed after the response.
 func (f *Forwarder) RawRefusal() []byte {
--- a/internal/qlforward/engine.go
+++ b/internal/qlforward/engine.go
@@ -83,7 +83,7 @@
 			return
 		}
 		decision, placementID := f.place(x)
-		if x.ctx.Err() != nil {
+		if x.ctx.Err() != nil || f.stopsTooSoon(x) {
 			f.config.Placement.End(placementID, qlengine.Abandoned)
 			f.endUnsent(x)
 			return
@@ -157,6 +157,10 @@
 		f.endCallerGone(x)
 		return
 	}
+	if f.stopsTooSoon(x) {
+		f.endUnanswered(x, attemptNotSent, errStopsTooSoon)
+		return
+	}
 	f.endUnanswered(x, attemptNotSent, errors.New("deadline exceeded before an engine was found"))
 }
 
@@ -187,6 +191,8 @@
 		f.abortStream(x, err)
 	case x.sent:
 		f.failUnknownOutcome(x, err)
+	case f.stopsTooSoon(x):
+		f.refuse(x, qlcode.Stopping, 0, errors.Cause(err).Error())
 	case result == attemptNotRun:
 		f.refuse(x, qlcode.QueueFull, _shedRetry, "the engine is full")
 	default:
@@ -198,7 +204,11 @@
 // response, so that the caller cannot take the stream for complete.
 func (f *Forwarder) abortStream(x *exchange, err error) {
 	x.cause = errors.Cause(err).Error()
-	f.recordEnd(x, qlcode.UpstreamCut, http.StatusOK)
+	code := qlcode.UpstreamCut
+	if f.isCut() {
+		code = qlcode.StopCut
+	}
+	f.recordEnd(x, code, http.StatusOK)
 	f.resetOldCaller(x)
 	panic(http.ErrAbortHandler)
 }
@@ -235,7 +245,7 @@
 		if beginning.withdrawn() && result == attemptBroken {
 			err = errWithdrawn
 		}
-		if x.callerGone() || f.isLocalTimeout(err) || beginning.withdrawn() {
+		if x.callerGone() || f.isLocal(err) || beginning.withdrawn() {
 			outcome = qlengine.Abandoned
 		}
 		beginning.end()
--- a/internal/qlforward/plain.go
+++ b/internal/qlforward/plain.go
@@ -50,6 +50,10 @@
 	}
 	unreachable := 0
 	for {
+		if f.stopsTooSoon(x) {
+			f.refuseUnlessSent(x, qlcode.Stopping, errStopsTooSoon.Error())
+			return
+		}
 		entry, ok := f.pickUpstream(x)
 		if !ok {
 			f.endWithoutUpstream(x)
@@ -95,7 +99,7 @@
 // are so many that it is probably the cause. It probes only where the route would allow
 // more of them.
 func (f *Forwarder) hasCrashedTooMany(x *exchange, entry qlcatalog.Entry, err error) bool {
-	if err == nil || x.route.MaxAttempts() <= _maxCrashed || isTimeout(err) || !f.pool.Refuses(x.ctx, entry.Address, time.Now()) {
+	if err == nil || x.route.MaxAttempts() <= _maxCrashed || f.isCut() || isTimeout(err) || !f.pool.Refuses(x.ctx, entry.Address, time.Now()) {
 		return false
 	}
 	x.crashed++
@@ -223,7 +227,7 @@
 		if errors.Is(err, qlconn.ErrNotSent) {
 			outcome = qlbalance.ConnectFailed
 		}
-		if errors.Is(err, qlconn.ErrTooManyConnections) || x.callerGone() || f.isLocalTimeout(err) {
+		if errors.Is(err, qlconn.ErrTooManyConnections) || x.callerGone() || f.isLocal(err) {
 			// These errors say nothing about the upstream, so the call has no
 			// effect on its failure rate.
 			outcome = qlbalance.Abandoned
@@ -266,11 +270,11 @@
 	}
 }
 
-// isLocalTimeout reports whether an error is a timeout that this process may
-// have caused itself: while it lags, timers fire before data that has already
-// arrived is read.
-func (f *Forwarder) isLocalTimeout(err error) bool {
-	return f.config.Lagging() && isTimeout(err)
+// isLocal reports whether this process may have caused an error itself: by the end of a
+// planned stop, or by a timeout while it lags, since timers then fire before data that has
+// already arrived is read.
+func (f *Forwarder) isLocal(err error) bool {
+	return f.isCut() || f.config.Lagging() && isTimeout(err)
 }
 
 // readReply reads the body of a response. A body longer than _maxReplyBytes is
--- a/internal/qlforward/qlforward.go
+++ b/internal/qlforward/qlforward.go
@@ -119,8 +119,7 @@
 	config          Config
 	pool            *qlconn.Pool
 	view            atomic.Pointer[View]
-	closing         atomic.Bool
-	refusing        atomic.Bool
+	stop            *stopState
 	lastPlacementID atomic.Uint64
 	activeRequests  atomic.Int64
 	memoryBytes     atomic.Int64
@@ -147,6 +146,7 @@
 		pacers:    make(map[string]*qlpace.Pacer),
 		budgets:   make(map[string]*qlbudget.Budget),
 		pauses:    qlpause.New(),
+		stop:      newStopState(),
 	}
 	f.lastPlacementID.Store(config.Random.Uint64() >> _placementIDShift)
 	f.pool = qlconn.New(qlconn.Config{
@@ -169,24 +169,6 @@
 	f.view.Store(view)
 }
 
-// SetClosing makes all further answers ask the callers to close their
-// connections.
-func (f *Forwarder) SetClosing() {
-	f.closing.Store(true)
-}
-
-// closesConnections reports whether callers are asked to close their
-// connections.
-func (f *Forwarder) closesConnections() bool {
-	return f.closing.Load() || f.config.CloseConnections()
-}
-
-// SetRefusing makes the router refuse all further requests, since it is
-// stopping and could not finish them.
-func (f *Forwarder) SetRefusing() {
-	f.refusing.Store(true)
-}
-
 // Active returns the number of active requests.
 func (f *Forwarder) Active() int64 {
 	return f.activeRequests.Load()
@@ -244,7 +226,7 @@
 		f.config.Log.Info("header-unreadable", zap.String("id", x.caller.ID), zap.String("from", "caller"),
 			zap.Error(x.caller.HeaderError))
 	}
-	if f.refusing.Load() {
+	if f.stop.refusing.Load() {
 		f.refuse(x, qlcode.Stopping, 0, "the router stops")
 		return
 	}
@@ -341,23 +323,6 @@
 	return true
 }
 
-// setDeadline sets the deadline of the request to the earlier of the caller's
-// and the route's. The request's context ends _timeoutGrace later.
-func (f *Forwarder) setDeadline(x *exchange) context.CancelFunc {
-	wait := x.caller.Timeout
-	if timeout := x.route.Timeout(); timeout > 0 && (wait == 0 || timeout < wait) {
-		wait = timeout
-	}
-	if wait == 0 {
-		wait = _defaultTimeout
-	}
-	// The caller's time limit starts when it sends the request.
-	x.deadline = x.start.Add(wait - f.config.ReadDelay())
-	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline.Add(_timeoutGrace))
-	x.ctx = ctx
-	return cancel
-}
-
 // outgoing returns the headers of a request to the upstream with the id.
 func (f *Forwarder) outgoing(x *exchange, upstream string) http.Header {
 	header := make(http.Header, len(x.request.Header)+4)
@@ -437,7 +402,7 @@
 // may have run it or refused it. If so, it takes one retry from the service's
 // retry budget.
 func (f *Forwarder) takeRetry(x *exchange) bool {
-	if x.attempts >= x.route.MaxAttempts() || x.remaining() <= 0 || x.ctx.Err() != nil {
+	if x.attempts >= x.route.MaxAttempts() || x.remaining() <= 0 || x.ctx.Err() != nil || f.stopsTooSoon(x) {
 		return false
 	}
 	f.mu.Lock()
--- a/internal/qlforward/quarantine.go
+++ b/internal/qlforward/quarantine.go
@@ -56,7 +56,7 @@
 // was beginning. A stream that went on in health at another engine is no suspect.
 func (f *Forwarder) reportCrash(x *exchange, entry qlcatalog.Entry, err error) bool {
 	beginning := x.progress == progressHead || x.progress == progressPart
-	if !beginning || x.streamStarted || isTimeout(err) || errors.Is(err, errWithdrawn) {
+	if !beginning || x.streamStarted || f.isCut() || isTimeout(err) || errors.Is(err, errWithdrawn) {
 		return false
 	}
 	candidates := qlquarantine.Candidates(x.caller.Prompt.Segments)
