Planned stop: refuse requests whose body ends after refusing began

Callers saw: a request of which the head came before the router began to refuse, and the end of the body after it, was passed on however late in the stop that was. An order could then outlast the grace.

Cause: the check for a stopping router was made once, before the body is read. It is repeated once the request is whole. Answers that the router itself writes now also ask to close the connection if the stop began after the request.

--- a/internal/qlforward/answer.go
+++ b/internal/qlforward/answer.go
@@ -74,6 +74,9 @@
 		return
 	}
 	header := x.w.Header()
+	if f.closesConnections() {
+		header.Set("Connection", "close")
+	}
 	header.Set(_resultHeader, strconv.Itoa(int(code)))
 	header.Set("Content-Type", _plainText)
 	x.w.WriteHeader(status)
--- a/internal/qlforward/qlforward.go
+++ b/internal/qlforward/qlforward.go
@@ -226,11 +226,7 @@
 		f.config.Log.Info("header-unreadable", zap.String("id", x.caller.ID), zap.String("from", "caller"),
 			zap.Error(x.caller.HeaderError))
 	}
-	if f.stop.refusing.Load() {
-		f.refuse(x, qlcode.Stopping, 0, "the router stops")
-		return
-	}
-	if !f.admit(x) {
+	if f.refusesToStop(x) || !f.admit(x) {
 		return
 	}
 	requestBytes := int64(_requestMemoryBytes) + max(request.ContentLength, 0)
@@ -239,7 +235,7 @@
 		f.refuse(x, qlcode.QueueFull, _notReadyRetry, "memory for requests is used up")
 		return
 	}
-	if !f.readBody(x) || !f.resolve(x) {
+	if !f.readBody(x) || !f.resolve(x) || f.refusesToStop(x) {
 		return
 	}
 	cancel := f.setDeadline(x)
--- a/internal/qlforward/stop.go
+++ b/internal/qlforward/stop.go
@@ -49,6 +49,16 @@
 	f.stop.refusing.Store(true)
 }
 
+// refusesToStop refuses a request if the router takes none, since it is stopping, and
+// reports whether it did.
+func (f *Forwarder) refusesToStop(x *exchange) bool {
+	if !f.stop.refusing.Load() {
+		return false
+	}
+	f.refuse(x, qlcode.Stopping, 0, "the router stops")
+	return true
+}
+
 // SetCutoff sets when a stopping router ends its active requests, so that their callers
 // get an answer before the process ends. Requests that cannot end by then are not sent.
 func (f *Forwarder) SetCutoff(at time.Time) {
--- a/internal/qlforward/stop_test.go
+++ b/internal/qlforward/stop_test.go
@@ -1,10 +1,14 @@
 package qlforward
 
 import (
+	"bufio"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -67,3 +71,35 @@
 		t.Errorf("time limit of the upstream: got %d ms, %v, want at most %v", ms, err, limit)
 	}
 }
+
+func TestRequestWhoseBodyEndsAfterStopBeganIsNotSent(t *testing.T) {
+	for _, path := range []string{"/look/x", "/order/x", "/chat/x"} {
+		u := newFakeUpstream(t, "u1", respond(200, "Signature: s\r\n", "ok"))
+		h := newHarness(t, u)
+		conn, err := net.Dial("tcp", strings.TrimPrefix(h.server.URL, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+		if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: 127.0.0.1\r\nId: i1\r\nKey: k1\r\nPrompt: 1\r\nContent-Length: 4\r\n\r\nbo", path); err != nil {
+			t.Fatal(err)
+		}
+		for h.forwarder.Active() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(20 * time.Millisecond)
+		h.forwarder.SetClosing()
+		h.forwarder.SetRefusing()
+		if _, err := io.WriteString(conn, "dy"); err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := response.StatusCode; got != http.StatusServiceUnavailable || !response.Close || u.count() != 0 {
+			t.Errorf("%s: got %d, closed %v after %d sends, want 503, closed and none", path, got, response.Close, u.count())
+		}
+		_ = response.Body.Close()
+	}
+}
