Planned stop: answer offloaded requests whose outcome is unknown

Callers saw: a stopping router that had offloaded requests ended their connections with no answer if the other router had not answered by the end of the stop. The same happened at any time when the link between two routers broke: the callers' connections were reset although no answer had begun.

Cause: an exchange without a whole answer had one end only, the reset that keeps a begun answer from looking complete. Most have not begun.

Now such a request gets 502 (result 300, upstream-cut), or 504 (304, stop-cut) at the end of a stop; only an answer that has begun is reset. A stopping router ends its offloaded requests together with its own, before the process ends, and cancels them at the other router. A request whose body ends after the stop began is not offloaded any more.

--- a/internal/qledge/offload.go
+++ b/internal/qledge/offload.go
@@ -91,10 +91,12 @@
 	return peers
 }
 
-// awaitOffloaded waits until other routers have answered all offloaded requests. The
-// server takes the connections of their callers for idle.
-func (e *Edge) awaitOffloaded(deadline time.Time) {
-	for time.Now().Before(deadline) && e.offloader.Active() > 0 {
+// awaitOffloaded waits until other routers have answered all offloaded requests. At the
+// cutoff, it ends those that are still active, and returns how many they were. The server
+// takes the connections of their callers for idle.
+func (e *Edge) awaitOffloaded(cutoff time.Time) (cut int64) {
+	for time.Now().Before(cutoff) && e.offloader.Active() > 0 {
 		time.Sleep(_unreadPollInterval)
 	}
+	return e.offloader.Cut()
 }
--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -168,11 +168,12 @@
 	}
 	e.callers.outcomes = e.outcomes
 	e.offloader = qloffload.New(qloffload.Config{
-		Budget:   e.budget,
-		Lag:      func() time.Duration { return e.fleet.Lag() },
-		MemoryMB: settings.MemoryMB,
-		Clock:    e.clock,
-		Log:      e.log,
+		Budget:         e.budget,
+		Lag:            func() time.Duration { return e.fleet.Lag() },
+		MemoryMB:       settings.MemoryMB,
+		UnknownOutcome: func() []byte { return e.forwarder.RawUnknownOutcome() },
+		Clock:          e.clock,
+		Log:            e.log,
 
 		CustomerOf: e.customerOf,
 		Outcomes:   e.outcomes,
--- a/internal/qledge/standin_test.go
+++ b/internal/qledge/standin_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/juju/errors"
 	"github.com/quetzallane/quetzallane/internal/qlcatalog"
+	"github.com/quetzallane/quetzallane/internal/qlforward"
 	"github.com/quetzallane/quetzallane/internal/qlroute"
 	"github.com/quetzallane/quetzallane/internal/qlsetting"
 	"github.com/quetzallane/quetzallane/pkg/qljson"
--- a/internal/qlforward/answer.go
+++ b/internal/qlforward/answer.go
@@ -97,12 +97,27 @@
 // closeConnection adds a header that asks the caller to close the connection.
 func rawRefusal(retryAfter time.Duration, closeConnection bool) []byte {
 	code := qlcode.RouterOverloaded
-	body, connection := code.Title()+"\n", ""
+	return rawResult(code, code.HTTPStatus(), fmt.Sprintf("Retry-After: %.3f\r\n", retryAfter.Seconds()), closeConnection)
+}
+
+// RawUnknownOutcome returns the bytes of the response to a request that another router has
+// taken without an answer.
+func (f *Forwarder) RawUnknownOutcome() []byte {
+	code, status := qlcode.UpstreamCut, qlcode.UpstreamCut.HTTPStatus()
+	if f.isCut() {
+		code, status = qlcode.StopCut, http.StatusGatewayTimeout
+	}
+	return rawResult(code, status, "", f.closesConnections())
+}
+
+// rawResult returns the bytes of a response with a result code and further header lines.
+func rawResult(code qlcode.Code, status int, header string, closeConnection bool) []byte {
+	body := code.Title() + "\n"
 	if closeConnection {
-		connection = "Connection: close\r\n"
+		header += "Connection: close\r\n"
 	}
-	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n%s: %d\r\nContent-Type: %s\r\nRetry-After: %.3f\r\n%sContent-Length: %d\r\n\r\n%s",
-		code.HTTPStatus(), http.StatusText(code.HTTPStatus()), _resultHeader, int(code), _plainText, retryAfter.Seconds(), connection, len(body), body)
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n%s: %d\r\nContent-Type: %s\r\n%sContent-Length: %d\r\n\r\n%s",
+		status, http.StatusText(status), _resultHeader, int(code), _plainText, header, len(body), body)
 }
 
 // RefuseHead checks a request of which only the head has been read. It returns
--- a/internal/qloffload/link.go
+++ b/internal/qloffload/link.go
@@ -201,6 +201,9 @@
 	case frameAnswer:
 		l.mu.Lock()
 		exchange := l.exchanges[id]
+		if exchange != nil {
+			exchange.began = true
+		}
 		l.mu.Unlock()
 		if exchange == nil {
 			return nil
@@ -219,7 +222,10 @@
 		l.finish(id, NotTaken)
 	case frameBroken:
 		l.offloader.broken.Add(1)
-		l.finish(id, Broken)
+		if exchange := l.remove(id); exchange != nil {
+			exchange.countEnd(Broken)
+			exchange.finishBroken()
+		}
 	case frameRequest, frameCancel:
 		return errors.NotValidf("frame of kind %d in an answer", kind)
 	}
@@ -258,10 +264,32 @@
 	}
 	for exchange, outcome := range outcomes {
 		exchange.countEnd(outcome)
+		if outcome == Broken {
+			exchange.finishBroken()
+			continue
+		}
 		exchange.finish(outcome)
 	}
 }
 
+// cut ends all requests on the link, tells the other router, and returns how many there
+// were.
+func (l *link) cut() int64 {
+	l.mu.Lock()
+	exchanges := make([]*Exchange, 0, len(l.exchanges))
+	for _, exchange := range l.exchanges {
+		exchanges = append(exchanges, exchange)
+	}
+	clear(l.exchanges)
+	l.mu.Unlock()
+	l.offloader.broken.Add(uint64(len(exchanges)))
+	for _, exchange := range exchanges {
+		exchange.sendCancel()
+		exchange.finishBroken()
+	}
+	return int64(len(exchanges))
+}
+
 // idleFor returns how long the link has had no request.
 func (l *link) idleFor(now time.Duration) time.Duration {
 	l.mu.Lock()
@@ -276,7 +304,7 @@
 type Outcome int
 
 const (
-	// Answered means that the whole answer was passed on.
+	// Answered means that a whole answer was passed on.
 	Answered Outcome = iota + 1
 	// NotTaken means that the other router has not handled the request and will not.
 	NotTaken
@@ -297,6 +325,9 @@
 	// sent is set once the request may have reached the other router. The link's lock
 	// guards it.
 	sent bool
+	// began is set once a part of the answer has come. The link's lock guards it until the
+	// link's part in the exchange has ended.
+	began bool
 }
 
 // Done is closed when the exchange has ended.
@@ -314,13 +345,33 @@
 	if x.link.remove(x.id) == nil {
 		return
 	}
+	x.sendCancel()
+	x.count(qloutcome.OffloadLeft)
+	x.finish(Broken)
+}
+
+// sendCancel tells the other router that nobody waits for the answer.
+func (x *Exchange) sendCancel() {
 	if err := x.link.queue.addControl(frameCancel, x.id); err != nil {
-		// The other router keeps working on a request of a caller that has left, unless
-		// its link breaks.
+		// The other router keeps working on a request that nobody waits for, unless its
+		// link breaks.
 		_ = x.link.conn.Close()
 	}
-	x.count(qloutcome.OffloadLeft)
-	x.finish(Broken)
+}
+
+// finishBroken ends an exchange of which the other router has sent no whole answer.
+func (x *Exchange) finishBroken() {
+	answer := x.offloader.config.UnknownOutcome
+	if x.began || answer == nil {
+		x.finish(Broken)
+		return
+	}
+	if err := x.caller.Write(answer()); err != nil {
+		x.offloader.config.Log.Debug("offload-answer-not-written", zap.Error(err))
+		x.finish(Broken)
+		return
+	}
+	x.finish(Answered)
 }
 
 func (x *Exchange) count(outcome qloutcome.Outcome) {
--- a/internal/qloffload/qloffload.go
+++ b/internal/qloffload/qloffload.go
@@ -12,9 +12,10 @@
 // A router that cannot take a request declines it before it handles it. One that is still
 // queued when its link breaks has not been received. In both cases it is served, or
 // refused, where its caller has connected. Once it was sent and not declined, only an
-// answer tells whether it has run: if the link breaks, the caller's connection is reset, so
-// that an answer that has begun does not look complete. Offloaded requests are not
-// offloaded again. If the caller disconnects, the other router is told to cancel.
+// answer tells whether it has run: if the link breaks, the caller is told that the outcome
+// is unknown. If the answer has begun, the caller's connection is reset, so that it does
+// not look complete. Offloaded requests are not offloaded again. If the caller disconnects,
+// the other router is told to cancel.
 //
 // # Usage
 //
@@ -59,6 +60,9 @@
 	Lag func() time.Duration
 	// MemoryMB is the memory that the process may use, in units of 1 MiB.
 	MemoryMB int
+	// UnknownOutcome returns the answer to a request that was sent to another router and
+	// got none. If it is nil, the callers' connections are reset.
+	UnknownOutcome func() []byte
 	// Clock returns the time on a monotonic clock.
 	Clock func() time.Duration
 	// CustomerOf returns the customer of a request, or "". It may be nil if there is no
@@ -153,6 +157,9 @@
 
 // Start sends a whole request to another router. It returns nil if none has received it.
 func (o *Offloader) Start(request []byte, stamp Stamp, caller Caller) *Exchange {
+	if o.closing.Load() {
+		return nil
+	}
 	l := o.chooseLink()
 	if l == nil {
 		return nil
@@ -231,6 +238,24 @@
 	o.closeLinks(func(l *link) bool { return l.idleFor(now) >= _linkIdleTimeout })
 }
 
+// Cut ends all requests that are offloaded, as if their links had broken, and returns how
+// many there were.
+func (o *Offloader) Cut() int64 {
+	o.mu.Lock()
+	links := make([]*link, 0, len(o.links))
+	for _, l := range o.links {
+		if l != nil {
+			links = append(links, l)
+		}
+	}
+	o.mu.Unlock()
+	cut := int64(0)
+	for _, l := range links {
+		cut += l.cut()
+	}
+	return cut
+}
+
 // Close closes all links.
 func (o *Offloader) Close() {
 	o.closeLinks(func(*link) bool { return true })
--- a/internal/qloffload/qloffload_test.go
+++ b/internal/qloffload/qloffload_test.go
@@ -80,6 +80,9 @@
 			<-r.Context().Done()
 			f.ended <- r.URL.Path
 		}
+	case "/silent":
+		<-r.Context().Done()
+		f.ended <- r.URL.Path
 	case "/panic":
 		panic("fault in the handler")
 	}
