A flooded VM offloads before it refuses, accepts what it keeps up with, and leaves rotation early

Cause: four packages decided by thresholds of their own, and the cheapest way out was closed first. A request was checked for refusal before it was offered to other routers, by a rate that had been learned in the collapse and was kept for 30 s; the accept loop ran for a time slice before anything that it had accepted was served; what the owner would refuse as above its share was passed on, or refused as overload with a Retry-After of 40 ms. Class: receive livelock, metastable failure.

qladmission is the one decision now: handle within the processor's budget, offload the rest, refuse what nobody takes. The accept loop yields after each connection, and AcceptPace follows the lag. A router leaves the rotation for 0.5 s of pacing or of closing idle connections, while it serves what it has. ShareLimit refuses, at the head, requests of customers above their share, by the owner's own refusals (code 218, 429; a flag at the end of an offloaded answer), down to 1.5 times what it places.

AcceptLimit and its tests moved to qladmission as AcceptPace. A test of log lines used the name of a customer that the flood tests have added as a key without one.

--- a/internal/qlshed/accept_test.go
+++ b/internal/qladmission/accept_test.go
@@ -1,4 +1,4 @@
-package qlshed
+package qladmission
 
 import (
 	"testing"
@@ -20,7 +20,7 @@
 		maxQueue     = 192
 		measureDelay = 100 * time.Millisecond
 	)
-	limit := NewAcceptLimit(cores)
+	limit := NewAcceptPace(cores)
 	backlog, queued, measured, highest := 0.0, 0.0, time.Duration(0), time.Duration(0)
 	for now := time.Duration(0); now < 10*time.Second; now += tick {
 		lag := time.Duration(backlog / cores * float64(time.Second))
@@ -43,7 +43,7 @@
 
 // TestConnectionsAreNotLimitedWithoutLag accepts more connections at once than the limit.
 func TestConnectionsAreNotLimitedWithoutLag(t *testing.T) {
-	limit := NewAcceptLimit(0.192)
+	limit := NewAcceptPace(0.192)
 	for i := range 5000 {
 		if got := limit.Delay(time.Second, time.Millisecond); got != 0 {
 			t.Fatalf("connection %d: got a delay of %v, want none", i, got)
--- /dev/null
+++ b/internal/qladmission/qladmission.go
@@ -0,0 +1,122 @@
+// Package qladmission decides what a router does with its callers' requests when they exceed
+// its processor.
+//
+// The load balancer chooses a router by the caller, so that one small VM may receive most of
+// a zone's requests. Such a VM has one order of preference, which follows from what each
+// choice costs and from what callers get: it handles the requests that its processor has room
+// for, offloads the others to routers with idle processors, and refuses only what neither it
+// nor they can take. A refusal while others idle serves nobody: its caller comes back on a
+// new connection, which costs more than to pass its request on.
+//
+// Two decisions keep the processor free for that. New connections are accepted no faster than
+// the VM keeps up with, so that those that are open are served (see AcceptPace), and requests
+// of customers above their fair share, as the owner of the engines has decided, are refused
+// before they are handled or offloaded (see ShareLimit).
+//
+// # Usage
+//
+//	controller := qladmission.New(qladmission.Config{Budget: budget, Shedder: shedder, CanOffload: canOffload, Clock: clock, Chance: rand.Float64})
+//	switch controller.Decide(customer) {
+//	case qladmission.Offload:
+//		if !offload() {
+//			action = controller.DecideDeclined(customer)
+//		}
+//	...
+//	}
+package qladmission
+
+import (
+	"time"
+
+	"github.com/quetzallane/quetzallane/internal/qloffload"
+	"github.com/quetzallane/quetzallane/internal/qlshed"
+)
+
+// Action is what a router does with a request.
+type Action int
+
+const (
+	// Handle means that this router handles the request.
+	Handle Action = iota + 1
+	// Offload means that another router is asked to handle it.
+	Offload
+	// Refuse means that the request is refused for lack of processor time.
+	Refuse
+	// RefuseShare means that the request is refused since its customer is above its share.
+	RefuseShare
+)
+
+// Config configures a Controller.
+type Config struct {
+	// Budget bounds the requests that this router handles while others take the rest.
+	Budget *qloffload.Budget
+	// Shedder divides this router's processor between customers when no other router takes
+	// requests.
+	Shedder *qlshed.Shedder
+	// CanOffload reports whether other routers take requests at present.
+	CanOffload func() bool
+	// Clock returns the time on a monotonic clock.
+	Clock func() time.Duration
+	// Chance returns a uniform random number in [0, 1).
+	Chance func() float64
+}
+
+// Controller decides on requests. It is safe for concurrent use.
+type Controller struct {
+	config Config
+	shares *ShareLimit
+}
+
+// New returns a controller.
+func New(config Config) *Controller {
+	return &Controller{
+		config: config,
+		shares: NewShareLimit(),
+	}
+}
+
+// RecordOverShare records that the owner of the engines has refused a request of the
+// customer since the customer is above its share.
+func (c *Controller) RecordOverShare(customer string) {
+	c.shares.RecordOverShare(c.config.Clock(), customer)
+}
+
+// IsLimiting reports whether requests of customers above their share are refused here.
+func (c *Controller) IsLimiting() bool {
+	return c.shares.IsLimiting()
+}
+
+// ShareRetryAfter returns the Retry-After of a request that is refused since its customer is
+// above its share.
+func (c *Controller) ShareRetryAfter(customer string) time.Duration {
+	return c.shares.RetryAfter(c.config.Clock(), customer, c.config.Chance())
+}
+
+// Decide counts a customer's request and returns what to do with it. offloadable is set if
+// the request can be passed on at all.
+func (c *Controller) Decide(customer string, offloadable bool) Action {
+	now := c.config.Clock()
+	c.config.Shedder.Observe(now, customer)
+	if !c.shares.Admit(now, customer, c.config.Chance()) {
+		return RefuseShare
+	}
+	if !c.config.CanOffload() {
+		return c.DecideDeclined(customer)
+	}
+	if c.config.Budget.Take(now) {
+		return Handle
+	}
+	if offloadable {
+		return Offload
+	}
+	return c.DecideDeclined(customer)
+}
+
+// DecideDeclined returns what to do with a request that no other router takes: Handle or
+// Refuse.
+func (c *Controller) DecideDeclined(customer string) Action {
+	if c.config.Shedder.Admit(c.config.Clock(), customer, c.config.Chance()) {
+		return Handle
+	}
+	return Refuse
+}
--- a/internal/qlbuffer/qlbuffer.go
+++ b/internal/qlbuffer/qlbuffer.go
@@ -81,6 +81,30 @@
 	return buffer, n, nil
 }
 
+// TryRead reads what has arrived, up to the size of a buffer, without waiting. The buffer is
+// nil if nothing has.
+func (p *Pool) TryRead(raw syscall.RawConn) (buffer *[]byte, n int, err error) {
+	buffer = p.Get()
+	var readErr error
+	err = raw.Read(func(descriptor uintptr) bool {
+		n, readErr = readRetrying(int(descriptor), *buffer)
+		return true
+	})
+	if err == nil && readErr == nil && n > 0 {
+		return buffer, n, nil
+	}
+	p.Put(buffer)
+	switch {
+	case err != nil:
+		return nil, 0, err
+	case readErr == syscall.EAGAIN:
+		return nil, 0, nil
+	case readErr != nil:
+		return nil, 0, errors.Trace(readErr)
+	}
+	return nil, 0, io.EOF
+}
+
 // readRetrying reads again after an interruption by a signal.
 func readRetrying(descriptor int, buffer []byte) (int, error) {
 	for {
--- a/internal/qledge/connection.go
+++ b/internal/qledge/connection.go
@@ -11,6 +11,7 @@
 	"github.com/quetzallane/quetzallane/internal/qlconn"
 	"github.com/quetzallane/quetzallane/internal/qlintake"
 	"github.com/quetzallane/quetzallane/internal/qloutcome"
+	"github.com/quetzallane/quetzallane/internal/qlshed"
 )
 
 const (
@@ -20,6 +21,9 @@
 	// _evictFraction is the fraction of the connection limit above which idle
 	// connections are closed, those idle for longest first.
 	_evictFraction = 0.6
+	// _fullFraction is the fraction of that number of connections from which on a router
+	// that has left the balancer's rotation for its connections does not return.
+	_fullFraction = 0.7
 	// _rejectFraction is the fraction of the connection limit from which on new
 	// connections are rejected, so that their callers try another router.
 	_rejectFraction = 0.85
@@ -106,6 +110,19 @@
 	return c.open > c.crowdedThreshold
 }
 
+// crowding returns how far the open connections exceed what they may use.
+func (c *callerConnections) crowding() qlshed.Crowding {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.open >= c.evictThreshold:
+		return qlshed.Crowded
+	case float64(c.open) >= _fullFraction*float64(c.evictThreshold):
+		return qlshed.Full
+	}
+	return qlshed.Roomy
+}
+
 // counts returns the number of open connections, of idle ones that were closed
 // and of new ones that were rejected.
 func (c *callerConnections) counts() (open int, closed, rejected uint64) {
--- a/internal/qledge/connection_test.go
+++ b/internal/qledge/connection_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/quetzallane/quetzallane/internal/qladmission"
 	"github.com/quetzallane/quetzallane/internal/qlconn"
 	"github.com/quetzallane/quetzallane/internal/qlintake"
 	"github.com/quetzallane/quetzallane/internal/qlsetting"
@@ -29,9 +30,11 @@
 	limited := newLimitListener(listenerConfig{
 		Listener: listener,
 		Intake: qlintake.New(qlintake.Config{
-			Overloaded: func() bool { return false },
+			Customer: func(qlintake.Head) string { return "" },
+			Decide:   func(string, bool) qladmission.Action { return qladmission.Handle },
 		}),
 		Delay: func() time.Duration { return 0 },
+		Paced: func() bool { return false },
 		Admit: c.admit,
 		AdmitRequest: func([]byte) bool {
 			c.countRejection("")
@@ -87,6 +90,7 @@
 		Listener:     listener,
 		Intake:       qlintake.New(qlintake.Config{}),
 		Delay:        func() time.Duration { return 0 },
+		Paced:        func() bool { return false },
 		Admit:        func() bool { return false },
 		AdmitRequest: func([]byte) bool { return false },
 		Refusal:      func() []byte { return []byte(refusal) },
@@ -202,8 +206,9 @@
 func TestConnectionIsPendingWhileIntakeRefusesRequest(t *testing.T) {
 	caller, accepted := tcpPair(t)
 	intake := qlintake.New(qlintake.Config{
-		Overloaded: func() bool { return true },
-		Refuse: func(qlintake.Head) ([]byte, bool) {
+		Customer: func(qlintake.Head) string { return "" },
+		Decide:   func(string, bool) qladmission.Action { return qladmission.Refuse },
+		Refusal: func(qlintake.Head, string, qladmission.Action) ([]byte, bool) {
 			return []byte("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"), false
 		},
 		IdleTimeout: func() time.Duration { return time.Minute },
--- a/internal/qledge/listener.go
+++ b/internal/qledge/listener.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"runtime"
 	"sync"
 	"time"
 
@@ -26,6 +27,9 @@
 	// Delay returns how long to wait before the next connection is accepted, 0 to accept
 	// it.
 	Delay func() time.Duration
+	// Paced reports whether connections are paced at present. What is refused of them is
+	// refused at once.
+	Paced func() bool
 	// Admit reports whether a new connection is within the limit.
 	Admit func() bool
 	// AdmitRequest reports whether a connection above the limit is kept for the customer
@@ -105,6 +109,9 @@
 func (l *limitListener) run() {
 	defer close(l.closed)
 	for {
+		// Without this, the loop would accept connections for a time slice of the scheduler
+		// before any of them is served.
+		runtime.Gosched()
 		for delay := l.config.Delay(); delay > 0; delay = l.config.Delay() {
 			time.Sleep(delay)
 		}
@@ -114,7 +121,10 @@
 			return
 		}
 		if l.config.Admit() {
-			l.keep(l.config.Intake.Wrap(conn))
+			wrapped := l.config.Intake.Wrap(conn)
+			if !l.config.Paced() || !l.refuseFirst(wrapped) {
+				l.keep(wrapped)
+			}
 			continue
 		}
 		select {
@@ -129,6 +139,24 @@
 	}
 }
 
+// refuseFirst reports whether the first request of a connection was refused, or the connection
+// has ended.
+func (l *limitListener) refuseFirst(accepted net.Conn) bool {
+	conn, ok := accepted.(*qlintake.Conn)
+	if !ok {
+		return false
+	}
+	refused, err := conn.RefuseFirst()
+	if err == nil {
+		return refused
+	}
+	l.config.Log.Debug("connection-ended", zap.Stringer("caller", conn.RemoteAddr()), zap.Error(err))
+	if !refused {
+		_ = conn.Close()
+	}
+	return true
+}
+
 // keep serves a connection until it has a request for the server.
 func (l *limitListener) keep(accepted net.Conn) {
 	l.config.OnState(accepted, http.StateNew)
--- a/internal/qledge/load_test.go
+++ b/internal/qledge/load_test.go
@@ -45,7 +45,7 @@
 	got := make(map[string]int)
 	// No counts are logged meanwhile.
 	r.edge.fleet.Call(func(time.Duration) {
-		r.edge.admitRequest([]byte("GET /x/ HTTP/1.1\r\nHost: h\r\n" + _keyHeader + ": other\r\n\r\n"))
+		r.edge.admitRequest([]byte("GET /x/ HTTP/1.1\r\nHost: h\r\n" + _keyHeader + ": unknown\r\n\r\n"))
 		r.edge.admitRequest(nil)
 		r.edge.forwarder.RawRefusal()
 		for _, row := range r.edge.outcomes.Take(_maxOutcomeRows).Rows() {
--- a/internal/qledge/offload.go
+++ b/internal/qledge/offload.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/quetzallane/quetzallane/internal/qladmission"
 	"github.com/quetzallane/quetzallane/internal/qlintake"
 	"github.com/quetzallane/quetzallane/internal/qloffload"
 	"github.com/quetzallane/quetzallane/internal/qloutcome"
@@ -15,13 +16,17 @@
 func (e *Edge) newCallerListener(listener net.Listener, server *http.Server) net.Listener {
 	return newLimitListener(listenerConfig{
 		Listener: listener,
-		Delay:    func() time.Duration { return e.acceptLimit.Delay(e.clock(), e.fleet.Lag()) },
+		Delay:    func() time.Duration { return e.acceptPace.Delay(e.clock(), e.fleet.Lag()) },
+		Paced:    func() bool { return e.admission.IsLimiting() || e.acceptPace.IsPaced(e.clock()) },
 		Admit:    e.callers.admit,
 		Intake: qlintake.New(qlintake.Config{
-			Overloaded:  func() bool { return e.shedder.RefusedFraction() > 0 },
-			Refuse:      func(head qlintake.Head) ([]byte, bool) { return e.forwarder.RefuseHead(head.Get) },
-			IdleTimeout: func() time.Duration { return server.IdleTimeout },
-			Offloader:   e.offloader,
+			Customer:       func(head qlintake.Head) string { return e.forwarder.CustomerOf(head.Get) },
+			Decide:         e.admission.Decide,
+			DecideDeclined: e.admission.DecideDeclined,
+			OnOverShare:    e.admission.RecordOverShare,
+			Refusal:        e.refusal,
+			IdleTimeout:    func() time.Duration { return server.IdleTimeout },
+			Offloader:      e.offloader,
 			Stamp: func() qloffload.Stamp {
 				return qloffload.Stamp{
 					Revision:   e.revision.Load(),
@@ -45,6 +50,15 @@
 	return e.forwarder.CustomerOf(qlintake.Head(request).Get)
 }
 
+// refusal returns the answer to a request that the intake refuses, and whether to close its
+// connection.
+func (e *Edge) refusal(head qlintake.Head, customer string, action qladmission.Action) (answer []byte, closes bool) {
+	if action == qladmission.RefuseShare {
+		return e.forwarder.RefuseShareHead(head.Get, customer, e.admission.ShareRetryAfter(customer))
+	}
+	return e.forwarder.RefuseHead(head.Get, customer)
+}
+
 // admitRequest reports whether a connection above the limit is kept for its request, and
 // counts it as rejected if not.
 func (e *Edge) admitRequest(request []byte) bool {
--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -34,6 +34,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/quetzallane/quetzallane/internal/qladmission"
 	"github.com/quetzallane/quetzallane/internal/qlbudget"
 	"github.com/quetzallane/quetzallane/internal/qlcatalog"
 	"github.com/quetzallane/quetzallane/internal/qlconn"
@@ -101,17 +102,18 @@
 
 // Edge is one router.
 type Edge struct {
-	config      Config
-	settings    *qlsetting.Edge
-	log         *zap.Logger
-	started     time.Time
-	fleet       *qlfleet.Fleet
-	forwarder   *qlforward.Forwarder
-	acceptLimit *qlshed.AcceptLimit
-	callers     *callerConnections
-	outcomes    *qloutcome.Counter
-	shedder     *qlshed.Shedder
-	// budget and offloader decide which requests other routers handle.
+	config     Config
+	settings   *qlsetting.Edge
+	log        *zap.Logger
+	started    time.Time
+	fleet      *qlfleet.Fleet
+	forwarder  *qlforward.Forwarder
+	acceptPace *qladmission.AcceptPace
+	callers    *callerConnections
+	outcomes   *qloutcome.Counter
+	shedder    *qlshed.Shedder
+	// admission decides what becomes of callers' requests.
+	admission *qladmission.Controller
 	budget    *qloffload.Budget
 	offloader *qloffload.Offloader
 	// offloadServer takes requests of other routers.
@@ -164,11 +166,10 @@
 		budget:   qloffload.NewBudget(cores),
 		outcomes: qloutcome.New(),
 
-		acceptLimit: qlshed.NewAcceptLimit(cores),
+		acceptPace: qladmission.NewAcceptPace(cores),
 	}
 	e.callers.outcomes = e.outcomes
 	e.offloader = qloffload.New(qloffload.Config{
-		Budget:         e.budget,
 		Lag:            func() time.Duration { return e.fleet.Lag() },
 		MemoryMB:       settings.MemoryMB,
 		UnknownOutcome: func() []byte { return e.forwarder.RawUnknownOutcome() },
@@ -178,6 +179,13 @@
 		CustomerOf: e.customerOf,
 		Outcomes:   e.outcomes,
 	})
+	e.admission = qladmission.New(qladmission.Config{
+		Budget:     e.budget,
+		Shedder:    e.shedder,
+		CanOffload: e.offloader.Ready,
+		Clock:      e.clock,
+		Chance:     rand.Float64,
+	})
 	runtime.GOMAXPROCS(settings.Processors)
 	debug.SetGCPercent(_gcPercent)
 	debug.SetMemoryLimit(int64(_memoryLimitFraction * float64(settings.MemoryMB) * _megabyte))
@@ -243,6 +251,7 @@
 			return ok && conn.AdmissionChecked() || e.shedder.Admit(e.clock(), customer, rand.Float64())
 		},
 		Backoff:        e.backoff,
+		OnOverShare:    e.admission.RecordOverShare,
 		ReadDelay:      fleet.Lag,
 		Lagging:        fleet.Lagging,
 		Outcomes:       e.outcomes,
@@ -300,6 +309,12 @@
 // tick is called regularly in the control goroutine. The lag is how late this
 // process handles its events.
 func (e *Edge) tick(now, lag time.Duration) {
+	e.acceptPace.RecordLag(now, lag)
+	crowding := e.callers.crowding()
+	if e.acceptPace.IsPaced(now) {
+		crowding = qlshed.Crowded
+	}
+	e.shedder.RecordCrowding(crowding)
 	e.shedder.RecordLag(now, lag)
 	e.budget.RecordLag(lag)
 	e.checkStoreLoss(now)
@@ -380,7 +395,7 @@
 func (e *Edge) backoff() (retryAfter time.Duration, closes bool) {
 	now := e.clock()
 	retryAfter, elsewhere := e.shedder.Backoff(now, rand.Float64())
-	return retryAfter, elsewhere || e.fleet.Lag() > qlshed.AcceptLag
+	return retryAfter, elsewhere || e.acceptPace.IsPaced(now)
 }
 
 // callerLeft reports whether a caller has closed its connection. It checks only
--- a/internal/qlforward/answer.go
+++ b/internal/qlforward/answer.go
@@ -1,7 +1,6 @@
 package qlforward
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -90,13 +89,12 @@
 func (f *Forwarder) RawRefusal() []byte {
 	f.config.Outcomes.Add("", qloutcome.RejectedAnswered)
 	retryAfter, _ := f.config.Backoff()
-	return rawRefusal(max(retryAfter, _rejectedRetry), true)
+	return rawRefusal(qlcode.RouterOverloaded, max(retryAfter, _rejectedRetry), true)
 }
 
-// rawRefusal returns the bytes of the response of an overloaded router;
+// rawRefusal returns the bytes of the answer to a request that is refused with the code;
 // closeConnection adds a header that asks the caller to close the connection.
-func rawRefusal(retryAfter time.Duration, closeConnection bool) []byte {
-	code := qlcode.RouterOverloaded
+func rawRefusal(code qlcode.Code, retryAfter time.Duration, closeConnection bool) []byte {
 	return rawResult(code, code.HTTPStatus(), fmt.Sprintf("Retry-After: %.3f\r\n", retryAfter.Seconds()), closeConnection)
 }
 
@@ -120,29 +118,31 @@
 		status, http.StatusText(status), _resultHeader, int(code), _plainText, header, len(body), body)
 }
 
-// RefuseHead checks a request of which only the head has been read. It returns
-// the bytes of a refusal if this VM has no processor time for the request, and
-// whether the connection is to be closed after the refusal; otherwise, or if
-// there is no configuration yet, it returns nil. The function get returns the
-// value of a header field.
-func (f *Forwarder) RefuseHead(get func(name string) string) (answer []byte, closeConnection bool) {
-	view := f.view.Load()
-	if view == nil {
-		return nil, false
-	}
+// RefuseHead refuses a request of which only the head has been read, for lack of processor
+// time. It returns the bytes of the answer, and whether the connection is to be closed after
+// it. The function get returns the value of a header field.
+func (f *Forwarder) RefuseHead(get func(name string) string, customer string) (answer []byte, closeConnection bool) {
+	retryAfter, closeConnection := f.config.Backoff()
+	return f.refuseHead(get, customer, qlcode.RouterOverloaded, retryAfter, closeConnection)
+}
+
+// RefuseShareHead refuses a request of which only the head has been read, since its customer
+// is above its share; otherwise it is as RefuseHead.
+func (f *Forwarder) RefuseShareHead(get func(name string) string, customer string, retryAfter time.Duration) (answer []byte, closeConnection bool) {
+	_, closeConnection = f.config.Backoff()
+	return f.refuseHead(get, customer, qlcode.OverShare, retryAfter, closeConnection)
+}
+
+func (f *Forwarder) refuseHead(get func(name string) string, customer string, code qlcode.Code, retryAfter time.Duration, closeConnection bool) ([]byte, bool) {
 	x := &exchange{
-		start: time.Now(),
+		start:    time.Now(),
+		customer: customer,
+		cause:    code.Title(),
 	}
-	x.caller.ID, x.caller.Key = f.config.Dialect.ReadHead(get)
-	x.setCustomer(view)
-	if f.config.Admit(context.Background(), x.customer) {
-		return nil, false
-	}
-	retryAfter, closeConnection := f.config.Backoff()
+	x.caller.ID, _ = f.config.Dialect.ReadHead(get)
 	closeConnection = closeConnection || f.closesConnections()
-	x.cause = _overloadedCause
-	f.recordEnd(x, qlcode.RouterOverloaded, qlcode.RouterOverloaded.HTTPStatus())
-	return rawRefusal(retryAfter, closeConnection), closeConnection
+	f.recordEnd(x, code, code.HTTPStatus())
+	return rawRefusal(code, retryAfter, closeConnection), closeConnection
 }
 
 // CustomerOf returns the customer who holds the key in the head of a request, or "". The
--- a/internal/qlintake/offload.go
+++ b/internal/qlintake/offload.go
@@ -24,10 +24,7 @@
 // offload passes the current request on to another router, and waits for the end of the
 // answer and for the caller's next request. It reports false if the request is to be
 // served here; it is then unchanged.
-func (c *Conn) offload(head Head) (served bool, err error) {
-	if !c.canOffload(head) || !c.intake.config.Offloader.Wanted() {
-		return false, nil
-	}
+func (c *Conn) offload(customer string) (served bool, err error) {
 	if err := c.readWhole(); err != nil {
 		return false, err
 	}
@@ -54,8 +51,9 @@
 	request, buffered := c.buffer, c.buffered
 	c.buffer, c.buffered, w.request = nil, nil, request
 	exchange := c.intake.config.Offloader.Start(buffered, stamp, qloffload.Caller{
-		Write:  w.write,
-		Finish: w.finish,
+		Write:     w.write,
+		Finish:    w.finish,
+		OverShare: func() { c.intake.config.OnOverShare(customer) },
 	})
 	if exchange == nil {
 		c.buffer, c.buffered = request, buffered
@@ -66,10 +64,10 @@
 	return c.awaitExchange(exchange, w, buffered)
 }
 
-// canOffload reports whether the current request can be passed on at all. The answer to a
+// canOffload reports whether a request of the length can be passed on at all. The answer to a
 // HEAD request states a length, but has no body.
-func (c *Conn) canOffload(head Head) bool {
-	return c.intake.config.Offloader != nil && c.remaining <= qloffload.MaxRequestBytes &&
+func (c *Conn) canOffload(head Head, length int) bool {
+	return c.intake.config.Offloader != nil && length <= qloffload.MaxRequestBytes &&
 		len(head) > len(_headMethod) && string(head[:len(_headMethod)]) != _headMethod
 }
 
--- a/internal/qlintake/offload_test.go
+++ b/internal/qlintake/offload_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/quetzallane/quetzallane/internal/qladmission"
 	"github.com/quetzallane/quetzallane/internal/qloffload"
 	"go.uber.org/zap"
 )
@@ -52,7 +53,6 @@
 	go func() { _ = s.other.Serve(others) }()
 	started := time.Now()
 	s.offloader = qloffload.New(qloffload.Config{
-		Budget:   qloffload.NewBudget(0),
 		Lag:      func() time.Duration { return 0 },
 		MemoryMB: 100,
 		Clock:    func() time.Duration { return time.Since(started) },
@@ -69,10 +69,17 @@
 		}),
 	}
 	s.intake = New(Config{
-		Overloaded:  func() bool { return false },
-		IdleTimeout: func() time.Duration { return time.Minute },
-		Offloader:   s.offloader,
-		Stamp:       func() qloffload.Stamp { return qloffload.Stamp{} },
+		Customer: func(Head) string { return "" },
+		Decide: func(_ string, offloadable bool) qladmission.Action {
+			if offloadable && s.offloader.Ready() {
+				return qladmission.Offload
+			}
+			return qladmission.Handle
+		},
+		DecideDeclined: func(string) qladmission.Action { return qladmission.Handle },
+		IdleTimeout:    func() time.Duration { return time.Minute },
+		Offloader:      s.offloader,
+		Stamp:          func() qloffload.Stamp { return qloffload.Stamp{} },
 		OnState: func(_ net.Conn, state http.ConnState) {
 			if state == http.StateActive {
 				s.active.Add(1)
--- a/internal/qlintake/qlintake.go
+++ b/internal/qlintake/qlintake.go
@@ -3,9 +3,9 @@
 //
 // It protects a VM that receives many times the requests that it can serve. The HTTP
 // server spends a few times as much on a refused request as reading and answering it
-// requires, which would then use most of the processor. While the VM is overloaded,
-// each connection examines the heads of the requests that it reads, answers the
-// refused ones itself and passes the others on unchanged.
+// requires, which would then use most of the processor. Each connection examines the heads
+// of the requests that it reads, answers those that are to be refused (see qladmission)
+// itself and passes the others on unchanged.
 //
 // Where the intake cannot find the boundaries of a request for certain, it leaves the
 // request to the server: heads that have not arrived whole, bodies without a stated
@@ -18,7 +18,7 @@
 //
 // # Usage
 //
-//	intake := qlintake.New(qlintake.Config{Overloaded: overloaded, Refuse: refuse, IdleTimeout: timeout})
+//	intake := qlintake.New(qlintake.Config{Customer: customerOf, Decide: decide, Refusal: refusal, IdleTimeout: timeout})
 //	conn := intake.Wrap(accepted) // pass this connection to the server
 package qlintake
 
@@ -33,6 +33,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/quetzallane/quetzallane/internal/qladmission"
 	"github.com/quetzallane/quetzallane/internal/qlbuffer"
 	"github.com/quetzallane/quetzallane/internal/qloffload"
 )
@@ -48,11 +49,19 @@
 
 // Config configures an Intake.
 type Config struct {
-	// Overloaded reports whether Refuse is to be called for requests.
-	Overloaded func() bool
-	// Refuse returns the answer to a refused request and whether to close the
-	// connection after it. It returns a nil answer if the request is to be served.
-	Refuse func(head Head) (answer []byte, closes bool)
+	// Customer returns the customer of a request.
+	Customer func(head Head) string
+	// Decide decides on a request of the customer. offloadable is set if the request can
+	// be passed on at all.
+	Decide func(customer string, offloadable bool) qladmission.Action
+	// DecideDeclined decides on a request that no other router takes.
+	DecideDeclined func(customer string) qladmission.Action
+	// OnOverShare is called when the owner of the engines has refused an offloaded request
+	// since its customer is above its share.
+	OnOverShare func(customer string)
+	// Refusal returns the answer to a refused request, and whether to close the connection
+	// after it.
+	Refusal func(head Head, customer string, action qladmission.Action) (answer []byte, closes bool)
 	// IdleTimeout returns how long a connection may stay idle after a refusal.
 	IdleTimeout func() time.Duration
 	// Offloader passes requests on to other routers; it may be nil.
@@ -109,8 +118,10 @@
 	// remaining is the number of bytes of the current request that the server has
 	// not read.
 	remaining int
-	// admissionChecked is set if Refuse was called for the current request.
+	// admissionChecked is set if Decide was called for the current request.
 	admissionChecked bool
+	// decided is what RefuseFirst has decided on the current request, or 0.
+	decided qladmission.Action
 	// peeked is set if the server already has the first of the buffered bytes.
 	peeked bool
 	// requestPending is set while a request that was read is being refused or has
@@ -123,7 +134,7 @@
 	passThrough bool
 }
 
-// AdmissionChecked reports whether Refuse was called for the request that was read
+// AdmissionChecked reports whether Decide was called for the request that was read
 // last, so that the server need not check its admission again.
 func (c *Conn) AdmissionChecked() bool {
 	return c.admissionChecked
@@ -211,21 +222,35 @@
 		if !ok {
 			return nil
 		}
-		if c.intake.config.Overloaded() {
-			c.admissionChecked = true
-			if answer, closes := c.intake.config.Refuse(head); answer != nil {
-				if err := c.refuse(answer, closes); err != nil {
-					return err
-				}
-				continue
-			}
-		}
-		if served, err := c.offload(head); err != nil || !served {
+		if handle, err := c.admit(head); err != nil || handle {
 			return err
 		}
 	}
 }
 
+// admit decides on the current request. It reports true if the server is to handle it;
+// otherwise it was refused or offloaded.
+func (c *Conn) admit(head Head) (handle bool, err error) {
+	customer := c.intake.config.Customer(head)
+	action := c.decided
+	if c.decided = 0; action == 0 {
+		action = c.intake.config.Decide(customer, c.canOffload(head, c.remaining))
+	}
+	if action == qladmission.Offload {
+		if served, err := c.offload(customer); err != nil || served {
+			return false, err
+		}
+		// Waiting for the rest of the request may have moved it.
+		head, _, _ = parse(c.buffered)
+		action = c.intake.config.DecideDeclined(customer)
+	}
+	c.admissionChecked = true
+	if action == qladmission.Handle {
+		return true, nil
+	}
+	return false, c.refuse(c.intake.config.Refusal(head, customer, action))
+}
+
 // refuse answers the current request with a refusal.
 func (c *Conn) refuse(answer []byte, closes bool) error {
 	if err := c.drain(); err != nil {
--- a/internal/qlintake/qlintake_test.go
+++ b/internal/qlintake/qlintake_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/quetzallane/quetzallane/internal/qladmission"
 	"github.com/quetzallane/quetzallane/internal/qlconn"
 )
 
@@ -67,13 +68,14 @@
 			Listener: inner,
 			accepted: accepted,
 			intake: New(Config{
-				Overloaded: func() bool { return true },
-				Refuse: func(head Head) ([]byte, bool) {
-					if head.Get("refuse") == "" {
-						return nil, false
+				Customer: func(head Head) string { return head.Get("refuse") },
+				Decide: func(customer string, _ bool) qladmission.Action {
+					if customer == "" {
+						return qladmission.Handle
 					}
-					return []byte(_refusal), closes
+					return qladmission.Refuse
 				},
+				Refusal:     func(Head, string, qladmission.Action) ([]byte, bool) { return []byte(_refusal), closes },
 				IdleTimeout: func() time.Duration { return time.Minute },
 			}),
 		})
--- a/internal/qlintake/reject.go
+++ b/internal/qlintake/reject.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/quetzallane/quetzallane/internal/qladmission"
 	"github.com/quetzallane/quetzallane/internal/qlconn"
 )
 
@@ -30,6 +31,37 @@
 	return c.buffered, errors.Trace(c.SetReadDeadline(time.Time{}))
 }
 
+// RefuseFirst decides on the request of a connection that was just accepted, if all of it has
+// arrived, and reports whether the request was refused. The connection is closed then. It
+// never waits: a flood of connections costs least if those that are refused need no goroutine
+// and no wait for data.
+func (c *Conn) RefuseFirst() (refused bool, err error) {
+	buffer, n, err := c.intake.buffers.TryRead(c.raw)
+	if err != nil || buffer == nil {
+		return false, err
+	}
+	c.buffer, c.buffered = buffer, (*buffer)[:n]
+	c.requestPending.Store(true)
+	head, length, ok := parse(c.buffered)
+	if !ok || length > n {
+		return false, nil
+	}
+	customer := c.intake.config.Customer(head)
+	c.decided = c.intake.config.Decide(customer, c.canOffload(head, length))
+	if c.decided != qladmission.Refuse && c.decided != qladmission.RefuseShare {
+		return false, nil
+	}
+	answer, _ := c.intake.config.Refusal(head, customer, c.decided)
+	c.consume(n)
+	if _, err = c.tryWrite(answer); err != nil {
+		err = errors.Trace(err)
+	}
+	if closeErr := c.TCPConn.Close(); err == nil {
+		err = closeErr
+	}
+	return true, err
+}
+
 // AwaitRequest waits for a request that the server is to serve, and refuses or offloads
 // those before it. The first one has to come within the time.
 func (c *Conn) AwaitRequest(within time.Duration) error {
--- a/internal/qloffload/cut_test.go
+++ b/internal/qloffload/cut_test.go
@@ -103,7 +103,6 @@
 	f := &testFleet{
 		t: t,
 		offloader: New(Config{
-			Budget:   NewBudget(0),
 			Lag:      func() time.Duration { return 0 },
 			MemoryMB: 100,
 			Clock:    func() time.Duration { return time.Since(started) },
--- a/internal/qloffload/frame.go
+++ b/internal/qloffload/frame.go
@@ -17,7 +17,7 @@
 	frameCancel
 	// frameAnswer is a part of the answer, as the caller gets it.
 	frameAnswer
-	// frameEnd: the answer is complete.
+	// frameEnd: the answer is complete. Its payload is a byte of flags; none is 0.
 	frameEnd
 	// frameDeclined: the request was not handled and will not be.
 	frameDeclined
@@ -33,6 +33,9 @@
 	_maxPayloadBytes = 256 << 10
 	// _flagAskToClose is set in a stamp if the caller is to close its connection.
 	_flagAskToClose = 1
+	// _flagOverShare is set at the end of an answer if the request was refused since its
+	// customer is above its share.
+	_flagOverShare = 1
 )
 
 // Stamp is what an offloading router tells about a request.
--- a/internal/qloffload/link.go
+++ b/internal/qloffload/link.go
@@ -215,7 +215,7 @@
 			exchange.Cancel()
 		}
 	case frameEnd:
-		l.finish(id, Answered)
+		l.end(id, payload)
 	case frameDeclined:
 		l.offloader.declined.Add(1)
 		l.offloader.peers.Declined(l.offloader.config.Clock(), l.address)
@@ -232,6 +232,18 @@
 	return nil
 }
 
+// end ends an exchange whose answer is whole.
+func (l *link) end(id uint32, payload []byte) {
+	exchange := l.remove(id)
+	if exchange == nil {
+		return
+	}
+	if len(payload) > 0 && payload[0]&_flagOverShare != 0 && exchange.caller.OverShare != nil {
+		exchange.caller.OverShare()
+	}
+	exchange.finish(Answered)
+}
+
 func (l *link) finish(id uint32, outcome Outcome) {
 	if exchange := l.remove(id); exchange != nil {
 		exchange.countEnd(outcome)
@@ -352,7 +364,7 @@
 
 // sendCancel tells the other router that nobody waits for the answer.
 func (x *Exchange) sendCancel() {
-	if err := x.link.queue.addControl(frameCancel, x.id); err != nil {
+	if err := x.link.queue.addControl(frameCancel, x.id, nil); err != nil {
 		// The other router keeps working on a request that nobody waits for, unless its
 		// link breaks.
 		_ = x.link.conn.Close()
--- a/internal/qloffload/qloffload.go
+++ b/internal/qloffload/qloffload.go
@@ -44,18 +44,16 @@
 	_bufferSize = 64 << 10
 	// _maxActivePerMB bounds the requests that are offloaded at a time, per 1 MiB of memory:
 	// each holds its request until the answer begins.
-	_maxActivePerMB = 8
+	_maxActivePerMB = 12
 	// _maxLag is the lag above which a router offloads nothing: it would not notice in time
 	// that callers disconnect.
-	_maxLag = 100 * time.Millisecond
+	_maxLag = 300 * time.Millisecond
 	// _linkIdleTimeout is how long a link is kept without requests.
 	_linkIdleTimeout = 30 * time.Second
 )
 
 // Config configures an Offloader.
 type Config struct {
-	// Budget decides which requests this router handles itself.
-	Budget *Budget
 	// Lag returns how late this process reads what has arrived.
 	Lag func() time.Duration
 	// MemoryMB is the memory that the process may use, in units of 1 MiB.
@@ -139,10 +137,9 @@
 	}
 }
 
-// Wanted counts the next request against the budget, and reports whether it should be
-// offloaded.
-func (o *Offloader) Wanted() bool {
-	return !o.config.Budget.Take(o.config.Clock()) && !o.closing.Load() && o.active.Load() < o.maxActive &&
+// Ready reports whether requests can be offloaded at present.
+func (o *Offloader) Ready() bool {
+	return !o.closing.Load() && o.active.Load() < o.maxActive &&
 		o.config.Lag() <= _maxLag && o.peers.Count() > 0
 }
 
@@ -153,6 +150,9 @@
 	Write func(data []byte) error
 	// Finish is called once, after the last Write.
 	Finish func(outcome Outcome)
+	// OverShare is called before that if the other router has refused the request since
+	// its customer is above its share.
+	OverShare func()
 }
 
 // Start sends a whole request to another router. It returns nil if none has received it.
--- a/internal/qloffload/qloffload_test.go
+++ b/internal/qloffload/qloffload_test.go
@@ -45,7 +45,6 @@
 	go func() { _ = f.server.Serve(f.listener) }()
 	started := time.Now()
 	f.offloader = New(Config{
-		Budget:   NewBudget(0),
 		Lag:      func() time.Duration { return 0 },
 		MemoryMB: 100,
 		Clock:    func() time.Duration { return time.Since(started) },
--- a/internal/qloffload/sendqueue.go
+++ b/internal/qloffload/sendqueue.go
@@ -65,12 +65,12 @@
 	return q.addLocked(urgent, build)
 }
 
-// addControl queues an urgent frame without a payload. It has room in a full queue: without
+// addControl queues an urgent frame with a short payload, or none. It has room in a full queue: without
 // it, the other router would wait for ever.
-func (q *sendQueue) addControl(kind frameKind, id uint32) error {
+func (q *sendQueue) addControl(kind frameKind, id uint32, payload []byte) error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.addLocked(true, func(to []byte) []byte { return appendFrame(to, kind, id, nil) })
+	return q.addLocked(true, func(to []byte) []byte { return appendFrame(to, kind, id, payload) })
 }
 
 // addLocked queues a frame. The caller holds the lock.
--- a/internal/qloffload/server.go
+++ b/internal/qloffload/server.go
@@ -161,7 +161,7 @@
 			return errors.Trace(err)
 		}
 		if l.server.config.Declines(stamp) {
-			return l.queue.addControl(frameDeclined, id)
+			return l.queue.addControl(frameDeclined, id, nil)
 		}
 		l.start(id, stamp, bytes.Clone(request))
 	case frameCancel:
@@ -178,10 +178,11 @@
 }
 
 func (l *serverLink) start(id uint32, stamp Stamp, request []byte) {
-	ctx, cancel := context.WithCancel(context.WithValue(l.ctx, originKey{}, Origin{
+	origin := &Origin{
 		stamp: stamp,
 		from:  l.from,
-	}))
+	}
+	ctx, cancel := context.WithCancel(context.WithValue(l.ctx, originKey{}, origin))
 	l.mu.Lock()
 	l.cancels[id] = cancel
 	l.mu.Unlock()
@@ -195,16 +196,16 @@
 			header:     make(http.Header),
 			askToClose: stamp.AskToClose,
 		}
-		kind := frameBroken
+		kind, payload := frameBroken, []byte(nil)
 		if l.handle(ctx, w, request) && w.finish() == nil {
-			kind = frameEnd
+			kind, payload = frameEnd, origin.flags()
 		}
 		l.mu.Lock()
 		delete(l.cancels, id)
 		l.mu.Unlock()
 		cancel()
 		// An error means that the link has ended, and the other router knows.
-		_ = l.queue.addControl(kind, id)
+		_ = l.queue.addControl(kind, id, payload)
 	}()
 }
 
@@ -234,15 +235,31 @@
 type Origin struct {
 	stamp Stamp
 	from  string
+	// overShare is set if the request was refused since its customer is above its share.
+	overShare bool
+}
+
+// SetOverShare records that the request was refused since its customer is above its share,
+// for the router that has offloaded it. Only the request's handler may call it.
+func (o *Origin) SetOverShare() {
+	o.overShare = true
+}
+
+// flags returns what the router that has offloaded the request learns at its end.
+func (o *Origin) flags() []byte {
+	if !o.overShare {
+		return nil
+	}
+	return []byte{_flagOverShare}
 }
 
 // Waited returns how long the request has waited at the router that has offloaded it.
-func (o Origin) Waited() time.Duration {
+func (o *Origin) Waited() time.Duration {
 	return o.stamp.Waited
 }
 
 // From returns the address of that router.
-func (o Origin) From() string {
+func (o *Origin) From() string {
 	return o.from
 }
 
@@ -250,7 +267,7 @@
 
 // OriginOf returns the origin of an offloaded request, by its context; ok is false for a
 // caller's own request.
-func OriginOf(ctx context.Context) (origin Origin, ok bool) {
-	origin, ok = ctx.Value(originKey{}).(Origin)
+func OriginOf(ctx context.Context) (origin *Origin, ok bool) {
+	origin, ok = ctx.Value(originKey{}).(*Origin)
 	return origin, ok
 }
--- a/internal/qlshed/qlshed.go
+++ b/internal/qlshed/qlshed.go
@@ -55,16 +55,8 @@
 	// advances in _windowSlots steps.
 	_window      = time.Second
 	_windowSlots = 5
-	// A router whose refused fraction stays at _outOfRotationFraction or above for
-	// _outOfRotationDelay leaves the balancer's rotation. It returns once it has
-	// admitted all requests for _returnDelay.
-	_outOfRotationFraction = 0.5
-	_outOfRotationDelay    = time.Second
-	_returnDelay           = 3 * time.Second
-	// _balancerReactionTime is how long the users' balancer takes to send new
-	// connections to other routers: it checks each router once a second and acts on
-	// the second failed check.
-	_balancerReactionTime = 2 * time.Second
+	// _overloadFraction is the refused fraction from which on a router is overloaded.
+	_overloadFraction = 0.5
 	// _retryDelay is the mean delay before callers retry at a router that admits
 	// most requests, or at another one. It is short and randomized by half in both
 	// directions, so that callers do not all return together.
@@ -94,16 +86,16 @@
 	sustainedAt time.Duration
 	surge       surgeLimit
 
-	overloadedSince  time.Duration
-	allAdmittedSince time.Duration
-	overloaded       bool
-	outOfRotation    bool
-	// outOfRotationAt is when the router left the rotation.
-	outOfRotationAt time.Duration
+	overloaded      bool
+	overloadedSince time.Duration
+	crowding        Crowding
+	rotation        rotation
 }
 
 // requestCounts counts one customer's requests in the window, by slot.
 type requestCounts struct {
+	// observed counts all requests, received those that Admit has decided on.
+	observed [_windowSlots]float64
 	received [_windowSlots]float64
 	refused  [_windowSlots]float64
 }
@@ -160,21 +152,21 @@
 	return _sustainedPart * s.sustained / received
 }
 
+// RecordCrowding records how far this router's connections exceed its capacity. It leaves
+// the rotation for that, too, at the next sample of the lag.
+func (s *Shedder) RecordCrowding(crowding Crowding) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crowding = crowding
+}
+
 func (s *Shedder) updateRotation(now time.Duration) {
-	if 1-s.admittedFraction < _outOfRotationFraction {
-		s.overloaded = false
-	} else if !s.overloaded {
-		s.overloaded, s.overloadedSince = true, now
-	}
-	if s.admittedFraction < 1 {
-		s.allAdmittedSince = now
-	}
-	switch {
-	case !s.outOfRotation && s.overloaded && now-s.overloadedSince >= _outOfRotationDelay:
-		s.outOfRotation, s.outOfRotationAt = true, now
-	case s.outOfRotation && now-s.allAdmittedSince >= _returnDelay:
-		s.outOfRotation = false
+	overloaded := 1-s.admittedFraction >= _overloadFraction
+	if overloaded && !s.overloaded {
+		s.overloadedSince = now
 	}
+	s.overloaded = overloaded
+	s.rotation.update(now, overloaded || s.crowding == Crowded, s.admittedFraction == 1 && s.crowding == Roomy)
 }
 
 // OutOfRotation reports whether the balancer should send new connections to other
@@ -182,7 +174,7 @@
 func (s *Shedder) OutOfRotation() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.outOfRotation
+	return s.rotation.out
 }
 
 // Backoff returns the time after which a refused caller should retry, and whether a
@@ -194,8 +186,8 @@
 	defer s.mu.Unlock()
 	retryAfter = time.Duration((0.5 + chance) * float64(_retryDelay))
 	switch {
-	case s.outOfRotation:
-		reactedAt := s.outOfRotationAt + _balancerReactionTime
+	case s.rotation.out:
+		reactedAt := s.rotation.outAt + _balancerReactionTime
 		return retryAfter + max(reactedAt-now, 0), now >= reactedAt
 	case s.overloaded:
 		// An overload is expected to last for as long as it has lasted so far.
@@ -218,17 +210,31 @@
 	return s.refusedCount
 }
 
-// Admit counts a customer's request and reports whether to serve it. chance is a
-// uniform random number in [0, 1).
-func (s *Shedder) Admit(now time.Duration, customer string, chance float64) bool {
+// Observe counts a customer's request, whether Admit decides on it or not.
+func (s *Shedder) Observe(now time.Duration, customer string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.advance(now)
+	s.counts(customer).observed[s.slot%_windowSlots]++
+}
+
+// counts returns the customer's counts.
+func (s *Shedder) counts(customer string) *requestCounts {
 	r := s.customers[customer]
 	if r == nil {
 		r = &requestCounts{}
 		s.customers[customer] = r
 	}
+	return r
+}
+
+// Admit counts a customer's request and reports whether to serve it. chance is a
+// uniform random number in [0, 1).
+func (s *Shedder) Admit(now time.Duration, customer string, chance float64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.advance(now)
+	r := s.counts(customer)
 	r.received[s.slot%_windowSlots]++
 	if s.surge.isExceeded(now) {
 		fraction := s.surge.fraction(s.receivedRate(now))
@@ -259,10 +265,10 @@
 	s.advance(now)
 	all := 0.0
 	for _, r := range s.customers {
-		all += sum(&r.received)
+		all += max(sum(&r.observed), sum(&r.received))
 	}
 	r := s.customers[customer]
-	return r == nil || sum(&r.received)*float64(len(s.customers)) <= all
+	return r == nil || max(sum(&r.observed), sum(&r.received))*float64(len(s.customers)) <= all
 }
 
 // receivedRate returns the rate of requests in the current slot and the one before, in
@@ -284,9 +290,10 @@
 	slot := int64(now / (_window / _windowSlots))
 	for step := max(s.slot+1, slot-_windowSlots+1); step <= slot; step++ {
 		for name, r := range s.customers {
+			r.observed[step%_windowSlots] = 0
 			r.received[step%_windowSlots] = 0
 			r.refused[step%_windowSlots] = 0
-			if sum(&r.received) == 0 {
+			if sum(&r.received) == 0 && sum(&r.observed) == 0 {
 				delete(s.customers, name)
 			}
 		}
@@ -326,6 +333,9 @@
 	all := 0.0
 	for _, r := range s.customers {
 		total := sum(&r.received)
+		if total == 0 {
+			continue
+		}
 		sums = append(sums, total)
 		all += total
 	}
--- a/internal/qlshed/qlshed_test.go
+++ b/internal/qlshed/qlshed_test.go
@@ -262,7 +262,7 @@
 		t.Errorf("before it leaves the rotation: got %v, %v, want %v, false", after, elsewhere, _retryDelay+_outOfRotationDelay-overloadedSince)
 	}
 	sample(_outOfRotationDelay, 2*time.Second)
-	at := s.outOfRotationAt
+	at := s.rotation.outAt
 	if after, elsewhere := s.Backoff(at, half); after != _retryDelay+_balancerReactionTime || elsewhere {
 		t.Errorf("as it leaves the rotation: got %v, %v, want %v, false", after, elsewhere, _retryDelay+_balancerReactionTime)
 	}
--- a/pkg/qlcode/table.go
+++ b/pkg/qlcode/table.go
@@ -24,6 +24,7 @@
 	RouterFault       Code = 215
 	RouterOverloaded  Code = 216
 	PromptQuarantined Code = 217
+	OverShare         Code = 218
 	UpstreamCut       Code = 300
 	UpstreamTimeout   Code = 301
 	AnswerCrossed     Code = 302
@@ -234,6 +235,16 @@
 		status:  http.StatusInternalServerError,
 		run:     RunNo,
 	},
+	{
+		code:    OverShare,
+		name:    "over-share",
+		title:   "The customer is above its fair share",
+		text:    "The customer has more than its fair share of the engines, and they have no room beyond it. The owner of the engines has said so, for this request or for most of the customer's requests in the last seconds.",
+		example: "a customer sends six times its usual requests while others wait",
+		remedy:  "retry after Retry-After; operators: see `share-state`",
+		status:  http.StatusTooManyRequests,
+		run:     RunNo,
+	},
 	{
 		code:    UpstreamCut,
 		name:    "upstream-cut",
