--- a/internal/qledge/stop_test.go
+++ b/internal/qledge/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"sync"
 	"syscall"
@@ -131,3 +132,63 @@
 		t.Errorf("%s: got status %d, want 200", r.id(), r.answer.status)
 	}
 }
+
+// TestRequestsWhileConnectionsCloseAreAnsweredOrNotSent guards against requests that a
+// stopping router passes on although it is closing their connections.
+func TestRequestsWhileConnectionsCloseAreAnsweredOrNotSent(t *testing.T) {
+	const (
+		connections = 150
+		interval    = 500 * time.Microsecond
+	)
+	upstream := newWorkingUpstream(t)
+	settings := stopSettings(t)
+	settings.StopDeadline, settings.BalancerNotice = qljson.Duration(2*time.Second), qljson.Duration(200*time.Millisecond)
+	p := startProcess(t, settings, upstream.address())
+	var requests []*stopRequest
+	for n := range connections {
+		caller, err := dialRouter(p.callers)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n%3 > 0 {
+			caller.ask(_lookupPath, "before", 0)
+		}
+		requests = append(requests, &stopRequest{
+			path:   _orderPath,
+			work:   _shortWork,
+			at:     settings.BalancerNotice.Std() + time.Duration(n-connections/2)*interval,
+			caller: caller,
+		})
+	}
+	if err := p.command.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	var running sync.WaitGroup
+	began := time.Now()
+	for n, r := range requests {
+		running.Go(func() {
+			time.Sleep(time.Until(began.Add(r.at)))
+			text := routerRequest(r.path, r.id(), r.work)
+			if n%2 > 0 {
+				text += routerRequest(r.path, r.id()+"-next", r.work)
+			}
+			if _, r.answer.err = io.WriteString(r.caller.conn, text); r.answer.err == nil {
+				r.answer = r.caller.read()
+			}
+		})
+	}
+	running.Wait()
+	<-p.exited
+	counts := make(map[int]int)
+	for _, r := range requests {
+		counts[r.answer.status]++
+		runs := upstream.runs(r.id())
+		if answered := r.answer.status == http.StatusOK && r.answer.whole; answered != (runs == 1) || runs > 1 {
+			t.Errorf("%s: got status %d, whole %v, runs %d, %v", r.id(), r.answer.status, r.answer.whole, runs, r.answer.err)
+		}
+		if runs := upstream.runs(r.id() + "-next"); runs > 0 {
+			t.Errorf("%s: the request after an answer that asks to close ran %d times", r.id(), runs)
+		}
+	}
+	t.Logf("answers by status: %v", counts)
+}
