Planned stop: wait for callers that still read an offloaded answer

Callers saw: an answer that a stopping router had received whole from another router, and of which its caller had read a part, was cut when the router closed its connections, an order's answer among them.

Cause: the stop waits for offloaded requests, which end with the last part from the other router. What the caller's socket has no room for waits in the intake by then, and the HTTP server takes the connection for idle and closes it. The offloader now counts these answers, and the stop waits for them, too.

Before (TestSlowCallerGetsOffloadedAnswerDuringPlannedStop, 4 of 4 callers): caller 0: got status 200, 90070 bytes, unexpected EOF, want 200 and 245760

--- a/internal/qledge/offload.go
+++ b/internal/qledge/offload.go
@@ -105,11 +105,11 @@
 	return peers
 }
 
-// awaitOffloaded waits until other routers have answered all offloaded requests. At the
-// cutoff, it ends those that are still active, and returns how many they were. The server
-// takes the connections of their callers for idle.
+// awaitOffloaded waits until other routers have answered all offloaded requests and the
+// callers have read the answers. At the cutoff, it ends those that are still active, and
+// returns how many they were. The server takes the connections of their callers for idle.
 func (e *Edge) awaitOffloaded(cutoff time.Time) (cut int64) {
-	for time.Now().Before(cutoff) && e.offloader.Active() > 0 {
+	for time.Now().Before(cutoff) && e.offloader.Active()+e.offloader.Delivering() > 0 {
 		time.Sleep(_unreadPollInterval)
 	}
 	return e.offloader.Cut()
--- a/internal/qledge/process_test.go
+++ b/internal/qledge/process_test.go
@@ -34,8 +34,13 @@
 	_signatureHeader = "Signature"
 	// _workHeader states for how long an upstream works on a request, in milliseconds.
 	_workHeader = "Work"
+	// _largeHeader asks an upstream for an answer of _largeBytes.
+	_largeHeader = "Large"
 )
 
+// _largeBytes is more than the socket of a caller that does not read holds, see dialSlow.
+const _largeBytes = 240 << 10
+
 // The paths of the routes of addRoutes.
 const (
 	_lookupPath = "/look/x"
@@ -153,6 +158,10 @@
 	w.Header().Set(_signatureHeader, "s")
 	if r.URL.Path != _streamPath {
 		sleep(r.Context(), work)
+		if r.Header.Get(_largeHeader) != "" {
+			_, _ = io.WriteString(w, strings.Repeat("x", _largeBytes))
+			return
+		}
 		_, _ = io.WriteString(w, "whole")
 		return
 	}
--- a/internal/qledge/stop_offload_test.go
+++ b/internal/qledge/stop_offload_test.go
@@ -1,14 +1,18 @@
 package qledge
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/quetzallane/quetzallane/internal/qlsetting"
 )
 
@@ -135,6 +139,65 @@
 	}
 }
 
+// dialSlow opens a connection with small buffers at both ends.
+func dialSlow(address string) (*routerCaller, error) {
+	const (
+		segmentBytes = 536
+		bufferBytes  = 4096
+	)
+	dialer := net.Dialer{
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var optionErr error
+			err := raw.Control(func(descriptor uintptr) {
+				optionErr = errors.Trace(syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, segmentBytes))
+				if optionErr == nil {
+					optionErr = errors.Trace(syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bufferBytes))
+				}
+			})
+			if err != nil {
+				return errors.Trace(err)
+			}
+			return optionErr
+		},
+	}
+	conn, err := dialer.Dial("tcp4", address)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return &routerCaller{
+		conn:   conn,
+		reader: bufio.NewReader(conn),
+	}, errors.Trace(conn.SetDeadline(time.Now().Add(15 * time.Second)))
+}
+
+// TestSlowCallerGetsOffloadedAnswerDuringPlannedStop guards against an answer that was
+// received from another router and is cut while its caller still reads it.
+func TestSlowCallerGetsOffloadedAnswerDuringPlannedStop(t *testing.T) {
+	const callers = 4
+	p := startStopPair(t, true)
+	slow := make([]*routerCaller, callers)
+	for i := range slow {
+		var err error
+		if slow[i], err = dialSlow(p.callers); err != nil {
+			t.Fatal(err)
+		}
+		text := strings.Replace(routerRequest(_orderPath, fmt.Sprint(i), 0), "\r\n", "\r\n"+_largeHeader+": 1\r\n", 1)
+		if _, err := io.WriteString(slow[i].conn, text); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(100 * time.Millisecond)
+	if err := p.stopping.command.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(_notice + _grace/5)
+	for i, caller := range slow {
+		if answer := caller.read(); answer.status != http.StatusOK || !answer.whole || len(answer.body) != _largeBytes {
+			t.Errorf("caller %d: got status %d, %d bytes, %v, want 200 and %d", i, answer.status, len(answer.body), answer.err, _largeBytes)
+		}
+	}
+}
+
 func (r *stopRequest) result(upstream *workingUpstream) string {
 	return fmt.Sprintf("%s: got status %d, whole %v, runs %d, %v", r.id(), r.answer.status, r.answer.whole, upstream.runs(r.id()), r.answer.err)
 }
--- a/internal/qlintake/offload.go
+++ b/internal/qlintake/offload.go
@@ -179,7 +179,11 @@
 		return err
 	}
 	w.pending, w.writing = append([]byte(nil), data[n:]...), true
-	go w.writePending()
+	endDelivery := w.conn.intake.config.Offloader.BeginDelivery()
+	go func() {
+		defer endDelivery()
+		w.writePending()
+	}()
 	return nil
 }
 
--- a/internal/qloffload/qloffload.go
+++ b/internal/qloffload/qloffload.go
@@ -78,7 +78,9 @@
 	buffers   *qlbuffer.Pool
 	maxActive int64
 	active    atomic.Int64
-	closing   atomic.Bool
+	// delivering counts the answers that callers have not read yet.
+	delivering atomic.Int64
+	closing    atomic.Bool
 
 	offloaded   atomic.Uint64
 	declined    atomic.Uint64
@@ -116,6 +118,19 @@
 	return o.active.Load()
 }
 
+// Delivering returns the number of answers that wait for their callers to read them, and
+// whose requests need not be active any more.
+func (o *Offloader) Delivering() int64 {
+	return o.delivering.Load()
+}
+
+// BeginDelivery records that an answer waits for its caller to read it. The function that
+// it returns is to be called once, when the answer waits no more.
+func (o *Offloader) BeginDelivery() (end func()) {
+	o.delivering.Add(1)
+	return func() { o.delivering.Add(-1) }
+}
+
 // Stats counts requests since the start.
 type Stats struct {
 	Offloaded uint64 `json:"offloaded"`
