Intake: no idle connection is closed while its request is being read

A router with many open connections closes idle ones. Callers lost requests that it had already read: the connection ended without an answer, while the request was refused, or passed on, into the closed connection.

Cause, check then act: a connection counts as idle if no bytes are unread in the kernel and requestPending is not set. The reader took the bytes with read(2) and set requestPending afterwards. In between the connection looked idle. On a VM that is out of processor time the reader waits there, as after each system call, until it is scheduled again.

The reader now claims the connection before each attempt to read and gives it back once requestPending is set; CloseIdle needs the claim to check and close. A request that crosses the close on the network is not read, and so not passed on. limitListener.Close uses the same function.

--- a/internal/qledge/connection.go
+++ b/internal/qledge/connection.go
@@ -203,13 +203,24 @@
 func (c *callerConnections) onStateChange(conn net.Conn, state http.ConnState) {
 	// A connection that holds a request is not idle: the server has not read it
 	// yet. It is kept, although recordState has counted it as closed.
-	if victim := c.recordState(conn, state); victim != nil && !hasPendingRequest(victim) {
+	if victim := c.recordState(conn, state); victim != nil && closeIdle(victim) {
 		c.outcomes.Add("", qloutcome.IdleClosed)
-		// The server notices this and reports the connection as closed.
-		_ = victim.Close()
 	}
 }
 
+// closeIdle closes a connection that looks idle unless it holds a request, and reports
+// whether it did. The server notices this and reports the connection as closed.
+func closeIdle(conn net.Conn) bool {
+	if wrapped, ok := conn.(*qlintake.Conn); ok {
+		return wrapped.CloseIdle()
+	}
+	if qlconn.HasUnreadBytes(conn) {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 // recordState updates the counts and the list of idle connections. If there are
 // too many connections it returns the one that was idle for longest, removed
 // from the list; otherwise nil.
--- a/internal/qledge/listener.go
+++ b/internal/qledge/listener.go
@@ -85,10 +85,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for conn := range l.unreturned {
-		if !hasPendingRequest(conn) {
-			// Its reader notices this.
-			_ = conn.Close()
-		}
+		// Its reader notices this.
+		conn.CloseIdle()
 	}
 	return err
 }
--- a/internal/qlintake/qlintake.go
+++ b/internal/qlintake/qlintake.go
@@ -98,11 +98,17 @@
 	if err != nil {
 		return accepted
 	}
-	return &Conn{
+	conn := &Conn{
 		TCPConn: tcp,
 		intake:  i,
 		raw:     raw,
 	}
+	conn.reads = claimingConn{
+		RawConn:        raw,
+		claim:          &conn.claim,
+		requestPending: &conn.requestPending,
+	}
+	return conn
 }
 
 // Conn is a caller's connection. Only one goroutine may read at a time, as it is with
@@ -111,6 +117,9 @@
 	*net.TCPConn
 	intake *Intake
 	raw    syscall.RawConn
+	// reads is raw for the reader of requests.
+	reads claimingConn
+	claim atomic.Int32
 	// buffer holds data that was read from the caller and not passed on to the
 	// server yet, which is buffered. It is nil if there is none.
 	buffer   *[]byte
@@ -292,11 +301,10 @@
 // fill reads the data that has arrived into a buffer. While it waits for data, it
 // holds no buffer, so that idle connections need none.
 func (c *Conn) fill() error {
-	buffer, n, err := c.intake.buffers.Read(c.raw)
+	buffer, n, err := c.intake.buffers.Read(&c.reads)
 	if err != nil {
 		return err
 	}
-	c.requestPending.Store(true)
 	c.buffer, c.buffered = buffer, (*buffer)[:n]
 	return nil
 }
