Intake: a declined request never looks idle

A request that another router has declined is served here. Between the end of the offloading and the moment at which the reader set requestPending, its connection looked idle, and a listener that closes in a planned stop could close it (limitListener.Close), although its request had run nowhere.

The writer's end now marks the request before it ends the offloading. Failed before: 'idle_test.go:125: got pending false, want true until the request is served here'.

--- a/internal/qlintake/idle_test.go
+++ b/internal/qlintake/idle_test.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/quetzallane/quetzallane/internal/qloffload"
 )
 
 // idleRace closes connections as idle while their callers send a request.
@@ -106,3 +108,20 @@
 		t.Errorf("answers: got %d, want %d, one for each request that was read", got, want)
 	}
 }
+
+func TestDeclinedRequestNeverLooksIdle(t *testing.T) {
+	r := newIdleRace(t)
+	caller, conn, err := r.connect()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = caller.Close() }()
+	conn.offloaded.Store(true)
+	w := &callerWriter{
+		conn: conn,
+	}
+	w.end(qloffload.NotTaken)
+	if got := conn.RequestPending(); !got {
+		t.Errorf("got pending %v, want true until the request is served here", got)
+	}
+}
--- a/internal/qlintake/offload.go
+++ b/internal/qlintake/offload.go
@@ -250,6 +250,9 @@
 // end ends the wait of the connection's reader for another router's answer.
 func (w *callerWriter) end(outcome qloffload.Outcome) {
 	c := w.conn
+	if outcome == qloffload.NotTaken {
+		c.requestPending.Store(true)
+	}
 	c.offloaded.Store(false)
 	var err error
 	switch {
