Callers' connections: count a closed idle connection as closed at once

Cause: the count of open connections fell only when the server's goroutine of a closed connection reported its end. On a router that lags by 0.1 to 1 s every change of any connection's state until then closed one more.

Closed idle connections no longer count against the limit. A connection that was chosen, but kept since it holds a request, is no longer counted as closed.

TestNoMoreIdleConnectionsAreClosedWhileTheServerReportsTheirEndLate before: 'connection_test.go:314: idle connections closed: got 24, want 2'.

--- a/internal/qledge/connection.go
+++ b/internal/qledge/connection.go
@@ -76,9 +76,12 @@
 	idle *list.List
 	// idleElements holds each idle connection's element of the list.
 	idleElements map[net.Conn]*list.Element
-	idleClosed   uint64
-	accepted     uint64
-	rejected     uint64
+	// closing are the idle connections that were closed and are still counted as open: the
+	// server of a lagging router reports their end late.
+	closing    map[net.Conn]struct{}
+	idleClosed uint64
+	accepted   uint64
+	rejected   uint64
 	// rejectedByCustomer counts the rejected connections since the last call of
 	// takeRejections; the customer is "" if no request with a key had arrived.
 	rejectedByCustomer map[string]int
@@ -98,6 +101,7 @@
 		maxOpenLight:     int(limit),
 		idle:             list.New(),
 		idleElements:     make(map[net.Conn]*list.Element),
+		closing:          make(map[net.Conn]struct{}),
 
 		rejectedByCustomer: make(map[string]int),
 	}
@@ -201,10 +205,14 @@
 // onStateChange records a new state of one of the server's connections, and
 // closes an idle connection if there are too many.
 func (c *callerConnections) onStateChange(conn net.Conn, state http.ConnState) {
-	// A connection that holds a request is not idle: the server has not read it
-	// yet. It is kept, although recordState has counted it as closed.
-	if victim := c.recordState(conn, state); victim != nil && closeIdle(victim) {
+	victim := c.recordState(conn, state)
+	switch {
+	case victim == nil:
+	case closeIdle(victim):
 		c.outcomes.Add("", qloutcome.IdleClosed)
+	default:
+		// A connection that holds a request is not idle: the server has not read it yet.
+		c.keep(victim)
 	}
 }
 
@@ -221,6 +229,14 @@
 	return true
 }
 
+// keep takes back that a connection was closed.
+func (c *callerConnections) keep(conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.closing, conn)
+	c.idleClosed--
+}
+
 // recordState updates the counts and the list of idle connections. If there are
 // too many connections it returns the one that was idle for longest, removed
 // from the list; otherwise nil.
@@ -237,16 +253,20 @@
 		c.accepted++
 		c.outcomes.Add("", qloutcome.Accepted)
 	case http.StateIdle:
-		c.idleElements[conn] = c.idle.PushBack(conn)
+		if _, closing := c.closing[conn]; !closing {
+			c.idleElements[conn] = c.idle.PushBack(conn)
+		}
 	case http.StateClosed, http.StateHijacked:
 		c.open--
+		delete(c.closing, conn)
 	case http.StateActive:
 	}
-	if c.open <= c.evictThreshold || c.idle.Len() == 0 {
+	if c.open-len(c.closing) <= c.evictThreshold || c.idle.Len() == 0 {
 		return nil
 	}
 	victim, _ = c.idle.Remove(c.idle.Front()).(net.Conn)
 	delete(c.idleElements, victim)
+	c.closing[victim] = struct{}{}
 	c.idleClosed++
 	return victim
 }
--- a/internal/qledge/connection_test.go
+++ b/internal/qledge/connection_test.go
@@ -299,3 +299,23 @@
 		t.Errorf("rejections of the same customer: got %d, want 1", got)
 	}
 }
+
+func TestNoMoreIdleConnectionsAreClosedWhileTheServerReportsTheirEndLate(t *testing.T) {
+	const excess = 2
+	c := newCallerConnections(10, 1)
+	var conns []net.Conn
+	for range c.evictThreshold + excess {
+		conn, _ := net.Pipe()
+		conns = append(conns, conn)
+		c.onStateChange(conn, http.StateNew)
+	}
+	for range 3 {
+		for _, conn := range conns {
+			c.onStateChange(conn, http.StateActive)
+			c.onStateChange(conn, http.StateIdle)
+		}
+	}
+	if _, got, _ := c.counts(); got != excess {
+		t.Errorf("idle connections closed: got %d, want %d", got, excess)
+	}
+}
