Rejected connections: the answer has no deadline that passes while the VM lags

A caller above the limit of connections whose request had been read found its connection closed without an answer: the deadline of 20 ms for reading the rest of the request also held for the answer, and passes while a lagging process waits for its processor. A write after it fails at once, although the connection has room for the answer.

The answer is written without waiting and without a deadline.

Failed before: 'reject_test.go:46: got "", want "refusal"' (reject: write: i/o timeout).

--- a/internal/qlintake/reject.go
+++ b/internal/qlintake/reject.go
@@ -81,15 +81,25 @@
 	if c.remaining = length; !ok {
 		c.remaining = len(c.buffered)
 	}
-	err := c.SetDeadline(time.Now().Add(_rejectTimeout))
+	err := c.SetReadDeadline(time.Now().Add(_rejectTimeout))
 	if err == nil {
 		err = c.readRest()
 	}
 	if err == nil {
-		_, err = c.Write(answer())
+		err = c.writeAtOnce(answer())
 	}
 	if closeErr := c.TCPConn.Close(); err == nil {
 		err = closeErr
 	}
 	return errors.Trace(err)
 }
+
+// writeAtOnce writes an answer for which the connection has room. It needs no deadline,
+// which might have passed when a lagging process gets to write.
+func (c *Conn) writeAtOnce(answer []byte) error {
+	n, err := c.tryWrite(answer)
+	if err == nil && n < len(answer) {
+		err = errSlowCaller
+	}
+	return errors.Trace(err)
+}
