Rejected connections: answer requests that have not arrived whole

A connection above the limit whose request came in parts more than 20 ms apart was closed without an answer after the first part. Its request has been passed on to nobody, so 503 is true and tells the caller when to return.

The refusal is now written when the time to read the rest has passed, and the rest that still arrives is discarded for at most 20 ms before the close, as a close with unread data would reset the connection and could take the answer with it. The same holds for requests whose length the intake does not know.

Failed before: 'reject_test.go:53: after 300 bytes: got "", want "refusal"'.

--- a/internal/qlintake/reject.go
+++ b/internal/qlintake/reject.go
@@ -1,6 +1,8 @@
 package qlintake
 
 import (
+	"io"
+	"os"
 	"time"
 
 	"github.com/juju/errors"
@@ -72,7 +74,7 @@
 }
 
 // Reject answers the request of which ReadFirst has read the first data, if any, and closes
-// the connection.
+// the connection. A request that does not arrive whole in time is answered, too.
 func (c *Conn) Reject(answer func() []byte) error {
 	if len(c.buffered) == 0 {
 		return errors.Trace(c.TCPConn.Close())
@@ -85,9 +87,13 @@
 	if err == nil {
 		err = c.readRest()
 	}
-	if err == nil {
+	whole := ok && err == nil
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
 		err = c.writeAtOnce(answer())
 	}
+	if err == nil && !whole {
+		err = c.discardRest()
+	}
 	if closeErr := c.TCPConn.Close(); err == nil {
 		err = closeErr
 	}
@@ -103,3 +109,23 @@
 	}
 	return errors.Trace(err)
 }
+
+// discardRest reads what still arrives of a request that was answered before its end. If the
+// connection were closed before that, the caller might not see the answer.
+func (c *Conn) discardRest() error {
+	if err := c.CloseWrite(); err != nil {
+		return errors.Trace(err)
+	}
+	if err := c.SetReadDeadline(time.Now().Add(_rejectTimeout)); err != nil {
+		return errors.Trace(err)
+	}
+	for {
+		c.consume(len(c.buffered))
+		switch err := c.fill(); {
+		case err == io.EOF, errors.Is(err, os.ErrDeadlineExceeded):
+			return nil
+		case err != nil:
+			return err
+		}
+	}
+}
--- a/internal/qlintake/reject_test.go
+++ b/internal/qlintake/reject_test.go
@@ -46,3 +46,11 @@
 		t.Errorf("got %q, want %q", got, want)
 	}
 }
+
+func TestRejectedRequestThatHasArrivedInPartIsAnswered(t *testing.T) {
+	for _, part := range []string{post("/", "", 900)[:300], post("/", "", 900)[:20]} {
+		if got, want := rejectAfter(t, part, 0), "refusal"; got != want {
+			t.Errorf("after %d bytes: got %q, want %q", len(part), got, want)
+		}
+	}
+}
