qloffload: Nothing of an answer is sent after a part that was not

Cause: answerWriter reported a part that found no room in the link's queue until the deadline to the handler, and sent the parts after it. A handler that writes on gave its caller an answer with a gap that ended as whole, which a server's own connection never does: its write errors last. Class: half an answer taken as whole.

No caller saw it: the forwarder's deadline for writes is a second after its request's, so that it ends a stream whose part was not sent.

Fix: the first error lasts, and the answer ends as broken.

--- a/internal/qloffload/answer.go
+++ b/internal/qloffload/answer.go
@@ -33,6 +33,8 @@
 	// streaming is set once the head was sent.
 	streaming bool
 	deadline  time.Time
+	// sendErr is the error of the first part that was not sent. Nothing is sent after it.
+	sendErr error
 }
 
 // Header implements http.ResponseWriter.
@@ -128,6 +130,13 @@
 
 // send queues a part of the answer. It waits while the link's queue is full.
 func (w *answerWriter) send(urgent bool, data []byte) error {
+	if w.sendErr == nil {
+		w.sendErr = w.trySend(urgent, data)
+	}
+	return w.sendErr
+}
+
+func (w *answerWriter) trySend(urgent bool, data []byte) error {
 	deadline := w.deadline
 	if deadline.IsZero() {
 		deadline = time.Now().Add(_maxWriteWait)
--- a/internal/qloffload/cut_test.go
+++ b/internal/qloffload/cut_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"go.uber.org/zap"
 )
 
@@ -159,26 +160,55 @@
 	}
 }
 
+// fillQueue fills the queue of an answer's link with parts of an answer to no request.
+func fillQueue(t *testing.T, w http.ResponseWriter) {
+	t.Helper()
+	const unknownID = 1 << 30
+	writer, ok := w.(*answerWriter)
+	if !ok {
+		t.Errorf("got a writer of type %T", w)
+		return
+	}
+	part := make([]byte, _maxPayloadBytes)
+	for err := error(nil); err == nil; {
+		err = writer.link.queue.add(false, func(to []byte) []byte { return appendFrame(to, frameAnswer, unknownID, part) })
+	}
+}
+
 // TestEndOfAnswerOnFullQueueIsSent guards against a caller that waits for ever for an answer
 // that has ended, since its end found no room in the link's queue.
 func TestEndOfAnswerOnFullQueueIsSent(t *testing.T) {
-	const unknownID = 1 << 30
 	f := newTestFleet(t)
-	fill := func(w http.ResponseWriter) {
-		writer, ok := w.(*answerWriter)
-		if !ok {
-			t.Errorf("got a writer of type %T", w)
-			return
-		}
-		part := make([]byte, _maxPayloadBytes)
-		for err := error(nil); err == nil; {
-			err = writer.link.queue.add(false, func(to []byte) []byte { return appendFrame(to, frameAnswer, unknownID, part) })
-		}
-	}
 	f.server.config.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		fill(w)
+		fillQueue(t, w)
 		panic(http.ErrAbortHandler)
 	})
 	_, a := f.start(get("/"))
 	f.awaitOutcome(a, Broken)
 }
+
+// TestAnswerWithPartThatWasNotSentIsBroken guards against an answer that goes on after a part
+// of it found no room in the link's queue.
+func TestAnswerWithPartThatWasNotSentIsBroken(t *testing.T) {
+	f := newTestFleet(t)
+	f.server.config.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		controller := http.NewResponseController(w)
+		err := controller.SetWriteDeadline(time.Now().Add(-time.Second))
+		for err == nil {
+			fillQueue(t, w)
+			_, _ = io.WriteString(w, "event 0\n")
+			err = controller.Flush()
+		}
+		if !errors.Is(err, errQueueFull) {
+			t.Errorf("flush: got %v, want that the queue is full", err)
+		}
+		// Wait until the queue has room again.
+		time.Sleep(100 * time.Millisecond)
+		_, _ = io.WriteString(w, "event 1\n")
+	})
+	_, a := f.start(get("/"))
+	f.awaitOutcome(a, Broken)
+	if got := a.String(); strings.Contains(got, "event 1") {
+		t.Errorf("got %q, want nothing after the missing part", got)
+	}
+}
