qladmission: test the order handle, offload, refuse

Evidence: fails if the shedder is asked before the budget ("within the budget, lag: got action 2, want 1") or before offloading ("beyond the budget, lag: got action 3, want 2").

--- /dev/null
+++ b/internal/qladmission/qladmission_test.go
@@ -0,0 +1,84 @@
+package qladmission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/quetzallane/quetzallane/internal/qloffload"
+	"github.com/quetzallane/quetzallane/internal/qlshed"
+)
+
+const _testCustomer = "depot"
+
+// decisionCase is the state of a router when a request of _testCustomer arrives.
+type decisionCase struct {
+	name string
+	// cores sets the budget: without cores, it is used up.
+	cores       float64
+	peers       bool
+	offloadable bool
+	lag         time.Duration
+	// overShare is the customer that the owner of the engines has refused.
+	overShare string
+	// want is what is decided at first, and wantDeclined what follows once no other router
+	// has taken the request.
+	want         Action
+	wantDeclined Action
+}
+
+func (c *decisionCase) newController() *Controller {
+	shedder := qlshed.New()
+	chance := 0.0
+	controller := New(Config{
+		Budget:     qloffload.NewBudget(c.cores),
+		Shedder:    shedder,
+		CanOffload: func() bool { return c.peers },
+		Clock:      func() time.Duration { return time.Second },
+		Chance:     func() float64 { return chance },
+	})
+	if c.overShare != "" {
+		for range 2 * _minShareRefusals {
+			controller.Decide(c.overShare, c.offloadable)
+			controller.RecordOverShare(c.overShare)
+		}
+	}
+	if c.lag > 0 {
+		shedder.RecordLag(time.Second, c.lag)
+	}
+	// Whoever may be refused is.
+	chance = 0.999
+	return controller
+}
+
+// TestRequestsAreOffloadedBeforeTheyAreRefused guards against the refusal of requests that
+// other routers would take.
+func TestRequestsAreOffloadedBeforeTheyAreRefused(t *testing.T) {
+	const lag = time.Second
+	for _, c := range []decisionCase{
+		{name: "within the budget", cores: 1, peers: true, offloadable: true, want: Handle, wantDeclined: Handle},
+		{name: "within the budget, lag", cores: 1, peers: true, offloadable: true, lag: lag, want: Handle, wantDeclined: Refuse},
+		{name: "beyond the budget", peers: true, offloadable: true, want: Offload, wantDeclined: Handle},
+		{name: "beyond the budget, lag", peers: true, offloadable: true, lag: lag, want: Offload, wantDeclined: Refuse},
+		{name: "not offloadable", peers: true, want: Handle, wantDeclined: Handle},
+		{name: "not offloadable, lag", peers: true, lag: lag, want: Refuse, wantDeclined: Refuse},
+		{name: "no other router", offloadable: true, want: Handle, wantDeclined: Handle},
+		{name: "no other router, lag", offloadable: true, lag: lag, want: Refuse, wantDeclined: Refuse},
+		{name: "no other router, lag within the budget", cores: 1, offloadable: true, lag: lag, want: Refuse, wantDeclined: Refuse},
+		{name: "above its share", cores: 1, peers: true, offloadable: true, overShare: _testCustomer, want: RefuseShare, wantDeclined: Handle},
+		{name: "above its share, no other router", overShare: _testCustomer, want: RefuseShare, wantDeclined: Handle},
+		{name: "above its share, lag", peers: true, offloadable: true, lag: lag, overShare: _testCustomer, want: RefuseShare, wantDeclined: Refuse},
+		{name: "another above its share", cores: 1, peers: true, offloadable: true, overShare: "other", want: Handle, wantDeclined: Handle},
+		{name: "another above its share, beyond the budget", peers: true, offloadable: true, overShare: "other", want: Offload, wantDeclined: Handle},
+	} {
+		controller := c.newController()
+		if got := controller.Decide(_testCustomer, c.offloadable); got != c.want {
+			t.Errorf("%s: got action %d, want %d", c.name, got, c.want)
+		}
+		if got := controller.DecideDeclined(_testCustomer); got != c.wantDeclined {
+			t.Errorf("%s, declined: got action %d, want %d", c.name, got, c.wantDeclined)
+		}
+		if got, want := controller.IsLimiting(), c.want == RefuseShare; got != want {
+			t.Errorf("%s: limiting: got %v, want %v", c.name, got, want)
+		}
+	}
+}
