qlshed: An overload whose requests are offloaded teaches no rate

Cause: the learned rate is what Admit lets through, and offloaded requests no longer pass Admit: it learned its minimum of 20 requests a second. A rate is learned only while Admit decides on nine tenths of the requests.

--- a/internal/qlshed/qlshed.go
+++ b/internal/qlshed/qlshed.go
@@ -1,18 +1,19 @@
 // Package qlshed decides which requests a router refuses because its own
 // processor cannot keep up.
 //
-// It protects a small VM that a few busy callers all connect to: the balancer
-// chooses a router by the caller, so one router may get many times its share while
-// others idle. A router that accepts more requests than it can handle answers all of
+// It protects a VM whose requests no other router takes (see qladmission, which asks it
+// last). A router that accepts more requests than it can handle answers all of
 // them late, loses the answers of other routers and runs out of memory. A refusal
 // costs far less than serving the request and guarantees that the request was not
-// run, and a retry reaches another router. The admitted requests are divided between
-// customers by max-min fairness: the customer that sends most is refused first.
+// run. The admitted requests are divided between customers by max-min fairness: the
+// customer that sends most is refused first. It also decides when a router leaves the
+// balancer's rotation.
 //
 // The fraction of requests that is admitted follows the scheduling lag. Two things keep it
 // from swinging, since admitted streams cost processor time for seconds: it never falls
 // below what makes half of the rate admitted lately, and a router that was overloaded
-// limits the next surge to the rate that it has sustained, before lag shows that surge.
+// limits the next surge to the rate that it has sustained, before lag shows that surge. A
+// rate is learned only while no other router takes requests.
 // That limit spares customers that send no more than an even share.
 //
 // # Usage
@@ -57,6 +58,9 @@
 	_windowSlots = 5
 	// _overloadFraction is the refused fraction from which on a router is overloaded.
 	_overloadFraction = 0.5
+	// _decidedPart of the requests is what Admit has to decide on for its rate to be that of
+	// the processor.
+	_decidedPart = 0.9
 	// _retryDelay is the mean delay before callers retry at a router that admits
 	// most requests, or at another one. It is short and randomized by half in both
 	// directions, so that callers do not all return together.
@@ -121,7 +125,7 @@
 		s.admittedFraction = max(s.admittedFraction*factor, min(lowest, s.admittedFraction))
 		s.lagFraction = max(s.lagFraction*factor, min(lowest, s.lagFraction))
 		s.onTimeSamples = 0
-		if s.overloaded && now-s.overloadedSince >= _surgeLearnDelay {
+		if s.overloaded && now-s.overloadedSince >= _surgeLearnDelay && s.decidesOnAll() {
 			s.surge.learn(now, s.sustained)
 		}
 	} else {
@@ -152,6 +156,17 @@
 	return _sustainedPart * s.sustained / received
 }
 
+// decidesOnAll reports whether Admit has decided on nearly all requests of the window. If
+// other routers take some, what Admit lets through says nothing of the processor.
+func (s *Shedder) decidesOnAll() bool {
+	observed, received := 0.0, 0.0
+	for _, r := range s.customers {
+		observed += sum(&r.observed)
+		received += sum(&r.received)
+	}
+	return received >= _decidedPart*observed
+}
+
 // RecordCrowding records how far this router's connections exceed its capacity. It leaves
 // the rotation for that, too, at the next sample of the lag.
 func (s *Shedder) RecordCrowding(crowding Crowding) {
