Shares: only requests for engines are refused as above a share, and counted ones

The limit is one for each service of engines now, found from the head (TestOnlyRequestsForEnginesAreRefusedForShares). - Refusals of requests that the intake had not counted (chunked bodies) were counted: 40 placed and 30 such refusals gave a part of 0.38 instead of 1. They are left out. - A first request refused in the accept loop was answered without Connection: close and closed (5 of 5): callers that send on met a reset. The answer says so now. - Below 20 refusals in two seconds the part jumped to 1, so that small grants swung (model: 140 and 16 passed on by turns). A limit ends when nothing is refused. - A request taken from another router could be refused for this router's processor after the check that declines it: its caller got 503 although the VM in between could serve it. - Chunked requests on kept connections were read before they were marked as pending, so that an idle connection with a request could be closed (as, pass-through). The tests of the intake got the new parameters of its fields; they check the same.

--- a/internal/qladmission/accept.go
+++ b/internal/qladmission/accept.go
@@ -114,7 +114,6 @@
 		p.tokens--
 		return 0
 	}
-	// Connections wait: without the pace, they would be accepted at once.
 	p.pacedUntil = now + _acceptHold
 	return time.Duration((1 - p.tokens) / p.rate * float64(time.Second))
 }
--- a/internal/qladmission/qladmission.go
+++ b/internal/qladmission/qladmission.go
@@ -16,7 +16,7 @@
 // # Usage
 //
 //	controller := qladmission.New(qladmission.Config{Budget: budget, Shedder: shedder, CanOffload: canOffload, Clock: clock, Chance: rand.Float64})
-//	switch controller.Decide(customer) {
+//	switch action := controller.Decide(service, customer, offloadable) {
 //	case qladmission.Offload:
 //		if !offload() {
 //			action = controller.DecideDeclined(customer)
@@ -26,6 +26,7 @@
 package qladmission
 
 import (
+	"sync"
 	"time"
 
 	"github.com/quetzallane/quetzallane/internal/qloffload"
@@ -64,40 +65,63 @@
 // Controller decides on requests. It is safe for concurrent use.
 type Controller struct {
 	config Config
-	shares *ShareLimit
+
+	mu sync.Mutex
+	// shares holds the limit of each service of engines.
+	shares map[string]*ShareLimit
 }
 
 // New returns a controller.
 func New(config Config) *Controller {
 	return &Controller{
 		config: config,
-		shares: NewShareLimit(),
+		shares: make(map[string]*ShareLimit),
 	}
 }
 
 // RecordOverShare records that the owner of the engines has refused a request of the
-// customer since the customer is above its share.
-func (c *Controller) RecordOverShare(customer string) {
-	c.shares.RecordOverShare(c.config.Clock(), customer)
+// customer for the service since the customer is above its share.
+func (c *Controller) RecordOverShare(service, customer string) {
+	c.sharesOf(service).RecordOverShare(c.config.Clock(), customer)
+}
+
+// sharesOf returns the limit of a service of engines.
+func (c *Controller) sharesOf(service string) *ShareLimit {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	limit := c.shares[service]
+	if limit == nil {
+		limit = NewShareLimit()
+		c.shares[service] = limit
+	}
+	return limit
 }
 
 // IsLimiting reports whether requests of customers above their share are refused here.
 func (c *Controller) IsLimiting() bool {
-	return c.shares.IsLimiting()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, limit := range c.shares {
+		if limit.IsLimiting() {
+			return true
+		}
+	}
+	return false
 }
 
 // ShareRetryAfter returns the Retry-After of a request that is refused since its customer is
 // above its share.
-func (c *Controller) ShareRetryAfter(customer string) time.Duration {
-	return c.shares.RetryAfter(c.config.Clock(), customer, c.config.Chance())
+func (c *Controller) ShareRetryAfter(service, customer string) time.Duration {
+	return c.sharesOf(service).RetryAfter(c.config.Clock(), customer, c.config.Chance())
 }
 
-// Decide counts a customer's request and returns what to do with it. offloadable is set if
-// the request can be passed on at all.
-func (c *Controller) Decide(customer string, offloadable bool) Action {
+// Decide counts a customer's request and returns what to do with it. The service is that of
+// the engines which the request is for, or empty: customers have no shares of others.
+// offloadable is set if the request can be passed on at all.
+func (c *Controller) Decide(service, customer string, offloadable bool) Action {
 	now := c.config.Clock()
 	c.config.Shedder.Observe(now, customer)
-	if !c.shares.Admit(now, customer, c.config.Chance()) {
+	if service != "" && !c.sharesOf(service).Admit(now, customer, c.config.Chance()) {
 		return RefuseShare
 	}
 	if !c.config.CanOffload() {
--- a/internal/qladmission/qladmission_test.go
+++ b/internal/qladmission/qladmission_test.go
@@ -8,7 +8,10 @@
 	"github.com/quetzallane/quetzallane/internal/qlshed"
 )
 
-const _testCustomer = "depot"
+const (
+	_testCustomer = "depot"
+	_testService  = "engines"
+)
 
 // decisionCase is the state of a router when a request of _testCustomer arrives.
 type decisionCase struct {
@@ -38,8 +41,8 @@
 	})
 	if c.overShare != "" {
 		for range 2 * _minShareRefusals {
-			controller.Decide(c.overShare, c.offloadable)
-			controller.RecordOverShare(c.overShare)
+			controller.Decide(_testService, c.overShare, c.offloadable)
+			controller.RecordOverShare(_testService, c.overShare)
 		}
 	}
 	if c.lag > 0 {
@@ -71,7 +74,7 @@
 		{name: "another above its share, beyond the budget", peers: true, offloadable: true, overShare: "other", want: Offload, wantDeclined: Handle},
 	} {
 		controller := c.newController()
-		if got := controller.Decide(_testCustomer, c.offloadable); got != c.want {
+		if got := controller.Decide(_testService, _testCustomer, c.offloadable); got != c.want {
 			t.Errorf("%s: got action %d, want %d", c.name, got, c.want)
 		}
 		if got := controller.DecideDeclined(_testCustomer); got != c.wantDeclined {
@@ -82,3 +85,19 @@
 		}
 	}
 }
+
+// TestOnlyRequestsForEnginesAreRefusedForShares guards against a refusal for a share that the
+// owner of the engines knows nothing of.
+func TestOnlyRequestsForEnginesAreRefusedForShares(t *testing.T) {
+	c := decisionCase{
+		cores:     1,
+		peers:     true,
+		overShare: _testCustomer,
+	}
+	controller := c.newController()
+	for _, service := range []string{"", "other-engines"} {
+		if got := controller.Decide(service, _testCustomer, true); got != Handle {
+			t.Errorf("service %q: got action %d, want %d", service, got, Handle)
+		}
+	}
+}
--- a/internal/qladmission/share.go
+++ b/internal/qladmission/share.go
@@ -53,6 +53,9 @@
 	passed   [_shareSlots]float64
 	// refused counts those that the owner has refused since the customer is above its share.
 	refused [_shareSlots]float64
+	// limited is set from the refusals that show that the customer is above its share until
+	// there are none.
+	limited bool
 }
 
 // NewShareLimit returns a limit that knows no customer above its share.
@@ -112,11 +115,12 @@
 // admittedPart returns the part of the customer's requests that is passed on.
 func (c *shareCounts) admittedPart() float64 {
 	refused := sum(&c.refused)
-	if refused < _minShareRefusals {
+	c.limited = refused >= _minShareRefusals || c.limited && refused > 0
+	if !c.limited {
 		return 1
 	}
 	placed := max(sum(&c.passed)-refused, 1)
-	return min(_shareMargin*placed/sum(&c.received), 1)
+	return min(_shareMargin*placed/max(sum(&c.received), 1), 1)
 }
 
 // counts returns the customer's counts, or nil if there are too many customers.
--- a/internal/qledge/connection_test.go
+++ b/internal/qledge/connection_test.go
@@ -30,8 +30,8 @@
 	limited := newLimitListener(listenerConfig{
 		Listener: listener,
 		Intake: qlintake.New(qlintake.Config{
-			Customer: func(qlintake.Head) string { return "" },
-			Decide:   func(string, bool) qladmission.Action { return qladmission.Handle },
+			Customer: func(qlintake.Head) (service, customer string) { return "", "" },
+			Decide:   func(string, string, bool) qladmission.Action { return qladmission.Handle },
 		}),
 		Delay: func() time.Duration { return 0 },
 		Paced: func() bool { return false },
@@ -206,9 +206,9 @@
 func TestConnectionIsPendingWhileIntakeRefusesRequest(t *testing.T) {
 	caller, accepted := tcpPair(t)
 	intake := qlintake.New(qlintake.Config{
-		Customer: func(qlintake.Head) string { return "" },
-		Decide:   func(string, bool) qladmission.Action { return qladmission.Refuse },
-		Refusal: func(qlintake.Head, string, qladmission.Action) ([]byte, bool) {
+		Customer: func(qlintake.Head) (service, customer string) { return "", "" },
+		Decide:   func(string, string, bool) qladmission.Action { return qladmission.Refuse },
+		Refusal: func(qlintake.Head, qladmission.Action, bool) ([]byte, bool) {
 			return []byte("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"), false
 		},
 		IdleTimeout: func() time.Duration { return time.Minute },
--- a/internal/qledge/offload.go
+++ b/internal/qledge/offload.go
@@ -1,6 +1,8 @@
 package qledge
 
 import (
+	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -20,7 +22,7 @@
 		Paced:    func() bool { return e.admission.IsLimiting() || e.acceptPace.IsPaced(e.clock()) },
 		Admit:    e.callers.admit,
 		Intake: qlintake.New(qlintake.Config{
-			Customer:       func(head qlintake.Head) string { return e.forwarder.CustomerOf(head.Get) },
+			Customer:       e.serviceAndCustomer,
 			Decide:         e.admission.Decide,
 			DecideDeclined: e.admission.DecideDeclined,
 			OnOverShare:    e.admission.RecordOverShare,
@@ -52,11 +54,37 @@
 
 // refusal returns the answer to a request that the intake refuses, and whether to close its
 // connection.
-func (e *Edge) refusal(head qlintake.Head, customer string, action qladmission.Action) (answer []byte, closes bool) {
+func (e *Edge) refusal(head qlintake.Head, action qladmission.Action, closing bool) (answer []byte, closes bool) {
 	if action == qladmission.RefuseShare {
-		return e.forwarder.RefuseShareHead(head.Get, customer, e.admission.ShareRetryAfter(customer))
+		retryAfter := e.admission.ShareRetryAfter(e.serviceAndCustomer(head))
+		return e.forwarder.RefuseShareHead(head.Get, retryAfter, closing)
 	}
-	return e.forwarder.RefuseHead(head.Get, customer)
+	return e.forwarder.RefuseHead(head.Get, closing)
+}
+
+// serviceAndCustomer returns the service of engines that a request is for, if any, and its
+// customer.
+func (e *Edge) serviceAndCustomer(head qlintake.Head) (service, customer string) {
+	return e.forwarder.ServiceOf(head.Target(), head.Get), e.forwarder.CustomerOf(head.Get)
+}
+
+// recordOverShare records a refusal by the owner of the engines, unless the request was not
+// counted before.
+func (e *Edge) recordOverShare(ctx context.Context, service, customer string) {
+	if conn, ok := ctx.Value(connectionKey{}).(*qlintake.Conn); ok && conn.AdmissionChecked() {
+		e.admission.RecordOverShare(service, customer)
+	}
+}
+
+// admit reports whether this VM has processor time for a request of the customer. Requests
+// that the intake has checked were decided on, as were those that this router has taken from
+// another one.
+func (e *Edge) admit(ctx context.Context, customer string) bool {
+	if _, ok := qloffload.OriginOf(ctx); ok {
+		return true
+	}
+	conn, ok := ctx.Value(connectionKey{}).(*qlintake.Conn)
+	return ok && conn.AdmissionChecked() || e.shedder.Admit(e.clock(), customer, rand.Float64())
 }
 
 // admitRequest reports whether a connection above the limit is kept for its request, and
--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -41,7 +41,6 @@
 	"github.com/quetzallane/quetzallane/internal/qlfeed"
 	"github.com/quetzallane/quetzallane/internal/qlfleet"
 	"github.com/quetzallane/quetzallane/internal/qlforward"
-	"github.com/quetzallane/quetzallane/internal/qlintake"
 	"github.com/quetzallane/quetzallane/internal/qllog"
 	"github.com/quetzallane/quetzallane/internal/qloffload"
 	"github.com/quetzallane/quetzallane/internal/qloutcome"
@@ -244,22 +243,17 @@
 		},
 		Zone:             settings.Zone,
 		CloseConnections: e.callers.isCrowded,
-		Admit: func(ctx context.Context, customer string) bool {
-			// The shedder was already asked about requests that the intake has
-			// checked.
-			conn, ok := ctx.Value(connectionKey{}).(*qlintake.Conn)
-			return ok && conn.AdmissionChecked() || e.shedder.Admit(e.clock(), customer, rand.Float64())
-		},
-		Backoff:        e.backoff,
-		OnOverShare:    e.admission.RecordOverShare,
-		ReadDelay:      fleet.Lag,
-		Lagging:        fleet.Lagging,
-		Outcomes:       e.outcomes,
-		CallerLeft:     e.callerLeft,
-		MaxMemoryBytes: int64(_requestMemoryFraction * float64(settings.MemoryMB) * _megabyte),
-		Clock:          e.clock,
-		Random:         newRandom(),
-		Log:            e.log,
+		Admit:            e.admit,
+		Backoff:          e.backoff,
+		OnOverShare:      e.recordOverShare,
+		ReadDelay:        fleet.Lag,
+		Lagging:          fleet.Lagging,
+		Outcomes:         e.outcomes,
+		CallerLeft:       e.callerLeft,
+		MaxMemoryBytes:   int64(_requestMemoryFraction * float64(settings.MemoryMB) * _megabyte),
+		Clock:            e.clock,
+		Random:           newRandom(),
+		Log:              e.log,
 	})
 	e.offloadServer = qloffload.NewServer(qloffload.ServerConfig{
 		Handler:  e.forwarder,
--- a/internal/qlforward/answer.go
+++ b/internal/qlforward/answer.go
@@ -5,8 +5,11 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/quetzallane/quetzallane/internal/qloffload"
 	"github.com/quetzallane/quetzallane/internal/qloutcome"
 	"github.com/quetzallane/quetzallane/pkg/qlcode"
 	"go.uber.org/zap"
@@ -59,6 +62,16 @@
 	f.writeResult(x, code, status, cause)
 }
 
+// recordOverShare tells the router that the caller has connected to that the owner has
+// refused the request since its customer is above its share.
+func (f *Forwarder) recordOverShare(x *exchange) {
+	if origin, ok := qloffload.OriginOf(x.request.Context()); ok {
+		origin.SetOverShare()
+		return
+	}
+	f.config.OnOverShare(x.request.Context(), x.service.Name(), x.customer)
+}
+
 // fail answers with an error that the router itself generated.
 func (f *Forwarder) fail(x *exchange, code qlcode.Code, cause string) {
 	f.writeResult(x, code, code.HTTPStatus(), cause)
@@ -120,31 +133,55 @@
 
 // RefuseHead refuses a request of which only the head has been read, for lack of processor
 // time. It returns the bytes of the answer, and whether the connection is to be closed after
-// it. The function get returns the value of a header field.
-func (f *Forwarder) RefuseHead(get func(name string) string, customer string) (answer []byte, closeConnection bool) {
+// it; closing is set if it is closed in any case. The function get returns the value of a
+// header field.
+func (f *Forwarder) RefuseHead(get func(name string) string, closing bool) (answer []byte, closeConnection bool) {
 	retryAfter, closeConnection := f.config.Backoff()
-	return f.refuseHead(get, customer, qlcode.RouterOverloaded, retryAfter, closeConnection)
+	return f.refuseHead(get, qlcode.RouterOverloaded, retryAfter, closing || closeConnection)
 }
 
 // RefuseShareHead refuses a request of which only the head has been read, since its customer
 // is above its share; otherwise it is as RefuseHead.
-func (f *Forwarder) RefuseShareHead(get func(name string) string, customer string, retryAfter time.Duration) (answer []byte, closeConnection bool) {
+func (f *Forwarder) RefuseShareHead(get func(name string) string, retryAfter time.Duration, closing bool) (answer []byte, closeConnection bool) {
 	_, closeConnection = f.config.Backoff()
-	return f.refuseHead(get, customer, qlcode.OverShare, retryAfter, closeConnection)
+	return f.refuseHead(get, qlcode.OverShare, retryAfter, closing || closeConnection)
 }
 
-func (f *Forwarder) refuseHead(get func(name string) string, customer string, code qlcode.Code, retryAfter time.Duration, closeConnection bool) ([]byte, bool) {
+func (f *Forwarder) refuseHead(get func(name string) string, code qlcode.Code, retryAfter time.Duration, closeConnection bool) ([]byte, bool) {
 	x := &exchange{
-		start:    time.Now(),
-		customer: customer,
-		cause:    code.Title(),
+		start: time.Now(),
+		cause: code.Title(),
+	}
+	x.caller.ID, x.caller.Key = f.config.Dialect.ReadHead(get)
+	if view := f.view.Load(); view != nil {
+		x.setCustomer(view)
 	}
-	x.caller.ID, _ = f.config.Dialect.ReadHead(get)
 	closeConnection = closeConnection || f.closesConnections()
 	f.recordEnd(x, code, code.HTTPStatus())
 	return rawRefusal(code, retryAfter, closeConnection), closeConnection
 }
 
+// ServiceOf returns the service of engines that a request with this head is for, or "" if it
+// is for none. The target is that of the request line; the function get returns the value of
+// a header field.
+func (f *Forwarder) ServiceOf(target string, get func(name string) string) string {
+	view := f.view.Load()
+	if view == nil {
+		return ""
+	}
+	path, _, _ := strings.Cut(target, "?")
+	route := view.table.Match(get("Host"), path)
+	if route == nil {
+		return ""
+	}
+	id, _ := f.config.Dialect.ReadHead(get)
+	service := view.table.Service(route.Target(xxhash.Sum64String(id)))
+	if service == nil || service.Engine() == nil {
+		return ""
+	}
+	return service.Name()
+}
+
 // CustomerOf returns the customer who holds the key in the head of a request, or "". The
 // function get returns the value of a header field.
 func (f *Forwarder) CustomerOf(get func(name string) string) string {
--- a/internal/qlforward/engine.go
+++ b/internal/qlforward/engine.go
@@ -13,7 +13,6 @@
 	"github.com/quetzallane/quetzallane/internal/qlconn"
 	"github.com/quetzallane/quetzallane/internal/qlengine"
 	"github.com/quetzallane/quetzallane/internal/qlevent"
-	"github.com/quetzallane/quetzallane/internal/qloffload"
 	"github.com/quetzallane/quetzallane/internal/qlplace"
 	"github.com/quetzallane/quetzallane/pkg/qlcode"
 	"go.uber.org/zap"
@@ -187,16 +186,6 @@
 	f.refuse(x, code, retryAfter, decision.Reason.String())
 }
 
-// recordOverShare tells the router that the caller has connected to that the owner has
-// refused the request since its customer is above its share.
-func (f *Forwarder) recordOverShare(x *exchange) {
-	if origin, ok := qloffload.OriginOf(x.request.Context()); ok {
-		origin.SetOverShare()
-		return
-	}
-	f.config.OnOverShare(x.customer)
-}
-
 // endUnanswered ends a request for which no engine sent a complete answer.
 func (f *Forwarder) endUnanswered(x *exchange, result attemptResult, err error) {
 	if err == nil {
--- a/internal/qlforward/qlforward.go
+++ b/internal/qlforward/qlforward.go
@@ -93,9 +93,9 @@
 	// Backoff returns the Retry-After of a request that Admit refused, and whether
 	// its caller is to close the connection.
 	Backoff func() (retryAfter time.Duration, closes bool)
-	// OnOverShare is called when the owner of the engines has refused a request of the
-	// customer since it is above its share.
-	OnOverShare func(customer string)
+	// OnOverShare is called when the owner of the service's engines has refused a request of
+	// the customer since it is above its share; the context is that of the request.
+	OnOverShare func(ctx context.Context, service, customer string)
 	// ReadDelay returns how long requests currently wait at this VM before they
 	// are read.
 	ReadDelay func() time.Duration
--- a/internal/qlintake/first_test.go
+++ b/internal/qlintake/first_test.go
@@ -48,10 +48,10 @@
 	})
 	t.Cleanup(offloader.Close)
 	intake := New(Config{
-		Customer:       func(head Head) string { return head.Get("customer") },
+		Customer:       func(head Head) (service, customer string) { return "", head.Get("customer") },
 		Decide:         f.decide,
 		DecideDeclined: func(string) qladmission.Action { return qladmission.Handle },
-		Refusal:        func(Head, string, qladmission.Action) ([]byte, bool) { return []byte(_refusal), false },
+		Refusal:        func(Head, qladmission.Action, bool) ([]byte, bool) { return []byte(_refusal), false },
 		IdleTimeout:    func() time.Duration { return time.Minute },
 		Offloader:      offloader,
 		Stamp:          func() qloffload.Stamp { return qloffload.Stamp{} },
@@ -78,7 +78,7 @@
 	return f
 }
 
-func (f *firstRequest) decide(customer string, _ bool) qladmission.Action {
+func (f *firstRequest) decide(_, customer string, _ bool) qladmission.Action {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.decisions = append(f.decisions, customer)
--- a/internal/qlintake/idle_test.go
+++ b/internal/qlintake/idle_test.go
@@ -34,9 +34,9 @@
 		listener: listening,
 	}
 	r.intake = New(Config{
-		Customer: func(Head) string { return "" },
-		Decide:   func(string, bool) qladmission.Action { return qladmission.Refuse },
-		Refusal: func(Head, string, qladmission.Action) ([]byte, bool) {
+		Customer: func(Head) (service, customer string) { return "", "" },
+		Decide:   func(string, string, bool) qladmission.Action { return qladmission.Refuse },
+		Refusal: func(Head, qladmission.Action, bool) ([]byte, bool) {
 			r.read.Add(1)
 			return []byte("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"), true
 		},
--- a/internal/qlintake/offload.go
+++ b/internal/qlintake/offload.go
@@ -24,7 +24,7 @@
 // offload passes the current request on to another router, and waits for the end of the
 // answer and for the caller's next request. It reports false if the request is to be
 // served here; it is then unchanged.
-func (c *Conn) offload(customer string) (served bool, err error) {
+func (c *Conn) offload(service, customer string) (served bool, err error) {
 	if err := c.readWhole(); err != nil {
 		return false, err
 	}
@@ -53,7 +53,7 @@
 	exchange := c.intake.config.Offloader.Start(buffered, stamp, qloffload.Caller{
 		Write:     w.write,
 		Finish:    w.finish,
-		OverShare: func() { c.intake.config.OnOverShare(customer) },
+		OverShare: func() { c.intake.config.OnOverShare(service, customer) },
 	})
 	if exchange == nil {
 		c.buffer, c.buffered = request, buffered
--- a/internal/qlintake/offload_test.go
+++ b/internal/qlintake/offload_test.go
@@ -69,8 +69,8 @@
 		}),
 	}
 	s.intake = New(Config{
-		Customer: func(Head) string { return "" },
-		Decide: func(_ string, offloadable bool) qladmission.Action {
+		Customer: func(Head) (service, customer string) { return "", "" },
+		Decide: func(_, _ string, offloadable bool) qladmission.Action {
 			if offloadable && s.offloader.Ready() {
 				return qladmission.Offload
 			}
--- a/internal/qlintake/qlintake.go
+++ b/internal/qlintake/qlintake.go
@@ -49,19 +49,20 @@
 
 // Config configures an Intake.
 type Config struct {
-	// Customer returns the customer of a request.
-	Customer func(head Head) string
+	// Customer returns the customer of a request, and the service of the engines which it is
+	// for, or "" if it is for no engine.
+	Customer func(head Head) (service, customer string)
 	// Decide decides on a request of the customer. offloadable is set if the request can
 	// be passed on at all.
-	Decide func(customer string, offloadable bool) qladmission.Action
+	Decide func(service, customer string, offloadable bool) qladmission.Action
 	// DecideDeclined decides on a request that no other router takes.
 	DecideDeclined func(customer string) qladmission.Action
 	// OnOverShare is called when the owner of the engines has refused an offloaded request
 	// since its customer is above its share.
-	OnOverShare func(customer string)
+	OnOverShare func(service, customer string)
 	// Refusal returns the answer to a refused request, and whether to close the connection
-	// after it.
-	Refusal func(head Head, customer string, action qladmission.Action) (answer []byte, closes bool)
+	// after it, which it says. closing is set if the connection is closed in any case.
+	Refusal func(head Head, action qladmission.Action, closing bool) (answer []byte, closes bool)
 	// IdleTimeout returns how long a connection may stay idle after a refusal.
 	IdleTimeout func() time.Duration
 	// Offloader passes requests on to other routers; it may be nil.
@@ -164,7 +165,12 @@
 	}
 	switch {
 	case c.passThrough:
-		c.requestPending.Store(false)
+		if len(c.buffered) == 0 {
+			c.requestPending.Store(false)
+			if err := c.fill(); err != nil {
+				return 0, err
+			}
+		}
 		return c.pass(p)
 	case c.remaining > 0:
 		n, err := c.pass(p[:min(len(p), c.remaining)])
@@ -240,13 +246,13 @@
 // admit decides on the current request. It reports true if the server is to handle it;
 // otherwise it was refused or offloaded.
 func (c *Conn) admit(head Head) (handle bool, err error) {
-	customer := c.intake.config.Customer(head)
+	service, customer := c.intake.config.Customer(head)
 	action := c.decided
 	if c.decided = 0; action == 0 {
-		action = c.intake.config.Decide(customer, c.canOffload(head, c.remaining))
+		action = c.intake.config.Decide(service, customer, c.canOffload(head, c.remaining))
 	}
 	if action == qladmission.Offload {
-		if served, err := c.offload(customer); err != nil || served {
+		if served, err := c.offload(service, customer); err != nil || served {
 			return false, err
 		}
 		// Waiting for the rest of the request may have moved it.
@@ -257,7 +263,7 @@
 	if action == qladmission.Handle {
 		return true, nil
 	}
-	return false, c.refuse(c.intake.config.Refusal(head, customer, action))
+	return false, c.refuse(c.intake.config.Refusal(head, action, false))
 }
 
 // refuse answers the current request with a refusal.
@@ -341,6 +347,17 @@
 	return ""
 }
 
+// Target returns the target of the request line, or an empty string.
+func (h Head) Target() string {
+	line, _, _ := bytes.Cut(h, _lineEnd)
+	_, rest, _ := bytes.Cut(line, []byte(" "))
+	target, _, ok := bytes.Cut(rest, []byte(" "))
+	if !ok {
+		return ""
+	}
+	return string(target)
+}
+
 func fieldValue(line []byte, name string) (value []byte, ok bool) {
 	if len(line) <= len(name) || line[len(name)] != ':' || !bytes.EqualFold(line[:len(name)], []byte(name)) {
 		return nil, false
--- a/internal/qlintake/qlintake_test.go
+++ b/internal/qlintake/qlintake_test.go
@@ -68,14 +68,14 @@
 			Listener: inner,
 			accepted: accepted,
 			intake: New(Config{
-				Customer: func(head Head) string { return head.Get("refuse") },
-				Decide: func(customer string, _ bool) qladmission.Action {
+				Customer: func(head Head) (service, customer string) { return "", head.Get("refuse") },
+				Decide: func(_, customer string, _ bool) qladmission.Action {
 					if customer == "" {
 						return qladmission.Handle
 					}
 					return qladmission.Refuse
 				},
-				Refusal:     func(Head, string, qladmission.Action) ([]byte, bool) { return []byte(_refusal), closes },
+				Refusal:     func(Head, qladmission.Action, bool) ([]byte, bool) { return []byte(_refusal), closes },
 				IdleTimeout: func() time.Duration { return time.Minute },
 			}),
 		})
--- a/internal/qlintake/reject.go
+++ b/internal/qlintake/reject.go
@@ -48,16 +48,14 @@
 	if !ok || length > n {
 		return false, nil
 	}
-	customer := c.intake.config.Customer(head)
-	c.decided = c.intake.config.Decide(customer, c.canOffload(head, length))
+	service, customer := c.intake.config.Customer(head)
+	c.decided = c.intake.config.Decide(service, customer, c.canOffload(head, length))
 	if c.decided != qladmission.Refuse && c.decided != qladmission.RefuseShare {
 		return false, nil
 	}
-	answer, _ := c.intake.config.Refusal(head, customer, c.decided)
+	answer, _ := c.intake.config.Refusal(head, c.decided, true)
 	c.consume(n)
-	if _, err = c.tryWrite(answer); err != nil {
-		err = errors.Trace(err)
-	}
+	err = c.writeAtOnce(answer)
 	if closeErr := c.TCPConn.Close(); err == nil {
 		err = closeErr
 	}
--- a/internal/qloffload/budget.go
+++ b/internal/qloffload/budget.go
@@ -7,8 +7,8 @@
 
 const (
 	// _requestsPerCore is the rate of requests that a router handles itself at most, per
-	// core, in requests a second. A request takes some 250 us of a core; the rest is left
-	// for passing on others, for refusals and for control.
+	// core, in requests a second. It leaves processor time for passing on others, for
+	// refusals and for control.
 	_requestsPerCore = 1500
 	// _minPart of that rate is handled in any case.
 	_minPart = 0.05
--- a/internal/qloffload/qloffload.go
+++ b/internal/qloffload/qloffload.go
@@ -19,9 +19,9 @@
 //
 // # Usage
 //
-//	offloader := qloffload.New(qloffload.Config{Budget: budget, MemoryMB: 112, Clock: clock, Log: log})
+//	offloader := qloffload.New(qloffload.Config{Lag: lag, MemoryMB: 112, Clock: clock, Log: log})
 //	offloader.Peers().Set(now, peers)
-//	if offloader.Wanted() {
+//	if offloader.Ready() {
 //		exchange := offloader.Start(request, stamp, qloffload.Caller{Write: write, Finish: finish}) // nil: not sent
 //	}
 package qloffload
--- a/internal/qloffload/sendqueue.go
+++ b/internal/qloffload/sendqueue.go
@@ -65,8 +65,8 @@
 	return q.addLocked(urgent, build)
 }
 
-// addControl queues an urgent frame with a short payload, or none. It has room in a full queue: without
-// it, the other router would wait for ever.
+// addControl queues an urgent frame with a short payload, or none. It has room in a full
+// queue: without it, the other router would wait for ever.
 func (q *sendQueue) addControl(kind frameKind, id uint32, payload []byte) error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/pkg/qlcode/table.go
+++ b/pkg/qlcode/table.go
@@ -239,7 +239,7 @@
 		code:    OverShare,
 		name:    "over-share",
 		title:   "The customer is above its fair share",
-		text:    "The customer has more than its fair share of the engines, and they have no room beyond it. The owner of the engines has said so, for this request or for most of the customer's requests in the last seconds.",
+		text:    "The customer has more than its fair share of the engines, and they have no room beyond it. The owner of the engines has said so, for this request or for others of the customer in the last two seconds.",
 		example: "a customer sends six times its usual requests while others wait",
 		remedy:  "retry after Retry-After; operators: see `share-state`",
 		status:  http.StatusTooManyRequests,
