--- a/internal/qloffload/qloffload_test.go
+++ b/internal/qloffload/qloffload_test.go
@@ -82,6 +82,14 @@
 	case "/silent":
 		<-r.Context().Done()
 		f.ended <- r.URL.Path
+	case "/over-share", "/over-share-broken":
+		if origin, ok := OriginOf(r.Context()); ok {
+			origin.SetOverShare()
+		}
+		w.WriteHeader(http.StatusTooManyRequests)
+		if r.URL.Path == "/over-share-broken" {
+			panic(http.ErrAbortHandler)
+		}
 	case "/panic":
 		panic("fault in the handler")
 	}
