--- a/internal/qlforward/share_test.go
+++ b/internal/qlforward/share_test.go
@@ -41,7 +41,7 @@
 	return o
 }
 
-func (o *refusingOwner) record(customer string) {
+func (o *refusingOwner) record(_ context.Context, _, customer string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.overShare = append(o.overShare, customer)
