Shares: customers are limited only while the processor does not keep up

Cause: the limit on shares was in force in calm, too, and amplified the owner's refusals. The limit's reason is the VM's processor, so it holds only while accepting is paced. The new case of the decision's table fails without it (RefuseShare, want Handle).

--- a/internal/qladmission/qladmission.go
+++ b/internal/qladmission/qladmission.go
@@ -9,9 +9,9 @@
 // new connection, which costs more than to pass its request on.
 //
 // Two decisions keep the processor free for that. New connections are accepted no faster than
-// the VM keeps up with, so that those that are open are served (see AcceptPace), and requests
-// of customers above their fair share, as the owner of the engines has decided, are refused
-// before they are handled or offloaded (see ShareLimit).
+// the VM keeps up with, so that those that are open are served (see AcceptPace), and while it
+// does not keep up, requests of customers above their fair share, as the owner of the engines
+// has decided, are refused before they are handled or offloaded (see ShareLimit).
 //
 // # Usage
 //
@@ -56,6 +56,9 @@
 	Shedder *qlshed.Shedder
 	// CanOffload reports whether other routers take requests at present.
 	CanOffload func() bool
+	// Strained reports whether this router's processor lags behind its connections.
+	// Customers above their share are limited only then.
+	Strained func() bool
 	// Clock returns the time on a monotonic clock.
 	Clock func() time.Duration
 	// Chance returns a uniform random number in [0, 1).
@@ -121,7 +124,7 @@
 func (c *Controller) Decide(service, customer string, offloadable bool) Action {
 	now := c.config.Clock()
 	c.config.Shedder.Observe(now, customer)
-	if service != "" && !c.sharesOf(service).Admit(now, customer, c.config.Chance()) {
+	if service != "" && !c.sharesOf(service).Admit(now, customer, c.shareChance()) {
 		return RefuseShare
 	}
 	if !c.config.CanOffload() {
@@ -136,6 +139,15 @@
 	return c.DecideDeclined(customer)
 }
 
+// shareChance returns the random number by which a request of a customer above its share is
+// refused: 0 refuses none. The owner divides the engines better than each router for itself.
+func (c *Controller) shareChance() float64 {
+	if !c.config.Strained() {
+		return 0
+	}
+	return c.config.Chance()
+}
+
 // DecideDeclined returns what to do with a request that no other router takes: Handle or
 // Refuse.
 func (c *Controller) DecideDeclined(customer string) Action {
--- a/internal/qladmission/qladmission_test.go
+++ b/internal/qladmission/qladmission_test.go
@@ -27,6 +27,8 @@
 	// has taken the request.
 	want         Action
 	wantDeclined Action
+	// calm is set if the processor keeps up.
+	calm bool
 }
 
 func (c *decisionCase) newController() *Controller {
@@ -36,6 +38,7 @@
 		Budget:     qloffload.NewBudget(c.cores),
 		Shedder:    shedder,
 		CanOffload: func() bool { return c.peers },
+		Strained:   func() bool { return !c.calm },
 		Clock:      func() time.Duration { return time.Second },
 		Chance:     func() float64 { return chance },
 	})
@@ -70,6 +73,7 @@
 		{name: "above its share", cores: 1, peers: true, offloadable: true, overShare: _testCustomer, want: RefuseShare, wantDeclined: Handle},
 		{name: "above its share, no other router", overShare: _testCustomer, want: RefuseShare, wantDeclined: Handle},
 		{name: "above its share, lag", peers: true, offloadable: true, lag: lag, overShare: _testCustomer, want: RefuseShare, wantDeclined: Refuse},
+		{name: "above its share, processor keeps up", cores: 1, peers: true, offloadable: true, overShare: _testCustomer, calm: true, want: Handle, wantDeclined: Handle},
 		{name: "another above its share", cores: 1, peers: true, offloadable: true, overShare: "other", want: Handle, wantDeclined: Handle},
 		{name: "another above its share, beyond the budget", peers: true, offloadable: true, overShare: "other", want: Offload, wantDeclined: Handle},
 	} {
