Intake: the end of an offloaded answer leaves the next request alone

What callers saw: a request that had been passed on ended without an answer, or its connection ended after it, if the answer before it on the connection had come from another router and had waited for its caller to read it.

Cause, two goroutines for one connection: an answer that does not fit the caller's socket is written by a goroutine, which then ends the exchange (callerWriter.end: not offloaded any more, deadline of an idle connection, idle mark). The connection's reader waited only for the link's part in the exchange, which is over before that. A VM out of processor time runs the goroutine later than the reader, which has by then read the next request and passed it on. The late end then took that one's offloaded mark away, so that a limit on connections took it for idle, and set the deadline of an idle connection. When that passed, the server took its caller for gone, canceled the request at the upstream and closed the connection.

The reader now also waits for the writer's end (callerWriter.ended). An answer whose caller does not read it ends the writer in the same way; the connection is reset then, as for other answers that break off.

TestLargeOffloadedAnswerIsWhole waited 100 ms for an answer that does not fit the connection, which 2 MiB did within the buffers of the kernel: the late writer was not tested. It now uses a caller with small buffers and checks that its answer waits.

--- a/internal/qlintake/idle_test.go
+++ b/internal/qlintake/idle_test.go
@@ -119,9 +119,7 @@
 	}
 	defer func() { _ = caller.Close() }()
 	conn.offloaded.Store(true)
-	w := &callerWriter{
-		conn: conn,
-	}
+	w := newCallerWriter(conn, false)
 	w.end(qloffload.NotTaken)
 	if got := conn.RequestPending(); !got {
 		t.Errorf("got pending %v, want true until the request is served here", got)
--- a/internal/qlintake/offload.go
+++ b/internal/qlintake/offload.go
@@ -43,10 +43,7 @@
 	c.requestPending.Store(false)
 	c.intake.config.OnState(c, http.StateActive)
 	stamp := c.intake.config.Stamp()
-	w := &callerWriter{
-		conn:   c,
-		closes: stamp.AskToClose,
-	}
+	w := newCallerWriter(c, stamp.AskToClose)
 	// The writer holds the request from here on: the answer may begin at once.
 	request, buffered := c.buffer, c.buffered
 	c.buffer, c.buffered, w.request = nil, nil, request
@@ -105,6 +102,9 @@
 		exchange.Cancel()
 	}
 	<-exchange.Done()
+	// A part of the answer may still wait for the caller. The next request is not begun before
+	// its end: both would write to the connection and set its state.
+	<-w.ended
 	request := w.takeRequest()
 	if exchange.Outcome() != qloffload.NotTaken || fillErr != nil && !woken {
 		if request != nil {
@@ -146,6 +146,18 @@
 	writing bool
 	// outcome is set once the answer has ended.
 	outcome qloffload.Outcome
+
+	endOnce sync.Once
+	// ended is closed once the writer does nothing more with the connection.
+	ended chan struct{}
+}
+
+func newCallerWriter(conn *Conn, closes bool) *callerWriter {
+	return &callerWriter{
+		conn:   conn,
+		closes: closes,
+		ended:  make(chan struct{}),
+	}
 }
 
 // takeRequest returns the buffer with the request, or nil if the answer has begun.
@@ -230,7 +242,7 @@
 		}
 		if err != nil {
 			// The reader notices this and cancels.
-			_ = w.conn.TCPConn.Close()
+			w.end(qloffload.Broken)
 			return
 		}
 	}
@@ -247,8 +259,17 @@
 	}
 }
 
-// end ends the wait of the connection's reader for another router's answer.
+// end ends the wait of the connection's reader for another router's answer. Only its first
+// call has an effect.
 func (w *callerWriter) end(outcome qloffload.Outcome) {
+	w.endOnce.Do(func() {
+		defer close(w.ended)
+		w.release(outcome)
+	})
+}
+
+// release leaves the connection to its reader, or closes it.
+func (w *callerWriter) release(outcome qloffload.Outcome) {
 	c := w.conn
 	if outcome == qloffload.NotTaken {
 		c.requestPending.Store(true)
--- a/internal/qlintake/offload_test.go
+++ b/internal/qlintake/offload_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -22,7 +23,13 @@
 	t        *testing.T
 	address  string
 	declines atomic.Bool
-	other    *qloffload.Server
+	// handles makes the intake leave all requests to the server.
+	handles atomic.Bool
+	// idleTimeout is how long connections may be idle, and lateEnd for how long the end of
+	// the next offloaded answer pauses; both are in nanoseconds.
+	idleTimeout atomic.Int64
+	lateEnd     atomic.Int64
+	other       *qloffload.Server
 	// others is the address at which the other router takes requests.
 	others    string
 	offloader *qloffload.Offloader
@@ -43,6 +50,7 @@
 		left: make(chan struct{}, 1),
 		held: make(chan struct{}),
 	}
+	s.idleTimeout.Store(int64(time.Minute))
 	s.other = qloffload.NewServer(qloffload.ServerConfig{
 		Handler:  http.HandlerFunc(s.serveOther),
 		Declines: func(qloffload.Stamp) bool { return s.declines.Load() },
@@ -65,21 +73,31 @@
 	server := &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			body, _ := io.ReadAll(r.Body)
+			if r.URL.Path == "/work" {
+				select {
+				case <-r.Context().Done():
+					panic(http.ErrAbortHandler)
+				case <-time.After(_work):
+				}
+			}
 			_, _ = fmt.Fprintf(w, "here %d", len(body))
 		}),
 	}
 	s.intake = New(Config{
 		Customer: func(Head) (service, customer string) { return "", "" },
 		Decide: func(_, _ string, offloadable bool) qladmission.Action {
-			if offloadable && s.offloader.Ready() {
+			if offloadable && s.offloader.Ready() && !s.handles.Load() {
 				return qladmission.Offload
 			}
 			return qladmission.Handle
 		},
 		DecideDeclined: func(string) qladmission.Action { return qladmission.Handle },
-		IdleTimeout:    func() time.Duration { return time.Minute },
-		Offloader:      s.offloader,
-		Stamp:          func() qloffload.Stamp { return qloffload.Stamp{} },
+		IdleTimeout: func() time.Duration {
+			time.Sleep(time.Duration(s.lateEnd.Swap(0)))
+			return time.Duration(s.idleTimeout.Load())
+		},
+		Offloader: s.offloader,
+		Stamp:     func() qloffload.Stamp { return qloffload.Stamp{} },
 		OnState: func(_ net.Conn, state http.ConnState) {
 			if state == http.StateActive {
 				s.active.Add(1)
@@ -114,6 +132,12 @@
 // 16 KiB.
 const _hugeBlocks = 1024
 
+// _largeBytes is more than the connection of a caller of dialSlow holds, if it does not read.
+const _largeBytes = 16 * (32 << 10)
+
+// _work is how long a request to /work takes.
+const _work = 600 * time.Millisecond
+
 func (s *offloadingServer) serveOther(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	_, _ = fmt.Fprintf(w, "there %d", len(body))
@@ -123,7 +147,7 @@
 		_ = controller.Flush()
 		panic(http.ErrAbortHandler)
 	case "/large", "/huge":
-		blocks, size := 64, 32<<10
+		blocks, size := _largeBytes/(32<<10), 32<<10
 		if r.URL.Path == "/huge" {
 			blocks, size = _hugeBlocks, 16<<10
 		}
@@ -131,6 +155,13 @@
 			_, _ = w.Write(bytes.Repeat([]byte("x"), size))
 			_ = controller.Flush()
 		}
+	case "/work":
+		_ = controller.Flush()
+		select {
+		case <-r.Context().Done():
+		case <-time.After(_work):
+		}
+		_, _ = w.Write(bytes.Repeat([]byte("x"), _largeBytes))
 	case "/events":
 		for range 2 {
 			_ = controller.Flush()
@@ -160,6 +191,11 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	return s.caller(conn)
+}
+
+func (s *offloadingServer) caller(conn net.Conn) *offloadCaller {
+	s.t.Helper()
 	s.t.Cleanup(func() { _ = conn.Close() })
 	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
 	return &offloadCaller{
@@ -169,6 +205,35 @@
 	}
 }
 
+// dialSlow opens a connection with small buffers.
+func (s *offloadingServer) dialSlow() *offloadCaller {
+	s.t.Helper()
+	const (
+		segmentBytes = 536
+		bufferBytes  = 4096
+	)
+	dialer := net.Dialer{
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var optionErr error
+			err := raw.Control(func(descriptor uintptr) {
+				optionErr = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, segmentBytes)
+				if optionErr == nil {
+					optionErr = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bufferBytes)
+				}
+			})
+			if err != nil {
+				return err
+			}
+			return optionErr
+		},
+	}
+	conn, err := dialer.Dial("tcp4", s.address)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return s.caller(conn)
+}
+
 // ask sends a request, in pieces, and returns the body of the answer, or the error.
 func (c *offloadCaller) ask(pieces ...string) string {
 	c.t.Helper()
@@ -183,6 +248,16 @@
 	return c.read()
 }
 
+// awaitDelivery waits until a whole answer waits for its caller.
+func (s *offloadingServer) awaitDelivery() {
+	s.t.Helper()
+	for end := time.Now().Add(2 * time.Second); s.offloader.Delivering() == 0 || s.offloader.Active() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			s.t.Fatal("no answer waits for its caller within 2 s")
+		}
+	}
+}
+
 // awaitOffloading sends requests until one is offloaded.
 func (c *offloadCaller) awaitOffloading() {
 	c.t.Helper()
@@ -260,13 +335,13 @@
 
 func TestLargeOffloadedAnswerIsWhole(t *testing.T) {
 	s := newOffloadingServer(t)
-	caller := s.dial()
+	caller := s.dialSlow()
 	if _, err := io.WriteString(caller.conn, post("/large", "", 1)); err != nil {
 		t.Fatal(err)
 	}
 	// The caller reads late, so that the answer does not fit its connection.
-	time.Sleep(100 * time.Millisecond)
-	if got, want := len(caller.read()), len("there 1")+64*(32<<10); got != want {
+	s.awaitDelivery()
+	if got, want := len(caller.read()), len("there 1")+_largeBytes; got != want {
 		t.Errorf("body: got %d bytes, want %d", got, want)
 	}
 	if got, want := caller.ask(post("/", "", 2)), "there 2"; got != want {
