--- a/internal/qlintake/idle.go
+++ b/internal/qlintake/idle.go
@@ -30,6 +30,7 @@
 		c.claim.Store(_claimedByNone)
 		return false
 	}
+	c.intake.config.pause()
 	c.claim.Store(_claimClosed)
 	_ = c.TCPConn.Close()
 	return true
@@ -40,6 +41,7 @@
 	syscall.RawConn
 	claim          *atomic.Int32
 	requestPending *atomic.Bool
+	pause          func()
 }
 
 // Read calls the function until it reports that it is done. It then counts as having read a
@@ -56,6 +58,7 @@
 		}
 		done := read(descriptor)
 		if done {
+			c.pause()
 			c.requestPending.Store(true)
 		}
 		c.claim.Store(_claimedByNone)
--- a/internal/qlintake/offload.go
+++ b/internal/qlintake/offload.go
@@ -39,8 +39,10 @@
 	if err := c.SetReadDeadline(time.Time{}); err != nil {
 		return false, errors.Trace(err)
 	}
+	c.intake.config.pause()
 	c.offloaded.Store(true)
 	c.requestPending.Store(false)
+	c.intake.config.pause()
 	c.intake.config.OnState(c, http.StateActive)
 	stamp := c.intake.config.Stamp()
 	w := newCallerWriter(c, stamp.AskToClose)
@@ -105,6 +107,7 @@
 	// A part of the answer may still wait for the caller. The next request is not begun before
 	// its end: both would write to the connection and set its state.
 	<-w.ended
+	c.intake.config.pause()
 	request := w.takeRequest()
 	if exchange.Outcome() != qloffload.NotTaken || fillErr != nil && !woken {
 		if request != nil {
@@ -262,6 +265,7 @@
 // end ends the wait of the connection's reader for another router's answer. Only its first
 // call has an effect.
 func (w *callerWriter) end(outcome qloffload.Outcome) {
+	w.conn.intake.config.pause()
 	w.endOnce.Do(func() {
 		defer close(w.ended)
 		w.release(outcome)
@@ -275,6 +279,7 @@
 		c.requestPending.Store(true)
 	}
 	c.offloaded.Store(false)
+	c.intake.config.pause()
 	var err error
 	switch {
 	case outcome == qloffload.NotTaken:
--- a/internal/qlintake/qlintake.go
+++ b/internal/qlintake/qlintake.go
@@ -72,6 +72,17 @@
 	// OnState is called when a connection becomes active or idle by a request of which the
 	// server does not know. It may be nil if there is no Offloader.
 	OnState func(conn net.Conn, state http.ConnState)
+	// Pause is called between the steps of reading requests, of passing answers on and of
+	// closing idle connections, for tests that let other goroutines run there. It may be
+	// nil.
+	Pause func()
+}
+
+// pause calls the function of the same name, if any.
+func (c *Config) pause() {
+	if c.Pause != nil {
+		c.Pause()
+	}
 }
 
 // Intake wraps accepted connections, which share its buffers.
@@ -108,6 +119,7 @@
 		RawConn:        raw,
 		claim:          &conn.claim,
 		requestPending: &conn.requestPending,
+		pause:          i.config.pause,
 	}
 	return conn
 }
