Intake: a request that another router declines is pending at each moment

What a caller could see: its kept connection closed without an answer as idle while its request, which another router had declined, was to be served here.

Cause: two flags, one for a request here and one for a request at another router, which RequestPending read one after the other.

Both are now bits of one word, and read at once.

CloseIdle asks twice, so a connection was closed only if that happened to it twice; no play has shown it.

--- a/internal/qlintake/idle.go
+++ b/internal/qlintake/idle.go
@@ -10,7 +10,7 @@
 )
 
 // claim is the side that may decide about a connection at a moment: its reader, while a
-// read is under way and until requestPending is set, or CloseIdle.
+// read is under way and until _requestHere is set, or CloseIdle.
 type claim = int32
 
 const (
@@ -20,6 +20,33 @@
 	_claimClosed
 )
 
+// requestState holds where requests of a connection are at a moment. It is one word: a
+// request that moves from one place to the other, in either direction, is seen in one of
+// them by any goroutine.
+type requestState struct {
+	bits atomic.Uint32
+}
+
+const (
+	// _requestHere is set while a request that was read is being refused or has not
+	// reached the server yet, and while the server handles it.
+	_requestHere uint32 = 1 << iota
+	// _requestElsewhere is set while another router handles a request.
+	_requestElsewhere
+)
+
+func (s *requestState) set(place uint32) {
+	s.bits.Or(place)
+}
+
+func (s *requestState) clear(place uint32) {
+	s.bits.And(^place)
+}
+
+func (s *requestState) pending() bool {
+	return s.bits.Load() != 0
+}
+
 // CloseIdle closes the connection unless it holds a request, and reports whether it did. Any
 // goroutine may call it.
 func (c *Conn) CloseIdle() bool {
@@ -39,9 +66,9 @@
 // claimingConn claims a connection for its reader during each attempt to read.
 type claimingConn struct {
 	syscall.RawConn
-	claim          *atomic.Int32
-	requestPending *atomic.Bool
-	pause          func()
+	claim    *atomic.Int32
+	requests *requestState
+	pause    func()
 }
 
 // Read calls the function until it reports that it is done. It then counts as having read a
@@ -59,7 +86,7 @@
 		done := read(descriptor)
 		if done {
 			c.pause()
-			c.requestPending.Store(true)
+			c.requests.set(_requestHere)
 		}
 		c.claim.Store(_claimedByNone)
 		return done
--- a/internal/qlintake/idle_test.go
+++ b/internal/qlintake/idle_test.go
@@ -118,7 +118,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = caller.Close() }()
-	conn.offloaded.Store(true)
+	conn.requests.set(_requestElsewhere)
 	w := newCallerWriter(conn, false)
 	w.end(qloffload.NotTaken)
 	if got := conn.RequestPending(); !got {
--- a/internal/qlintake/offload.go
+++ b/internal/qlintake/offload.go
@@ -40,8 +40,8 @@
 		return false, errors.Trace(err)
 	}
 	c.intake.config.pause()
-	c.offloaded.Store(true)
-	c.requestPending.Store(false)
+	c.requests.set(_requestElsewhere)
+	c.requests.clear(_requestHere)
 	c.intake.config.pause()
 	c.intake.config.OnState(c, http.StateActive)
 	stamp := c.intake.config.Stamp()
@@ -56,8 +56,8 @@
 	})
 	if exchange == nil {
 		c.buffer, c.buffered = request, buffered
-		c.requestPending.Store(true)
-		c.offloaded.Store(false)
+		c.requests.set(_requestHere)
+		c.requests.clear(_requestElsewhere)
 		return false, c.resetReadDeadline()
 	}
 	return c.awaitExchange(exchange, w, buffered)
@@ -125,7 +125,7 @@
 		c.intake.buffers.Put(c.buffer)
 	}
 	c.buffer, c.buffered = request, buffered
-	c.requestPending.Store(true)
+	c.requests.set(_requestHere)
 	return false, c.resetReadDeadline()
 }
 
@@ -276,9 +276,9 @@
 func (w *callerWriter) release(outcome qloffload.Outcome) {
 	c := w.conn
 	if outcome == qloffload.NotTaken {
-		c.requestPending.Store(true)
+		c.requests.set(_requestHere)
 	}
-	c.offloaded.Store(false)
+	c.requests.clear(_requestElsewhere)
 	c.intake.config.pause()
 	var err error
 	switch {
--- a/internal/qlintake/qlintake.go
+++ b/internal/qlintake/qlintake.go
@@ -116,10 +116,10 @@
 		raw:     raw,
 	}
 	conn.reads = claimingConn{
-		RawConn:        raw,
-		claim:          &conn.claim,
-		requestPending: &conn.requestPending,
-		pause:          i.config.pause,
+		RawConn:  raw,
+		claim:    &conn.claim,
+		requests: &conn.requests,
+		pause:    i.config.pause,
 	}
 	return conn
 }
@@ -145,12 +145,8 @@
 	// decided is what RefuseFirst has decided on the current request, or 0.
 	decided qladmission.Action
 	// peeked is set if the server already has the first of the buffered bytes.
-	peeked bool
-	// requestPending is set while a request that was read is being refused or has
-	// not reached the server yet, and while the server handles it.
-	requestPending atomic.Bool
-	// offloaded is set while another router handles a request.
-	offloaded atomic.Bool
+	peeked   bool
+	requests requestState
 	// passThrough is set once the boundaries of requests are unknown. All further
 	// data is then passed on unexamined.
 	passThrough bool
@@ -167,7 +163,7 @@
 // not idle, it may also return true while the server handles the request. Any goroutine
 // may call it.
 func (c *Conn) RequestPending() bool {
-	return c.requestPending.Load() || c.offloaded.Load()
+	return c.requests.pending()
 }
 
 // Read reads data of the requests that the server is to serve.
@@ -178,7 +174,7 @@
 	switch {
 	case c.passThrough:
 		if len(c.buffered) == 0 {
-			c.requestPending.Store(false)
+			c.requests.clear(_requestHere)
 			if err := c.fill(); err != nil {
 				return 0, err
 			}
@@ -232,8 +228,8 @@
 // nextRequest waits for a request that is to be served and refuses those before it.
 func (c *Conn) nextRequest() error {
 	for {
-		c.requestPending.Store(len(c.buffered) > 0)
 		if len(c.buffered) == 0 {
+			c.requests.clear(_requestHere)
 			if err := c.fill(); err != nil {
 				return err
 			}
@@ -287,7 +283,7 @@
 		return err
 	}
 	if c.intake.config.OnState != nil && len(c.buffered) == 0 {
-		c.requestPending.Store(false)
+		c.requests.clear(_requestHere)
 		c.intake.config.OnState(c, http.StateIdle)
 	}
 	return nil
--- a/internal/qlintake/reject.go
+++ b/internal/qlintake/reject.go
@@ -43,7 +43,7 @@
 		return false, err
 	}
 	c.buffer, c.buffered = buffer, (*buffer)[:n]
-	c.requestPending.Store(true)
+	c.requests.set(_requestHere)
 	head, length, ok := parse(c.buffered)
 	if !ok || length > n {
 		return false, nil
