Callers that end only their side of a connection get no false success

What a caller got that ends its side of the connection after its request and waits for the answer: status 200 with an empty body, although its request had been passed on and was canceled; of a stream, the events until then with the end of a whole one. From a router that had passed the request on to another one: 200 with an empty body or a reset without an answer.

Cause: the end of the caller's side cannot be told from a caller that has left, so the request is canceled; rightly, since most have left. But the handler then returned without writing anything (endCallerGone, writeResult), which the HTTP server completes as an empty 200, or as the end of the chunks.

The router now writes what it knows: 502, outcome unknown, if the request was sent, else 499; a stream that has begun is aborted. An offloaded request that is canceled is answered in the same way (qloffload, Exchange.Cancel). To one that has left nothing arrives, as before. A request that its own router has canceled is not counted as broken any more when the other router tells so.

TestCallerThatEndsItsSideGetsNoFalseAnswer before: status 200, whole, body "" in 3 of 4 cases without a stream, a reset in one; a stream with 1 of 5 events that looked whole. Now: 502 in these four, both streams look broken off.

--- a/internal/qlforward/answer.go
+++ b/internal/qlforward/answer.go
@@ -78,13 +78,15 @@
 }
 
 // writeResult records the end of the request and writes the result code to the
-// caller, unless the caller has closed its connection.
+// caller.
 func (f *Forwarder) writeResult(x *exchange, code qlcode.Code, status int, cause string) {
 	x.cause = cause
 	f.recordEnd(x, code, status)
-	if x.callerGone() {
-		return
-	}
+	f.writeCode(x, code, status)
+}
+
+// writeCode writes a result code to the caller.
+func (f *Forwarder) writeCode(x *exchange, code qlcode.Code, status int) {
 	header := x.w.Header()
 	if f.closesConnections() {
 		header.Set("Connection", "close")
--- a/internal/qlforward/plain.go
+++ b/internal/qlforward/plain.go
@@ -148,10 +148,21 @@
 	f.refuseUnlessSent(x, qlcode.NoUpstream, "no upstream is listed, or all were tried")
 }
 
-// endCallerGone ends a request whose caller has closed its connection.
+// endCallerGone ends a request whose caller has closed its connection. One that has only
+// ended its own side looks the same and still reads: it must not get an empty success, with
+// which the server would answer for a handler that writes nothing, nor the end of a stream.
 func (f *Forwarder) endCallerGone(x *exchange) {
 	x.cause = "the caller left"
 	f.recordEnd(x, qlcode.CallerLeft, 0)
+	code := qlcode.CallerLeft
+	switch {
+	case x.streamStarted:
+		f.resetOldCaller(x)
+		panic(http.ErrAbortHandler)
+	case x.sent:
+		code = qlcode.UpstreamCut
+	}
+	f.writeCode(x, code, code.HTTPStatus())
 }
 
 // pickUpstream chooses an upstream that was not tried yet and counts the call
--- a/internal/qloffload/link.go
+++ b/internal/qloffload/link.go
@@ -221,8 +221,8 @@
 		l.offloader.peers.Declined(l.offloader.config.Clock(), l.address)
 		l.finish(id, NotTaken)
 	case frameBroken:
-		l.offloader.broken.Add(1)
 		if exchange := l.remove(id); exchange != nil {
+			l.offloader.broken.Add(1)
 			exchange.countEnd(Broken)
 			exchange.finishBroken()
 		}
@@ -352,14 +352,15 @@
 	return x.outcome
 }
 
-// Cancel ends the exchange because its caller has disconnected.
+// Cancel ends the exchange because its caller has disconnected. One that has only ended its
+// side of the connection is told that the outcome is unknown.
 func (x *Exchange) Cancel() {
 	if x.link.remove(x.id) == nil {
 		return
 	}
 	x.sendCancel()
 	x.count(qloutcome.OffloadLeft)
-	x.finish(Broken)
+	x.finishBroken()
 }
 
 // sendCancel tells the other router that nobody waits for the answer.
--- a/pkg/qlcode/table.go
+++ b/pkg/qlcode/table.go
@@ -189,7 +189,7 @@
 		code:    CallerLeft,
 		name:    "caller-left",
 		title:   "The caller left while the request waited",
-		text:    "Seen in logs only: the request was taken out of the queue and never sent.",
+		text:    "Seen in logs, and by a caller that has ended only its side of the connection: the request was taken out of the queue and never sent.",
 		example: "a browser tab closed",
 		remedy:  "none needed",
 		status:  499,
