Intake: no request is begun after the last answer of its connection

What a caller could see: its request ran at an upstream, and its connection ended without an answer. It had sent the request before it had read the answer to the one before, which another router gave and which was the connection's last: it asked to close, as those of a crowded router do, or it broke off.

Cause: the answer's writer closes the connection, but the reader had read the next request by then, and passed it on to the server of the closed connection, which begins requests that it has in its buffer.

The reader now returns an error if the writer has closed the connection.

--- a/internal/qlintake/late_test.go
+++ b/internal/qlintake/late_test.go
@@ -46,3 +46,44 @@
 		})
 	}
 }
+
+// TestRequestAfterLastAnswerIsNotBegun guards against a request that its caller has sent before
+// it has read the answer that ends the connection, and that runs without an answer.
+func TestRequestAfterLastAnswerIsNotBegun(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		path        string
+		asksToClose bool
+	}{
+		{name: "the answer asks to close", path: "/held", asksToClose: true},
+		{name: "the answer breaks off", path: "/heldbroken"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newOffloadingServer(t)
+			s.asksToClose.Store(c.asksToClose)
+			caller := s.dial()
+			if _, err := io.WriteString(caller.conn, post(c.path, "", 1)); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := caller.reader.Peek(1); err != nil {
+				t.Fatal(err)
+			}
+			s.handles.Store(true)
+			begun := s.begun.Load()
+			if _, err := io.WriteString(caller.conn, post("/", "", 2)); err != nil {
+				t.Fatal(err)
+			}
+			// The router reads it by then.
+			time.Sleep(50 * time.Millisecond)
+			close(s.held)
+			first, second := caller.read(), caller.read()
+			if got := strings.HasPrefix(first, "there 1"); got != c.asksToClose {
+				t.Errorf("first answer: got %q, want it whole: %v", first, c.asksToClose)
+			}
+			time.Sleep(50 * time.Millisecond)
+			if got := s.begun.Load() - begun; got != 0 {
+				t.Errorf("requests begun after the last answer: got %d, want none; its caller got %q", got, second)
+			}
+		})
+	}
+}
--- a/internal/qlintake/offload.go
+++ b/internal/qlintake/offload.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -109,6 +110,10 @@
 	<-w.ended
 	c.intake.config.pause()
 	request := w.takeRequest()
+	if w.closed && fillErr == nil {
+		// The next request would get no answer.
+		fillErr = net.ErrClosed
+	}
 	if exchange.Outcome() != qloffload.NotTaken || fillErr != nil && !woken {
 		if request != nil {
 			c.intake.buffers.Put(request)
@@ -151,8 +156,10 @@
 	outcome qloffload.Outcome
 
 	endOnce sync.Once
-	// ended is closed once the writer does nothing more with the connection.
-	ended chan struct{}
+	// ended is closed once the writer does nothing more with the connection. From then on,
+	// closed says whether the writer has closed it.
+	ended  chan struct{}
+	closed bool
 }
 
 func newCallerWriter(conn *Conn, closes bool) *callerWriter {
@@ -301,5 +308,6 @@
 		_ = c.SetLinger(0)
 	}
 	// The reader returns the error of the closed connection to the server.
+	w.closed = true
 	_ = c.TCPConn.Close()
 }
--- a/internal/qlintake/offload_test.go
+++ b/internal/qlintake/offload_test.go
@@ -29,7 +29,11 @@
 	// the next offloaded answer pauses; both are in nanoseconds.
 	idleTimeout atomic.Int64
 	lateEnd     atomic.Int64
-	other       *qloffload.Server
+	// asksToClose makes offloaded answers the last ones of their connections.
+	asksToClose atomic.Bool
+	// begun counts the requests that the server has begun to handle.
+	begun atomic.Int64
+	other *qloffload.Server
 	// others is the address at which the other router takes requests.
 	others    string
 	offloader *qloffload.Offloader
@@ -72,6 +76,7 @@
 	s.address = inner.Addr().String()
 	server := &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			s.begun.Add(1)
 			body, _ := io.ReadAll(r.Body)
 			if r.URL.Path == "/work" {
 				select {
@@ -97,7 +102,11 @@
 			return time.Duration(s.idleTimeout.Load())
 		},
 		Offloader: s.offloader,
-		Stamp:     func() qloffload.Stamp { return qloffload.Stamp{} },
+		Stamp: func() qloffload.Stamp {
+			return qloffload.Stamp{
+				AskToClose: s.asksToClose.Load(),
+			}
+		},
 		OnState: func(_ net.Conn, state http.ConnState) {
 			if state == http.StateActive {
 				s.active.Add(1)
@@ -168,13 +177,16 @@
 			_, _ = io.WriteString(w, " event")
 		}
 		_ = controller.Flush()
-	case "/held":
+	case "/held", "/heldbroken":
 		_ = controller.Flush()
 		select {
 		case <-r.Context().Done():
 			s.left <- struct{}{}
 		case <-s.held:
 		}
+		if r.URL.Path == "/heldbroken" {
+			panic(http.ErrAbortHandler)
+		}
 	}
 }
 
