Kept connections: tests of the idle time and of requests that do not arrive whole

Seen, not changed: a request whose body does not arrive whole is held without a limit of time where it is served, and closed after the idle time where it was to be passed on.

--- a/internal/qledge/halfclose_test.go
+++ b/internal/qledge/halfclose_test.go
@@ -14,7 +14,12 @@
 func TestCallerThatEndsItsSideGetsNoFalseAnswer(t *testing.T) {
 	const work = 300 * time.Millisecond
 	for name, offloads := range map[string]bool{"served here": false, "passed on to a router": true} {
-		f := newKeptFront(t, 0, offloads)
+		f := newKeptFront(t, keptFrontConfig{
+			offloads:      offloads,
+			descriptors:   _roomyDescriptors,
+			idleTimeout:   time.Minute,
+			headerTimeout: time.Minute,
+		})
 		for _, path := range []string{_orderPath, _lookupPath, _streamPath} {
 			t.Run(name+" "+path, func(t *testing.T) {
 				caller, err := dialRouter(f.address)
--- a/internal/qledge/kept_test.go
+++ b/internal/qledge/kept_test.go
@@ -23,10 +23,13 @@
 // _refuseHeader asks for a refusal by the intake.
 const _refuseHeader = "Refuse"
 
-// _keptDescriptors makes a router close idle connections while _keptCallers are connected.
+// _crowdedDescriptors makes a router close idle connections while _keptCallers are connected,
+// _roomyDescriptors doesn't.
 const (
-	_keptDescriptors = 40
-	_keptCallers     = 30
+	_crowdedDescriptors = 40
+	_roomyDescriptors   = 1000
+	_keptCallers        = 30
+	_keptHeaderBytes    = 8 << 10
 )
 
 // pauser pauses the goroutines that call it at random.
@@ -53,18 +56,29 @@
 	address   string
 	callers   *callerConnections
 	offloader *qloffload.Offloader
-	offloads  bool
+	config    keptFrontConfig
 	pauser    *pauser
 }
 
-func newKeptFront(t *testing.T, seed uint64, offloads bool) *keptFront {
+// keptFrontConfig configures a keptFront.
+type keptFrontConfig struct {
+	seed     uint64
+	offloads bool
+	// descriptors limits the connections.
+	descriptors int
+	idleTimeout time.Duration
+	// headerTimeout limits the time to send the head of a request.
+	headerTimeout time.Duration
+}
+
+func newKeptFront(t *testing.T, config keptFrontConfig) *keptFront {
 	t.Helper()
 	f := &keptFront{
 		upstream: newWorkingUpstream(t),
-		callers:  newCallerConnections(_keptDescriptors, 256),
-		offloads: offloads,
+		callers:  newCallerConnections(config.descriptors, 256),
+		config:   config,
 		pauser: &pauser{
-			random: rand.New(rand.NewPCG(seed, 0)),
+			random: rand.New(rand.NewPCG(config.seed, 0)),
 		},
 	}
 	store := newFakeStore()
@@ -92,8 +106,10 @@
 	}
 	f.address = inner.Addr().String()
 	server := &http.Server{
-		Handler:     router.edge.forwarder,
-		IdleTimeout: time.Minute,
+		Handler:           router.edge.forwarder,
+		IdleTimeout:       config.idleTimeout,
+		ReadHeaderTimeout: config.headerTimeout,
+		MaxHeaderBytes:    _keptHeaderBytes,
 		ConnState: func(conn net.Conn, state http.ConnState) {
 			if state != http.StateNew {
 				f.callers.onStateChange(conn, state)
@@ -122,7 +138,7 @@
 			Refusal: func(head qlintake.Head, _ qladmission.Action, closing bool) (answer []byte, closes bool) {
 				return router.edge.forwarder.RefuseHead(head.Get, closing)
 			},
-			IdleTimeout: func() time.Duration { return time.Minute },
+			IdleTimeout: func() time.Duration { return f.config.idleTimeout },
 			Offloader:   f.offloader,
 			Stamp:       func() qloffload.Stamp { return qloffload.Stamp{Revision: router.edge.revision.Load()} },
 			OnState:     f.callers.onStateChange,
@@ -131,7 +147,7 @@
 		AdmitRequest:        func([]byte) bool { return false },
 		Refusal:             router.edge.forwarder.RawRefusal,
 		OnState:             f.callers.onStateChange,
-		FirstRequestTimeout: func() time.Duration { return time.Minute },
+		FirstRequestTimeout: func() time.Duration { return f.config.headerTimeout },
 		Log:                 zap.NewNop(),
 	})
 }
@@ -140,7 +156,7 @@
 	switch {
 	case customer != "":
 		return qladmission.Refuse
-	case f.offloads && offloadable && f.offloader.Ready():
+	case f.config.offloads && offloadable && f.offloader.Ready():
 		return qladmission.Offload
 	}
 	return qladmission.Handle
@@ -159,6 +175,13 @@
 		longestWork  = 2 * time.Millisecond
 		longestThink = 3 * time.Millisecond
 	)
+	think := func() time.Duration { return time.Duration(random.Int64N(int64(longestThink))) }
+	if f.config.idleTimeout < time.Second {
+		// Requests arrive about when the connection has been idle for too long.
+		think = func() time.Duration {
+			return f.config.idleTimeout - longestThink/2 + time.Duration(random.Int64N(int64(longestThink)))
+		}
+	}
 	series := &keptSeries{}
 	var caller *routerCaller
 	for n := range count {
@@ -189,7 +212,7 @@
 			_ = caller.conn.Close()
 			caller = nil
 		}
-		time.Sleep(time.Duration(random.Int64N(int64(longestThink))))
+		time.Sleep(think())
 	}
 	if caller != nil {
 		_ = caller.conn.Close()
@@ -197,6 +220,40 @@
 	return series, nil
 }
 
+// play has all callers send requests, and checks that none reached the upstream whose
+// connection ended without an answer. It returns how many connections ended so.
+func (f *keptFront) play(t *testing.T, requests int) (ended int64) {
+	t.Helper()
+	var running sync.WaitGroup
+	var answered, unanswered, passedOn atomic.Int64
+	for n := range _keptCallers {
+		running.Go(func() {
+			series, err := f.ask(fmt.Sprint("c", n), rand.New(rand.NewPCG(f.config.seed, uint64(n+1))), requests)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			// A request that is passed on late would have arrived by then.
+			time.Sleep(100 * time.Millisecond)
+			answered.Add(int64(series.answered))
+			unanswered.Add(int64(len(series.unanswered)))
+			for _, id := range series.unanswered {
+				if f.upstream.runs(id) > 0 {
+					passedOn.Add(1)
+				}
+			}
+		})
+	}
+	running.Wait()
+	_, closed, _ := f.callers.counts()
+	t.Logf("%d answered, %d offloaded, %d connections closed as idle to keep the limit, %d requests that crossed a close",
+		answered.Load(), f.offloader.Stats().Offloaded, closed, unanswered.Load()-passedOn.Load())
+	if got := passedOn.Load(); got != 0 {
+		t.Errorf("requests that reached an upstream and whose connection ended without an answer: got %d, want 0", got)
+	}
+	return unanswered.Load()
+}
+
 // TestNoRequestIsPassedOnWhoseIdleConnectionIsClosed guards against a router that closes a
 // kept connection as idle while it passes a request from it on to an upstream.
 func TestNoRequestIsPassedOnWhoseIdleConnectionIsClosed(t *testing.T) {
@@ -204,37 +261,87 @@
 	for seed := range uint64(2) {
 		for name, offloads := range map[string]bool{"served here": false, "passed on to a router": true} {
 			t.Run(fmt.Sprintf("%s, seed %d", name, seed), func(t *testing.T) {
-				f := newKeptFront(t, seed, offloads)
-				var running sync.WaitGroup
-				var answered, unanswered, passedOn atomic.Int64
-				for n := range _keptCallers {
-					running.Go(func() {
-						caller := fmt.Sprint("c", n)
-						series, err := f.ask(caller, rand.New(rand.NewPCG(seed, uint64(n+1))), requests)
-						if err != nil {
-							t.Error(err)
-							return
-						}
-						// A request that is passed on late would have arrived by then.
-						time.Sleep(100 * time.Millisecond)
-						answered.Add(int64(series.answered))
-						unanswered.Add(int64(len(series.unanswered)))
-						for _, id := range series.unanswered {
-							if f.upstream.runs(id) > 0 {
-								passedOn.Add(1)
-							}
-						}
-					})
-				}
-				running.Wait()
-				_, closed, _ := f.callers.counts()
-				t.Logf("%d answered, %d offloaded, %d connections closed while idle, %d requests that crossed that",
-					answered.Load(), f.offloader.Stats().Offloaded, closed, unanswered.Load()-passedOn.Load())
-				if closed == 0 {
+				f := newKeptFront(t, keptFrontConfig{
+					seed:          seed,
+					offloads:      offloads,
+					descriptors:   _crowdedDescriptors,
+					idleTimeout:   time.Minute,
+					headerTimeout: time.Minute,
+				})
+				f.play(t, requests)
+				if _, closed, _ := f.callers.counts(); closed == 0 {
 					t.Error("no connection was closed while idle, want some")
 				}
-				if got := passedOn.Load(); got != 0 {
-					t.Errorf("requests that reached an upstream and whose connection ended without an answer: got %d, want 0", got)
+			})
+		}
+	}
+}
+
+// TestNoRequestIsPassedOnWhoseConnectionWasIdleForTooLong is the same for requests that arrive
+// when the time for which a connection may be idle ends.
+func TestNoRequestIsPassedOnWhoseConnectionWasIdleForTooLong(t *testing.T) {
+	const requests = 40
+	for name, offloads := range map[string]bool{"served here": false, "passed on to a router": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newKeptFront(t, keptFrontConfig{
+				offloads:      offloads,
+				descriptors:   _roomyDescriptors,
+				idleTimeout:   20 * time.Millisecond,
+				headerTimeout: time.Minute,
+			})
+			if f.play(t, requests) == 0 {
+				t.Error("no connection was closed as idle for too long, want some")
+			}
+		})
+	}
+}
+
+// TestRequestsThatDoNotArriveWholeAreNotPassedOn guards against a request that reaches an
+// upstream although its connection is closed for what it lacks.
+func TestRequestsThatDoNotArriveWholeAreNotPassedOn(t *testing.T) {
+	const limit = 200 * time.Millisecond
+	whole := func(id string) string { return routerRequest(_orderPath, id, 0) }
+	for name, text := range map[string]func(id string) string{
+		"head in part": func(id string) string { return whole(id)[:40] },
+		"body in part": func(id string) string { return strings.TrimSuffix(whole(id), "dy") },
+		"head too long": func(id string) string {
+			return strings.Replace(whole(id), "\r\n", "\r\nX: "+strings.Repeat("x", 4*_keptHeaderBytes)+"\r\n", 1)
+		},
+		"malformed": func(id string) string { return strings.Replace(whole(id), "Host: h", "Ho st: h", 1) },
+		"unknown encoding": func(id string) string {
+			return strings.Replace(whole(id), "Content-Length: 4", "Transfer-Encoding: zip", 1)
+		},
+	} {
+		for place, offloads := range map[string]bool{"served here": false, "passed on to a router": true} {
+			t.Run(name+", "+place, func(t *testing.T) {
+				f := newKeptFront(t, keptFrontConfig{
+					offloads:      offloads,
+					descriptors:   _roomyDescriptors,
+					idleTimeout:   limit,
+					headerTimeout: limit,
+				})
+				caller, err := dialRouter(f.address)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer func() { _ = caller.conn.Close() }()
+				awaitTrue(func() bool {
+					got := caller.ask(_orderPath, "first", 0)
+					// The server has ended the request by then: the intake sees the next one.
+					time.Sleep(limit / 10)
+					return got.status == http.StatusOK && (!offloads || f.offloader.Stats().Offloaded > 0)
+				})
+				_ = caller.conn.SetDeadline(time.Now().Add(4 * limit))
+				if _, err := io.WriteString(caller.conn, text("second")); err != nil {
+					t.Fatal(err)
+				}
+				got := caller.read()
+				t.Logf("got status %d, %v", got.status, got.err)
+				if got.status != 0 && got.status < http.StatusBadRequest {
+					t.Errorf("got status %d, want none or an error", got.status)
+				}
+				if got := f.upstream.runs("second"); got != 0 {
+					t.Errorf("requests at the upstream: got %d, want none", got)
 				}
 			})
 		}
