Kept connections: tests of links that break and of a reload

A reload of the settings and a new configuration during a request: answered, and the connection is kept.

--- a/internal/qledge/kept_test.go
+++ b/internal/qledge/kept_test.go
@@ -69,6 +69,43 @@
 	idleTimeout time.Duration
 	// headerTimeout limits the time to send the head of a request.
 	headerTimeout time.Duration
+	// linkLife is after which time each link to the other router is reset, 0 for never.
+	linkLife time.Duration
+}
+
+// breakLinks passes links on to a router and resets each after the time. It returns the
+// address for links.
+func breakLinks(t *testing.T, to string, life time.Duration) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", loopbackAddress(1)+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			from, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			target, err := net.Dial("tcp4", to)
+			if err != nil {
+				_ = from.Close()
+				continue
+			}
+			time.AfterFunc(life, func() {
+				for _, conn := range []net.Conn{from, target} {
+					if tcp, ok := conn.(*net.TCPConn); ok {
+						_ = tcp.SetLinger(0)
+					}
+					_ = conn.Close()
+				}
+			})
+			go func() { _, _ = io.Copy(target, from) }()
+			go func() { _, _ = io.Copy(from, target) }()
+		}
+	}()
+	return listener.Addr().String()
 }
 
 func newKeptFront(t *testing.T, config keptFrontConfig) *keptFront {
@@ -99,7 +136,15 @@
 		Log:            zap.NewNop(),
 	})
 	t.Cleanup(f.offloader.Close)
-	f.offloader.Peers().Set(0, []qloffload.Peer{qloffload.NewPeer(takes, 1)})
+	peers := []qloffload.Peer{qloffload.NewPeer(takes, 1)}
+	if config.linkLife > 0 {
+		// A router whose link has broken is left alone for a while.
+		peers = nil
+		for range _keptCallers {
+			peers = append(peers, qloffload.NewPeer(breakLinks(t, takes, config.linkLife), 1))
+		}
+	}
+	f.offloader.Peers().Set(0, peers)
 	inner, err := net.Listen("tcp4", loopbackAddress(1)+":0")
 	if err != nil {
 		t.Fatal(err)
@@ -165,8 +210,10 @@
 // keptSeries is what became of one caller's requests.
 type keptSeries struct {
 	answered int
-	// unanswered are the ids of requests whose connection ended without an answer.
+	// unanswered are the ids of requests whose connection ended without an answer, brokenOff
+	// those of which it ended within the answer.
 	unanswered []string
+	brokenOff  []string
 }
 
 // ask sends requests in series, on one connection until that ends.
@@ -203,10 +250,13 @@
 		if _, answer.err = io.WriteString(caller.conn, text); answer.err == nil {
 			answer = caller.read()
 		}
-		if !answer.whole {
-			series.unanswered = append(series.unanswered, id)
-		} else {
+		switch {
+		case answer.whole:
 			series.answered++
+		case answer.status != 0:
+			series.brokenOff = append(series.brokenOff, id)
+		default:
+			series.unanswered = append(series.unanswered, id)
 		}
 		if !answer.whole || answer.closes {
 			_ = caller.conn.Close()
@@ -225,7 +275,7 @@
 func (f *keptFront) play(t *testing.T, requests int) (ended int64) {
 	t.Helper()
 	var running sync.WaitGroup
-	var answered, unanswered, passedOn atomic.Int64
+	var answered, unanswered, passedOn, brokenOff atomic.Int64
 	for n := range _keptCallers {
 		running.Go(func() {
 			series, err := f.ask(fmt.Sprint("c", n), rand.New(rand.NewPCG(f.config.seed, uint64(n+1))), requests)
@@ -237,6 +287,7 @@
 			time.Sleep(100 * time.Millisecond)
 			answered.Add(int64(series.answered))
 			unanswered.Add(int64(len(series.unanswered)))
+			brokenOff.Add(int64(len(series.brokenOff)))
 			for _, id := range series.unanswered {
 				if f.upstream.runs(id) > 0 {
 					passedOn.Add(1)
@@ -246,8 +297,11 @@
 	}
 	running.Wait()
 	_, closed, _ := f.callers.counts()
-	t.Logf("%d answered, %d offloaded, %d connections closed as idle to keep the limit, %d requests that crossed a close",
-		answered.Load(), f.offloader.Stats().Offloaded, closed, unanswered.Load()-passedOn.Load())
+	t.Logf("%d answered, %d offloaded, %d connections closed as idle to keep the limit, %d requests that crossed a close, %d answers that broke off",
+		answered.Load(), f.offloader.Stats().Offloaded, closed, unanswered.Load()-passedOn.Load(), brokenOff.Load())
+	if got := brokenOff.Load(); f.config.linkLife == 0 && got != 0 {
+		t.Errorf("answers that broke off: got %d, want 0", got)
+	}
 	if got := passedOn.Load(); got != 0 {
 		t.Errorf("requests that reached an upstream and whose connection ended without an answer: got %d, want 0", got)
 	}
@@ -296,6 +350,54 @@
 	}
 }
 
+// TestNoConnectionEndsWithoutAnswerThoughLinksBreak guards against callers whose connections
+// end without an answer when the link breaks on which their requests were passed on.
+func TestNoConnectionEndsWithoutAnswerThoughLinksBreak(t *testing.T) {
+	const requests = 100
+	f := newKeptFront(t, keptFrontConfig{
+		offloads:      true,
+		descriptors:   _roomyDescriptors,
+		idleTimeout:   time.Minute,
+		headerTimeout: time.Minute,
+		linkLife:      50 * time.Millisecond,
+	})
+	if got := f.play(t, requests); got != 0 {
+		t.Errorf("connections that ended without an answer: got %d, want 0", got)
+	}
+	if f.offloader.Stats().Broken == 0 {
+		t.Error("no request was on a link that broke, want some")
+	}
+}
+
+// TestReloadClosesNoConnection guards against requests that are cut when a router reloads its
+// settings or gets another configuration.
+func TestReloadClosesNoConnection(t *testing.T) {
+	const work = 300 * time.Millisecond
+	upstream := newWorkingUpstream(t)
+	store := newFakeStore()
+	store.addRoutes(upstream.address())
+	router := startEdge(t, "r1", store, nil)
+	router.awaitCount(t, len(store.upstreams))
+	for _, path := range []string{_orderPath, _streamPath} {
+		caller, err := dialRouter(router.callers)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = caller.conn.Close() }()
+		answer := make(chan routerAnswer, 1)
+		go func() { answer <- caller.ask(path, path, work) }()
+		awaitTrue(func() bool { return upstream.runs(path) > 0 })
+		router.edge.Reload(router.edge.settings)
+		store.commit(func() { store.config = store.revision })
+		if got := <-answer; got.status != http.StatusOK || !got.whole {
+			t.Errorf("%s during the reload: got status %d, %v, want 200", path, got.status, got.err)
+		}
+		if got := caller.ask(path, path+"-next", 0); got.status != http.StatusOK || !got.whole {
+			t.Errorf("%s after the reload: got status %d, %v, want 200", path, got.status, got.err)
+		}
+	}
+}
+
 // TestRequestsThatDoNotArriveWholeAreNotPassedOn guards against a request that reaches an
 // upstream although its connection is closed for what it lacks.
 func TestRequestsThatDoNotArriveWholeAreNotPassedOn(t *testing.T) {
