qloffload: a planned stop waits for a request that is just being offloaded

What a caller could see: its request was passed on to another router while its own one stopped, and its connection ended without an answer.

Cause, check then act: Start checked whether the router stops, and counted the request as active only once it was queued on a link. A stop that began in between found none active (awaitOffloaded), and its shutdown closes the connections that the server takes for idle, which those of offloaded requests are.

The request now counts as active before that check.

TestStopWaitsForRequestThatIsBeingOffloaded before: 'active requests when the stop begins: got 0, want 1'. Now it holds, twice with the race detector.

--- a/internal/qloffload/link.go
+++ b/internal/qloffload/link.go
@@ -129,7 +129,6 @@
 	l.unsent = append(l.unsent, exchange)
 	l.usedAt = l.offloader.config.Clock()
 	l.mu.Unlock()
-	l.offloader.active.Add(1)
 	err := l.queue.add(true, func(to []byte) []byte { return appendRequest(to, exchange.id, stamp, request) })
 	if err == nil {
 		return true
@@ -138,7 +137,6 @@
 		// The link broke meanwhile, which has ended the exchange.
 		return true
 	}
-	l.offloader.active.Add(-1)
 	return false
 }
 
--- a/internal/qloffload/qloffload.go
+++ b/internal/qloffload/qloffload.go
@@ -172,6 +172,18 @@
 
 // Start sends a whole request to another router. It returns nil if none has received it.
 func (o *Offloader) Start(request []byte, stamp Stamp, caller Caller) *Exchange {
+	// The request counts as active before the check for a stop, which waits for those that
+	// have passed it.
+	o.active.Add(1)
+	exchange := o.tryStart(request, stamp, caller)
+	if exchange == nil {
+		o.active.Add(-1)
+	}
+	return exchange
+}
+
+// tryStart is Start for a request that counts as active.
+func (o *Offloader) tryStart(request []byte, stamp Stamp, caller Caller) *Exchange {
 	if o.closing.Load() {
 		return nil
 	}
