Admission decides whether a router takes offloaded requests

The condition stood in qledge, where only tests with real routers reach it. It moves to qladmission without a change of behaviour: a router takes none while it refuses requests of its own or lags by more than 30 ms.

--- a/internal/qladmission/qladmission.go
+++ b/internal/qladmission/qladmission.go
@@ -33,6 +33,9 @@
 	"github.com/quetzallane/quetzallane/internal/qlshed"
 )
 
+// _maxTakingLag is the scheduling lag above which a router takes no requests from others.
+const _maxTakingLag = 30 * time.Millisecond
+
 // Action is what a router does with a request.
 type Action int
 
@@ -156,3 +159,9 @@
 	}
 	return Refuse
 }
+
+// TakesOffloaded reports whether this router, with the scheduling lag, has processor time for
+// a request that another router offloads.
+func (c *Controller) TakesOffloaded(lag time.Duration) bool {
+	return c.config.Shedder.RefusedFraction() == 0 && lag <= _maxTakingLag
+}
--- a/internal/qladmission/qladmission_test.go
+++ b/internal/qladmission/qladmission_test.go
@@ -105,3 +105,28 @@
 		}
 	}
 }
+
+// TestLaggingOrRefusingRouterTakesNoOffloadedRequests guards against work that moves to a
+// router that cannot do its own.
+func TestLaggingOrRefusingRouterTakesNoOffloadedRequests(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		earlier  time.Duration
+		lag      time.Duration
+		wantTake bool
+	}{
+		{name: "calm", wantTake: true},
+		{name: "lag up to the limit", lag: 30 * time.Millisecond, wantTake: true},
+		{name: "lag above the limit", lag: 31 * time.Millisecond},
+		{name: "refuses since an earlier lag", earlier: time.Second},
+	} {
+		shedder := qlshed.New()
+		shedder.RecordLag(time.Second, c.earlier)
+		controller := New(Config{
+			Shedder: shedder,
+		})
+		if got := controller.TakesOffloaded(c.lag); got != c.wantTake {
+			t.Errorf("%s: got %v, want %v", c.name, got, c.wantTake)
+		}
+	}
+}
--- a/internal/qledge/offload.go
+++ b/internal/qledge/offload.go
@@ -108,12 +108,9 @@
 // another configuration, since a caller would get answers by either in turn.
 func (e *Edge) declinesOffload(stamp qloffload.Stamp) bool {
 	return e.stopping.Load() || stamp.Revision != e.revision.Load() ||
-		e.shedder.RefusedFraction() > 0 || e.fleet.Lag() > _maxOffloadLag || e.forwarder.MemoryHalfUsed()
+		!e.admission.TakesOffloaded(e.fleet.Lag()) || e.forwarder.MemoryHalfUsed()
 }
 
-// _maxOffloadLag is the scheduling lag above which a router takes no requests from others.
-const _maxOffloadLag = 30 * time.Millisecond
-
 // offloadPeers returns the routers of this zone that may take requests.
 func (e *Edge) offloadPeers() []qloffload.Peer {
 	_, port, err := net.SplitHostPort(e.settings.OffloadAddress)
