The modeled flood: connections are accepted in order of arrival, refusals have reasons

The model accepted one connection for each round of its processor's queue, so that work on kept connections kept new ones waiting while the lag was low, which Go's scheduler does not do. Now accepting waits in the queue like other work. What a refusal for the processor was not offloaded for is counted.

--- a/internal/qladmission/flood_model_test.go
+++ b/internal/qladmission/flood_model_test.go
@@ -201,8 +201,7 @@
 			all.add(counts)
 		}
 		t.Logf("x%v: %.0f answers in aim a second (engines finish %.0f); %v", load, got, result.fleet.engines.rate, all)
-		t.Logf("x%v: %d refusals for the processor, %d with room in the zone, %d with room in the fleet; %d of %d checks not ready", load,
-			result.fleet.refusals, result.fleet.refusalsZoneRoom, result.fleet.refusalsFleetRoom, result.fleet.unreadyCheckCount, result.fleet.finishedCheckCount)
+		t.Logf("x%v: %v; %d of %d checks not ready", load, result.fleet.refusals, result.fleet.failedChecks, result.fleet.checks)
 		if got < _plateau*want {
 			t.Errorf("x%v: got %.0f answers in aim a second, want %v of the %.0f under less load", load, got, _plateau, want)
 		}
--- a/internal/qladmission/model_clock_test.go
+++ b/internal/qladmission/model_clock_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -127,6 +128,14 @@
 	}
 }
 
+// doNext puts work before what is queued. It is called by work that has just been done.
+func (p *modelProcessor) doNext(work time.Duration, done func()) {
+	p.queue = slices.Insert(p.queue, 0, modelWork{
+		time: work,
+		done: done,
+	})
+}
+
 func (p *modelProcessor) next() {
 	if p.working = len(p.queue) > 0; !p.working {
 		p.queue = nil
--- a/internal/qladmission/model_fleet_test.go
+++ b/internal/qladmission/model_fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"hash/fnv"
 	"math"
 	"math/rand/v2"
@@ -38,13 +39,36 @@
 	zones     [][]*modelRouter
 	byAddress map[string]*modelRouter
 	engines   *modelEngines
-	// Of refusals for the processor: how many there were, and how many while another router
-	// of the zone, or of the fleet, had room.
-	refusals           int
-	refusalsZoneRoom   int
-	refusalsFleetRoom  int
-	unreadyCheckCount  int
-	finishedCheckCount int
+	refusals  refusalCounts
+	// Of the balancer's checks, how many there were and how many failed.
+	checks       int
+	failedChecks int
+}
+
+// notOffloaded is why a request that is refused for lack of processor time was not offloaded.
+type notOffloaded int
+
+const (
+	// _lagsTooMuch: the router is not ready to offload.
+	_lagsTooMuch notOffloaded = iota
+	// _noPeer: all others have declined lately.
+	_noPeer
+	_peerDeclined
+	_notOffloadedCount
+)
+
+// refusalCounts counts refusals for lack of processor time.
+type refusalCounts struct {
+	byReason [_notOffloadedCount]int
+	// zoneRoom and fleetRoom are those while another router of the zone, or of the fleet, had
+	// room.
+	zoneRoom  int
+	fleetRoom int
+}
+
+func (c refusalCounts) String() string {
+	return fmt.Sprintf("%d refusals for the processor since it lags too much to offload, %d since no peer is left, %d declined; %d with room in the zone, %d in the fleet",
+		c.byReason[_lagsTooMuch], c.byReason[_noPeer], c.byReason[_peerDeclined], c.zoneRoom, c.fleetRoom)
 }
 
 // newModelFleet returns a fleet whose zones have so many routers each.
@@ -78,9 +102,9 @@
 
 // check is the balancer's check of a router.
 func (f *modelFleet) check(r *modelRouter) {
-	f.finishedCheckCount++
+	f.checks++
 	if r.shedder.OutOfRotation() {
-		f.unreadyCheckCount++
+		f.failedChecks++
 		r.failedChecks++
 		r.inRotation = r.inRotation && r.failedChecks < _maxFailedChecks
 		return
@@ -125,11 +149,11 @@
 }
 
 // countRefusal counts a refusal for lack of processor time.
-func (f *modelFleet) countRefusal(by *modelRouter, attempt *modelAttempt) {
+func (f *modelFleet) countRefusal(by *modelRouter, attempt *modelAttempt, reason notOffloaded) {
 	if !attempt.caller.isCounted() {
 		return
 	}
-	f.refusals++
+	f.refusals.byReason[reason]++
 	zoneRoom, fleetRoom := false, false
 	for _, r := range f.routers {
 		if r != by && r.hasRoom {
@@ -138,10 +162,10 @@
 		}
 	}
 	if zoneRoom {
-		f.refusalsZoneRoom++
+		f.refusals.zoneRoom++
 	}
 	if fleetRoom {
-		f.refusalsFleetRoom++
+		f.refusals.fleetRoom++
 	}
 }
 
--- a/internal/qladmission/model_router_test.go
+++ b/internal/qladmission/model_router_test.go
@@ -56,7 +56,6 @@
 	offloader  *qloffload.Offloader
 
 	acceptQueue []*modelAttempt
-	accepting   bool
 
 	tickPending bool
 	tickDueAt   time.Duration
@@ -153,32 +152,21 @@
 		return false
 	}
 	r.acceptQueue = append(r.acceptQueue, attempt)
-	if !r.accepting {
-		r.accepting = true
-		r.acceptNext()
-	}
+	r.processor.do(0, r.acceptNext)
 	return true
 }
 
-// acceptNext accepts a connection as soon as the pace allows it, and lets other work run
-// before the next one.
+// acceptNext is called once for each connection, in its turn of the processor's work. It
+// accepts the one that has waited for longest as soon as the pace allows it.
 func (r *modelRouter) acceptNext() {
-	if len(r.acceptQueue) == 0 {
-		r.accepting = false
-		r.acceptQueue = nil
-		return
-	}
 	if delay := r.pace.Delay(r.clock.now, r.lag()); delay > 0 {
-		r.clock.after(delay, r.acceptNext)
+		r.clock.after(delay, func() { r.processor.do(0, r.acceptNext) })
 		return
 	}
 	attempt := r.acceptQueue[0]
 	r.acceptQueue[0] = nil
 	r.acceptQueue = r.acceptQueue[1:]
-	r.processor.do(_acceptWork, func() {
-		r.receive(attempt)
-		r.acceptNext()
-	})
+	r.processor.doNext(_acceptWork, func() { r.receive(attempt) })
 }
 
 // receive reads a request's head on an open connection, and decides on it.
@@ -188,17 +176,18 @@
 		case qladmission.Offload:
 			r.offload(attempt)
 		default:
-			r.handleOrRefuse(attempt, action)
+			r.handleOrRefuse(attempt, action, _lagsTooMuch)
 		}
 	})
 }
 
-func (r *modelRouter) handleOrRefuse(attempt *modelAttempt, action qladmission.Action) {
+// handleOrRefuse does what was decided on a request that is not offloaded, for the reason.
+func (r *modelRouter) handleOrRefuse(attempt *modelAttempt, action qladmission.Action, reason notOffloaded) {
 	switch action {
 	case qladmission.RefuseShare:
 		r.refuse(attempt, _refusedShare, r.controller.ShareRetryAfter(_modelService, attempt.customer()), false)
 	case qladmission.Refuse:
-		r.fleet.countRefusal(r, attempt)
+		r.fleet.countRefusal(r, attempt, reason)
 		retryAfter, elsewhere := r.shedder.Backoff(r.clock.now, r.clock.random.Float64())
 		r.refuse(attempt, _refusedProcessor, retryAfter, elsewhere || r.pace.IsPaced(r.clock.now))
 	default:
@@ -220,7 +209,7 @@
 	}
 	peer := r.choosePeer()
 	if peer == nil {
-		r.handleOrRefuse(attempt, r.controller.DecideDeclined(attempt.customer()))
+		r.handleOrRefuse(attempt, r.controller.DecideDeclined(attempt.customer()), _noPeer)
 		return
 	}
 	r.processor.do(_offloadWork, func() {
@@ -247,7 +236,7 @@
 	r.clock.after(_linkDelay, func() {
 		origin.processor.do(_headWork, func() {
 			origin.offloader.Peers().Declined(r.clock.now, r.address)
-			origin.handleOrRefuse(attempt, origin.controller.DecideDeclined(attempt.customer()))
+			origin.handleOrRefuse(attempt, origin.controller.DecideDeclined(attempt.customer()), _peerDeclined)
 		})
 	})
 }
