--- a/internal/qladmission/flood_model_test.go
+++ b/internal/qladmission/flood_model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
 )
@@ -44,6 +45,8 @@
 	loads []float64
 	// all is set if the flood is of all customers, not of the largest one.
 	all bool
+	// acceptYields is that of the fleet.
+	acceptYields bool
 }
 
 // floodResult is what a flood's callers got, and those after it.
@@ -84,7 +87,12 @@
 		routers += size
 	}
 	total := _ratePerCore * scene.cores * float64(routers)
-	run.fleet = newModelFleet(run.clock, scene.zoneSizes, scene.cores, _engineCapacity*total)
+	var zones [][]float64
+	for _, size := range scene.zoneSizes {
+		zones = append(zones, slices.Repeat([]float64{scene.cores}, size))
+	}
+	run.fleet = newModelFleet(run.clock, zones, _engineCapacity*total)
+	run.fleet.acceptYields = scene.acceptYields
 	weights := 0.0
 	for customer := 1; customer < scene.customers; customer++ {
 		weights += 1 / math.Sqrt(float64(customer))
@@ -98,11 +106,15 @@
 		run.callers = append(run.callers, nil)
 		for zone, size := range scene.zoneSizes {
 			caller := &modelCaller{
-				clock:     run.clock,
-				fleet:     run.fleet,
-				customer:  customerName(customer),
-				preferred: run.fleet.preferredBy(zone, customerName(customer)),
-				rate:      rate * float64(size) / float64(routers),
+				clock:       run.clock,
+				fleet:       run.fleet,
+				customer:    customerName(customer),
+				preferred:   run.fleet.preferredBy(zone, customerName(customer)),
+				rate:        rate * float64(size) / float64(routers),
+				keptPart:    _keptPart,
+				minPatience: _minPatience,
+				maxPatience: _maxPatience,
+				maxReturns:  _maxReturns,
 			}
 			caller.setLoad(1)
 			run.callers[customer] = append(run.callers[customer], caller)
@@ -256,6 +268,13 @@
 	_manyRouters.test(t)
 }
 
+func TestFloodOfOneKeepsGoodputOfManyRoutersThatAcceptLast(t *testing.T) {
+	t.Parallel()
+	scene := _manyRouters
+	scene.acceptYields = true
+	scene.test(t)
+}
+
 func TestFloodOfAllKeepsGoodputOfSevenRouters(t *testing.T) {
 	t.Parallel()
 	_sevenRouters.ofAll().test(t)
--- a/internal/qladmission/model_callers_test.go
+++ b/internal/qladmission/model_callers_test.go
@@ -52,6 +52,14 @@
 	preferred []*modelRouter
 	// rate is in requests a second, at a load of 1.
 	rate float64
+	// keptPart of the requests are sent on kept connections.
+	keptPart    float64
+	minPatience time.Duration
+	maxPatience time.Duration
+	// evenly is set if requests are sent at equal intervals, not at random times.
+	evenly bool
+	// maxReturns is how often a request comes back after a refusal.
+	maxReturns int
 	// loads counts changes of the load.
 	loads int
 	// kept holds the idle connections, by the router at their end, the longest idle first.
@@ -76,7 +84,11 @@
 }
 
 func (c *modelCaller) planNext(load float64, next func()) {
-	c.clock.after(time.Duration(c.clock.random.ExpFloat64()/(load*c.rate)*float64(time.Second)), next)
+	interval := float64(time.Second) / (load * c.rate)
+	if !c.evenly {
+		interval *= c.clock.random.ExpFloat64()
+	}
+	c.clock.after(time.Duration(interval), next)
 }
 
 func (c *modelCaller) isCounted() bool {
@@ -89,8 +101,8 @@
 	request := &modelRequest{
 		caller:    c,
 		counts:    c.counts,
-		patientTo: now + c.clock.between(_minPatience, _maxPatience),
-		keeps:     c.clock.random.Float64() < _keptPart,
+		patientTo: now + c.clock.between(c.minPatience, c.maxPatience),
+		keeps:     c.clock.random.Float64() < c.keptPart,
 		lastEnd:   _endedAtPatience,
 	}
 	if request.counts != nil {
@@ -195,7 +207,7 @@
 	}
 	a.end(_begun)
 	if a.keeps {
-		a.caller.clock.after(_streamTicks*_streamTick, func() { a.keep() })
+		a.caller.clock.after(time.Duration(a.caller.fleet.streamTicks)*_streamTick, a.keep)
 	}
 }
 
@@ -211,7 +223,7 @@
 	if a.keeps && !closes {
 		a.keep()
 	}
-	if a.returns >= _maxReturns || a.caller.clock.now+retryAfter >= a.patientTo {
+	if a.returns >= a.caller.maxReturns || a.caller.clock.now+retryAfter >= a.patientTo {
 		a.end(how)
 		return
 	}
--- a/internal/qladmission/model_fleet_test.go
+++ b/internal/qladmission/model_fleet_test.go
@@ -40,6 +40,12 @@
 	byAddress map[string]*modelRouter
 	engines   *modelEngines
 	refusals  refusalCounts
+	// acceptYields is set if the goroutine that accepts connections lets all other work run
+	// after each one, as it does while the router has no idle time. Otherwise accepting a
+	// connection waits in the processor's queue like other work. A real router is between both.
+	acceptYields bool
+	// streamTicks is how often events come after an answer's first one.
+	streamTicks int
 	// Of the balancer's checks, how many there were and how many failed.
 	checks       int
 	failedChecks int
@@ -71,16 +77,18 @@
 		c.byReason[_lagsTooMuch], c.byReason[_noPeer], c.byReason[_peerDeclined], c.zoneRoom, c.fleetRoom)
 }
 
-// newModelFleet returns a fleet whose zones have so many routers each.
-func newModelFleet(clock *modelClock, zoneSizes []int, cores, engineRate float64) *modelFleet {
+// newModelFleet returns a fleet with zones of routers that have so many cores each.
+func newModelFleet(clock *modelClock, zones [][]float64, engineRate float64) *modelFleet {
 	f := &modelFleet{
 		clock:     clock,
 		byAddress: make(map[string]*modelRouter),
 		engines:   newModelEngines(engineRate),
+
+		streamTicks: _streamTicks,
 	}
-	for zone, size := range zoneSizes {
+	for zone, routers := range zones {
 		f.zones = append(f.zones, nil)
-		for range size {
+		for _, cores := range routers {
 			r := newModelRouter(f, zone, len(f.routers), cores)
 			f.routers = append(f.routers, r)
 			f.zones[zone] = append(f.zones[zone], r)
@@ -91,7 +99,7 @@
 		var peers []qloffload.Peer
 		for _, peer := range f.zones[r.zone] {
 			if peer != r {
-				peers = append(peers, qloffload.NewPeer(peer.address, uint32(1000*cores)))
+				peers = append(peers, qloffload.NewPeer(peer.address, uint32(1000*peer.processor.cores)))
 			}
 		}
 		r.offloader.Peers().Set(0, peers)
@@ -192,8 +200,9 @@
 // modelEngines are the engines, in order of arrival, and their owner, which refuses what would
 // wait for too long, first of customers above their share.
 type modelEngines struct {
-	// rate is in requests a second.
+	// rate is in requests a second, and time that until the first event.
 	rate      float64
+	time      time.Duration
 	freeAt    time.Duration
 	customers map[string]*askedRate
 	// level is the rate of a customer up to which it gets what it asks for.
@@ -216,6 +225,7 @@
 func newModelEngines(rate float64) *modelEngines {
 	return &modelEngines{
 		rate:      rate,
+		time:      _engineTime,
 		customers: make(map[string]*askedRate),
 		level:     rate,
 	}
@@ -251,7 +261,7 @@
 	e.freeAt = clock.now + wait + time.Duration(float64(time.Second)/e.rate)
 	return ownerAnswer{
 		end:   _begun,
-		delay: wait + _engineTime,
+		delay: wait + e.time,
 	}
 }
 
--- a/internal/qladmission/model_router_test.go
+++ b/internal/qladmission/model_router_test.go
@@ -152,21 +152,27 @@
 		return false
 	}
 	r.acceptQueue = append(r.acceptQueue, attempt)
-	r.processor.do(0, r.acceptNext)
+	if !r.fleet.acceptYields || len(r.acceptQueue) == 1 {
+		r.processor.do(0, r.acceptNext)
+	}
 	return true
 }
 
-// acceptNext is called once for each connection, in its turn of the processor's work. It
-// accepts the one that has waited for longest as soon as the pace allows it.
+// acceptNext accepts the connection that has waited for longest as soon as the pace allows it.
 func (r *modelRouter) acceptNext() {
 	if delay := r.pace.Delay(r.clock.now, r.lag()); delay > 0 {
 		r.clock.after(delay, func() { r.processor.do(0, r.acceptNext) })
 		return
 	}
 	attempt := r.acceptQueue[0]
-	r.acceptQueue[0] = nil
-	r.acceptQueue = r.acceptQueue[1:]
-	r.processor.doNext(_acceptWork, func() { r.receive(attempt) })
+	r.processor.doNext(_acceptWork, func() {
+		r.acceptQueue[0] = nil
+		r.acceptQueue = r.acceptQueue[1:]
+		r.receive(attempt)
+		if r.fleet.acceptYields && len(r.acceptQueue) > 0 {
+			r.processor.do(0, r.acceptNext)
+		}
+	})
 }
 
 // receive reads a request's head on an open connection, and decides on it.
@@ -279,7 +285,7 @@
 	tick := 0
 	var next func()
 	next = func() {
-		if attempt.left() || tick == _streamTicks {
+		if attempt.left() || tick == r.fleet.streamTicks {
 			return
 		}
 		tick++
