Shares: requests refused for the processor do not count as placed

Cause: the limit on shares passes on 1.5 times what the owner places, and took for placed what it had passed on and the owner had not refused. A request that the shedder refuses after that never reaches the owner. So in a collapse nearly everything counted as placed, the limit ended, and it was the limit that would have ended the collapse. Two stable states under one load.

Change: what is refused for the processor is withdrawn from the limit's counts.

TestOverloadedRouterTellsCustomersOfTheirShare before: 0 of 11,113 refusals name the share, want 8,890.

--- a/internal/qladmission/model_router_test.go
+++ b/internal/qladmission/model_router_test.go
@@ -215,7 +215,7 @@
 	}
 	peer := r.choosePeer()
 	if peer == nil {
-		r.handleOrRefuse(attempt, r.controller.DecideDeclined(attempt.customer()), _noPeer)
+		r.handleOrRefuse(attempt, r.controller.DecideDeclined(_modelService, attempt.customer()), _noPeer)
 		return
 	}
 	r.processor.do(_offloadWork, func() {
@@ -242,7 +242,7 @@
 	r.clock.after(_linkDelay, func() {
 		origin.processor.do(_headWork, func() {
 			origin.offloader.Peers().Declined(r.clock.now, r.address)
-			origin.handleOrRefuse(attempt, origin.controller.DecideDeclined(attempt.customer()), _peerDeclined)
+			origin.handleOrRefuse(attempt, origin.controller.DecideDeclined(_modelService, attempt.customer()), _peerDeclined)
 		})
 	})
 }
--- a/internal/qladmission/qladmission.go
+++ b/internal/qladmission/qladmission.go
@@ -11,7 +11,9 @@
 // Two decisions keep the processor free for that. New connections are accepted no faster than
 // the VM keeps up with, so that those that are open are served (see AcceptPace), and while it
 // does not keep up, requests of customers above their fair share, as the owner of the engines
-// has decided, are refused before they are handled or offloaded (see ShareLimit).
+// has decided, are refused before they are handled or offloaded (see ShareLimit). What is
+// then refused for the processor never reaches the owner: to count it there as placed would
+// end that limit in the collapse that it prevents.
 //
 // # Usage
 //
@@ -19,7 +21,7 @@
 //	switch action := controller.Decide(service, customer, offloadable) {
 //	case qladmission.Offload:
 //		if !offload() {
-//			action = controller.DecideDeclined(customer)
+//			action = controller.DecideDeclined(service, customer)
 //		}
 //	...
 //	}
@@ -60,7 +62,8 @@
 	// CanOffload reports whether other routers take requests at present.
 	CanOffload func() bool
 	// Strained reports whether this router's processor lags behind its connections.
-	// Customers above their share are limited only then.
+	// Customers above their share are limited only then, or while the shedder refuses
+	// requests.
 	Strained func() bool
 	// Clock returns the time on a monotonic clock.
 	Clock func() time.Duration
@@ -131,7 +134,7 @@
 		return RefuseShare
 	}
 	if !c.config.CanOffload() {
-		return c.DecideDeclined(customer)
+		return c.DecideDeclined(service, customer)
 	}
 	if c.config.Budget.Take(now) {
 		return Handle
@@ -139,7 +142,7 @@
 	if offloadable {
 		return Offload
 	}
-	return c.DecideDeclined(customer)
+	return c.DecideDeclined(service, customer)
 }
 
 // shareChance returns the random number by which a request of a customer above its share is
@@ -153,10 +156,14 @@
 
 // DecideDeclined returns what to do with a request that no other router takes: Handle or
 // Refuse.
-func (c *Controller) DecideDeclined(customer string) Action {
-	if c.config.Shedder.Admit(c.config.Clock(), customer, c.config.Chance()) {
+func (c *Controller) DecideDeclined(service, customer string) Action {
+	now := c.config.Clock()
+	if c.config.Shedder.Admit(now, customer, c.config.Chance()) {
 		return Handle
 	}
+	if service != "" {
+		c.sharesOf(service).Withdraw(now, customer)
+	}
 	return Refuse
 }
 
--- a/internal/qladmission/qladmission_test.go
+++ b/internal/qladmission/qladmission_test.go
@@ -1,6 +1,7 @@
 package qladmission
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -81,7 +82,7 @@
 		if got := controller.Decide(_testService, _testCustomer, c.offloadable); got != c.want {
 			t.Errorf("%s: got action %d, want %d", c.name, got, c.want)
 		}
-		if got := controller.DecideDeclined(_testCustomer); got != c.wantDeclined {
+		if got := controller.DecideDeclined(_testService, _testCustomer); got != c.wantDeclined {
 			t.Errorf("%s, declined: got action %d, want %d", c.name, got, c.wantDeclined)
 		}
 		if got, want := controller.IsLimiting(), c.want == RefuseShare; got != want {
@@ -130,3 +131,54 @@
 		}
 	}
 }
+
+// TestOverloadedRouterTellsCustomersOfTheirShare guards against a customer above its share that
+// is told "overloaded" since most of its requests never reach the owner.
+func TestOverloadedRouterTellsCustomersOfTheirShare(t *testing.T) {
+	const (
+		requestsPerTick = 40
+		// The processor handles handledPerTick requests.
+		handledPerTick = 4
+		placedPart     = 0.3
+		lag            = 60 * time.Millisecond
+		// At first, the processor is late with everything.
+		lateUntil = time.Second
+		settled   = 3 * time.Second
+		wantShare = 0.8
+	)
+	now := time.Duration(0)
+	random := rand.New(rand.NewPCG(37, 216))
+	shedder := qlshed.New()
+	controller := New(Config{
+		Budget:     qloffload.NewBudget(0),
+		Shedder:    shedder,
+		CanOffload: func() bool { return false },
+		Strained:   func() bool { return true },
+		Clock:      func() time.Duration { return now },
+		Chance:     random.Float64,
+	})
+	counts, backlog := make(map[Action]int), 0
+	for ; now < 2*settled; now += 10 * time.Millisecond {
+		if backlog = max(backlog-handledPerTick, 0); backlog > 0 || now < lateUntil {
+			shedder.RecordLag(now, lag)
+		} else {
+			shedder.RecordLag(now, 0)
+		}
+		for range requestsPerTick {
+			action := controller.Decide(_testService, _testCustomer, false)
+			if action == Handle {
+				backlog++
+			}
+			if action == Handle && now >= lateUntil && random.Float64() >= placedPart {
+				controller.RecordOverShare(_testService, _testCustomer)
+			}
+			if now >= settled {
+				counts[action]++
+			}
+		}
+	}
+	refused := counts[Refuse] + counts[RefuseShare]
+	if got, want := counts[RefuseShare], int(wantShare*float64(refused)); got < want {
+		t.Errorf("refused for the share: got %d of %d refusals, want %d or more; handled %d", got, refused, want, counts[Handle])
+	}
+}
--- a/internal/qladmission/share.go
+++ b/internal/qladmission/share.go
@@ -98,6 +98,20 @@
 	}
 }
 
+// Withdraw records that a request which Admit has passed on was refused here after that, so
+// that the owner never hears of it.
+func (l *ShareLimit) Withdraw(now time.Duration, customer string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.counts(now, customer)
+	if c == nil {
+		return
+	}
+	if slot := l.slot % _shareSlots; c.passed[slot] > 0 {
+		c.passed[slot]--
+	}
+}
+
 // RetryAfter returns the time after which a refused request of the customer should return:
 // the longer, the smaller the part of the customer's requests that the owner places. chance
 // is a uniform random number in [0, 1).
--- a/internal/qledge/kept_test.go
+++ b/internal/qledge/kept_test.go
@@ -179,7 +179,7 @@
 		Intake: qlintake.New(qlintake.Config{
 			Customer:       func(head qlintake.Head) (service, customer string) { return "", head.Get(_refuseHeader) },
 			Decide:         f.decide,
-			DecideDeclined: func(string) qladmission.Action { return qladmission.Handle },
+			DecideDeclined: func(string, string) qladmission.Action { return qladmission.Handle },
 			Refusal: func(head qlintake.Head, _ qladmission.Action, closing bool) (answer []byte, closes bool) {
 				return router.edge.forwarder.RefuseHead(head.Get, closing)
 			},
--- a/internal/qlintake/first_test.go
+++ b/internal/qlintake/first_test.go
@@ -50,7 +50,7 @@
 	intake := New(Config{
 		Customer:       func(head Head) (service, customer string) { return "", head.Get("customer") },
 		Decide:         f.decide,
-		DecideDeclined: func(string) qladmission.Action { return qladmission.Handle },
+		DecideDeclined: func(string, string) qladmission.Action { return qladmission.Handle },
 		Refusal:        func(Head, qladmission.Action, bool) ([]byte, bool) { return []byte(_refusal), false },
 		IdleTimeout:    func() time.Duration { return time.Minute },
 		Offloader:      offloader,
--- a/internal/qlintake/offload_test.go
+++ b/internal/qlintake/offload_test.go
@@ -96,7 +96,7 @@
 			}
 			return qladmission.Handle
 		},
-		DecideDeclined: func(string) qladmission.Action { return qladmission.Handle },
+		DecideDeclined: func(string, string) qladmission.Action { return qladmission.Handle },
 		IdleTimeout: func() time.Duration {
 			time.Sleep(time.Duration(s.lateEnd.Swap(0)))
 			return time.Duration(s.idleTimeout.Load())
--- a/internal/qlintake/qlintake.go
+++ b/internal/qlintake/qlintake.go
@@ -56,7 +56,7 @@
 	// be passed on at all.
 	Decide func(service, customer string, offloadable bool) qladmission.Action
 	// DecideDeclined decides on a request that no other router takes.
-	DecideDeclined func(customer string) qladmission.Action
+	DecideDeclined func(service, customer string) qladmission.Action
 	// OnOverShare is called when the owner of the engines has refused an offloaded request
 	// since its customer is above its share.
 	OnOverShare func(service, customer string)
@@ -265,7 +265,7 @@
 		}
 		// Waiting for the rest of the request may have moved it.
 		head, _, _ = parse(c.buffered)
-		action = c.intake.config.DecideDeclined(customer)
+		action = c.intake.config.DecideDeclined(service, customer)
 	}
 	c.admissionChecked = true
 	if action == qladmission.Handle {
