Shares: the limit holds while a router refuses for its processor

Cause: limits customers above their share only while accepting is paced, from a lag of 100 ms. Routers of 0.4 cores refuse from 30 ms, and offload, so they hardly lag by 100 ms: the limit never held where it was needed.

Change: it holds also while the shedder refuses. Nothing is refused for a share that the owner has not refused (as before), and a customer below its share is never limited.

Tests: the case 'above its share, refuses for the processor' before: action 1 (handle), want 4.

--- a/internal/qladmission/qladmission.go
+++ b/internal/qladmission/qladmission.go
@@ -148,7 +148,7 @@
 // shareChance returns the random number by which a request of a customer above its share is
 // refused: 0 refuses none. The owner divides the engines better than each router for itself.
 func (c *Controller) shareChance() float64 {
-	if !c.config.Strained() {
+	if !c.config.Strained() && c.config.Shedder.RefusedFraction() == 0 {
 		return 0
 	}
 	return c.config.Chance()
--- a/internal/qladmission/qladmission_test.go
+++ b/internal/qladmission/qladmission_test.go
@@ -75,6 +75,7 @@
 		{name: "above its share, no other router", overShare: _testCustomer, want: RefuseShare, wantDeclined: Handle},
 		{name: "above its share, lag", peers: true, offloadable: true, lag: lag, overShare: _testCustomer, want: RefuseShare, wantDeclined: Refuse},
 		{name: "above its share, processor keeps up", cores: 1, peers: true, offloadable: true, overShare: _testCustomer, calm: true, want: Handle, wantDeclined: Handle},
+		{name: "above its share, refuses for the processor", cores: 1, peers: true, offloadable: true, lag: lag, overShare: _testCustomer, calm: true, want: RefuseShare, wantDeclined: Refuse},
 		{name: "another above its share", cores: 1, peers: true, offloadable: true, overShare: "other", want: Handle, wantDeclined: Handle},
 		{name: "another above its share, beyond the budget", peers: true, offloadable: true, overShare: "other", want: Offload, wantDeclined: Handle},
 	} {
