qlowner: An owner that answers late remains the owner

Cause: two answers missed within 50 ms made a router skip the owner for 1.5 s, and any answer, also a late one, ended that. A hot owner answers late, not never, so one stall of 50 ms turned routers away, and its end turned them back.

Now an owner is skipped only if, besides, no answer at all has come for 0.4 s.

--- a/internal/qlowner/ask.go
+++ b/internal/qlowner/ask.go
@@ -45,6 +45,7 @@
 	c.questions[request.Key.Request] = question{
 		request:     request,
 		owner:       owner,
+		askedAt:     now,
 		deadline:    now + _answerTimeout,
 		secondGroup: secondGroup,
 	}
@@ -75,7 +76,7 @@
 func (c *Core) chooseOwner(now time.Duration, key string) string {
 	owner := c.config.Self
 	for _, node := range c.rankedRouters(key) {
-		if p := c.penalties[node.ID()]; node.ID() == c.config.Self || p.misses < _missLimit || now >= p.until {
+		if node.ID() == c.config.Self || now >= c.penalties[node.ID()].until {
 			owner = node.ID()
 			break
 		}
@@ -157,19 +158,30 @@
 		delete(c.questions, id)
 		c.stats.AnswersMissed++
 		if !c.IsLagging() {
-			c.recordMiss(now, q.owner)
+			c.recordMiss(now, q)
 		}
 		c.decideLocally(now, q.request, q.secondGroup)
 	}
 }
 
-// recordMiss counts an answer that the router missed and extends the period for
-// which it is skipped once it reaches _missLimit.
-func (c *Core) recordMiss(now time.Duration, router string) {
-	p := c.penalties[router]
+// recordMiss counts an answer that the owner missed. One that has been silent for
+// _silenceLimit is skipped, and again for each further miss until it answers.
+func (c *Core) recordMiss(now time.Duration, q question) {
+	p := c.penalties[q.owner]
+	if p.misses == 0 || q.askedAt < p.silentSince {
+		p.silentSince = q.askedAt
+	}
 	p.misses++
-	p.until = now + _penaltyDuration
-	c.penalties[router] = p
+	if p.until > 0 || p.misses >= _missLimit && now-p.silentSince >= _silenceLimit {
+		p.until = now + _penaltyDuration
+	}
+	c.penalties[q.owner] = p
+}
+
+// recordAnswer forgets the answers that an owner missed before it sent one, late or not: a
+// router that turned away from it for its delay would be a second owner beside it.
+func (c *Core) recordAnswer(owner string) {
+	delete(c.penalties, owner)
 }
 
 // NextExpiry returns when Expire has to be called next. ok is false if no answer
--- a/internal/qlowner/packet.go
+++ b/internal/qlowner/packet.go
@@ -407,9 +407,9 @@
 	})
 }
 
-// receiveDecision handles an owner's answer and lifts its penalty.
+// receiveDecision handles an owner's answer.
 func (c *Core) receiveDecision(now time.Duration, from string, message *qlfleetwire.Verdict) {
-	delete(c.penalties, from)
+	c.recordAnswer(from)
 	q, ok := c.questions[message.GetRequest()]
 	if !ok || q.owner != from {
 		c.release(now, from, message)
--- a/internal/qlowner/qlowner.go
+++ b/internal/qlowner/qlowner.go
@@ -8,8 +8,9 @@
 // each request, a router asks the owner of the request's group by one datagram
 // and, if that refuses the request, the owner of one other group. If no answer
 // arrives within a few round trips, the router decides by itself and scales up
-// the load that it knows to account for the other routers. An owner that misses
-// two answers in a row is skipped for a while. The loss of an owner loses only
+// the load that it knows to account for the other routers. An owner that is
+// silent is skipped for a while; one that answers late, as under a flood of requests
+// of its own, remains the owner. The loss of an owner loses only
 // its view of the load, which the next owner regains as routers report their
 // active requests to it.
 //
@@ -44,9 +45,10 @@
 	// _answerTimeout is how long a router waits for an owner's answer: a few
 	// round trips between zones, and a small part of any latency objective.
 	_answerTimeout = 50 * time.Millisecond
-	// An owner that misses _missLimit answers in a row is skipped for
-	// _penaltyDuration.
+	// An owner that misses _missLimit answers and is silent for _silenceLimit, several
+	// times what one in a flood needs, is skipped for _penaltyDuration.
 	_missLimit       = 2
+	_silenceLimit    = 400 * time.Millisecond
 	_penaltyDuration = 1500 * time.Millisecond
 	// _noteBatchDelay is how long notes, which report changes of active requests,
 	// wait for others to share a datagram with.
@@ -155,6 +157,7 @@
 type question struct {
 	request  *qlplace.Request
 	owner    string
+	askedAt  time.Duration
 	deadline time.Duration
 	// secondGroup is set if another group has already refused the request.
 	secondGroup bool
@@ -183,11 +186,13 @@
 	createdAt time.Duration
 }
 
-// penalty records the answers that an owner missed in a row, and until when it is
-// skipped for them.
+// penalty records the answers that an owner missed since it sent the last one, and until
+// when it is skipped for them; 0 if it is not.
 type penalty struct {
 	misses int
-	until  time.Duration
+	// silentSince is when the first of these questions was asked.
+	silentSince time.Duration
+	until       time.Duration
 }
 
 // Core decides requests, or has their owners decide them, and keeps the view of
--- a/internal/qlowner/qlowner_test.go
+++ b/internal/qlowner/qlowner_test.go
@@ -25,11 +25,17 @@
 	random   *rand.Rand
 	// isLost reports whether a packet between the two routers is lost. It is called
 	// when the packet is sent and again when it would arrive.
-	isLost    func(from, to int) bool
-	decisions map[string]map[uint64]qlplace.Decision
-	answers   map[string]*qlquarantine.Answers
-	bytes     int
-	byAddress map[string]int
+	isLost func(from, to int) bool
+	// lag is how late a router handles packets; nil if no router is late. They are
+	// handled in the order of their arrival.
+	lag       func(router int) time.Duration
+	handledAt map[int]time.Duration
+	// onOwnerChange is called when a router turns from one owner to another.
+	onOwnerChange func(router int, from, to string)
+	decisions     map[string]map[uint64]qlplace.Decision
+	answers       map[string]*qlquarantine.Answers
+	bytes         int
+	byAddress     map[string]int
 	// seeds are the addresses that new routers begin with.
 	seeds []string
 }
@@ -61,6 +67,7 @@
 		answers:   map[string]*qlquarantine.Answers{},
 		byAddress: map[string]int{},
 		seeds:     []string{address(0), address(1)},
+		handledAt: map[int]time.Duration{},
 	}
 	for i := range routers {
 		n.byAddress[address(i)] = i
@@ -97,7 +104,7 @@
 			n.bytes += len(body)
 			if target, ok := n.byAddress[to]; ok && !n.isLost(i, target) {
 				n.inFlight = append(n.inFlight, datagram{
-					deliverAt: n.now + _networkDelay,
+					deliverAt: n.handleAt(target),
 					from:      i,
 					to:        target,
 					packet:    body,
@@ -107,7 +114,11 @@
 		OnDecision: func(request uint64, decision qlplace.Decision) {
 			n.decisions[id][request] = decision
 		},
-		OnOwnerChange:    func(string, string) {},
+		OnOwnerChange: func(from, to string) {
+			if n.onOwnerChange != nil {
+				n.onOwnerChange(i, from, to)
+			}
+		},
 		OnMessageError:   func(router string, err error) { panic(router + ": " + err.Error()) },
 		Revisions:        func() (uint64, uint64) { return 0, 0 },
 		OnNewerDocuments: func(string, uint64, uint64) {},
@@ -122,6 +133,16 @@
 	return core
 }
 
+// handleAt returns when a router handles a packet that is sent to it now.
+func (n *network) handleAt(router int) time.Duration {
+	at := n.now + _networkDelay
+	if n.lag != nil {
+		at = max(at+n.lag(router), n.handledAt[router])
+		n.handledAt[router] = at
+	}
+	return at
+}
+
 // answersOf returns what a router remembers of answers, across its restarts.
 func (n *network) answersOf(id string) *qlquarantine.Answers {
 	if n.answers[id] == nil {
