qlengine: Prefills without a known first event don't count as other prompts' time

A router that handles its events late reports first events without their times. The time between two known first events of a busy engine then includes the prefill of the prompts in between, but was learned as one prompt's, so engines looked slower than they are and requests were refused as late.

Test that fails before (go test ./qlengine -run SpeedIgnoresGaps): three of four prompts reported late, 40us learned for a token, 10us is right; now 10us. Reports that come in bursts can still leave a gap that is counted.

--- a/internal/qlengine/qlengine.go
+++ b/internal/qlengine/qlengine.go
@@ -259,6 +259,8 @@
 	progressAt := e.progressAt
 	e.markPrefilled(now, r.pendingTokens)
 	e.progressAt = progressAt
+	// The time between the known first events around this one includes its prefill.
+	e.lastFirstEventAt = 0
 	r.firstReceived, r.untimed = true, true
 	e.active[key] = r
 	return true
--- a/internal/qlengine/speed_test.go
+++ b/internal/qlengine/speed_test.go
@@ -72,3 +72,46 @@
 		t.Errorf("prefill time of a token: got %v, want %v", got, want)
 	}
 }
+
+// TestSpeedIgnoresGapsWithLateReports has a busy engine prefill prompts of which three of
+// four are of a router that reports its first events late, without their times. Counted as
+// one prompt's, the time between two known first events makes the engine look slow.
+func TestSpeedIgnoresGapsWithLateReports(t *testing.T) {
+	const (
+		tokens      = 2000
+		prefill     = tokens * _tokenPrefillTime
+		reportDelay = 100 * time.Millisecond
+		waiting     = 6
+		requests    = 1200
+	)
+	e := newEngine()
+	e.speed = NewSpeed()
+	place := func(now time.Duration, request uint64) {
+		e.Place(now, key(request), &Prompt{
+			Tokens:          tokens,
+			MaxOutputTokens: 1,
+		})
+	}
+	for request := range uint64(waiting) {
+		place(0, request)
+	}
+	late := map[time.Duration]uint64{}
+	for request := range uint64(requests) {
+		now := time.Duration(request+1) * prefill
+		if request%4 != 0 {
+			late[now+reportDelay] = request
+		} else {
+			e.LearnSpeed(now, key(request))
+			e.FirstEvent(now, key(request))
+			e.End(now, key(request), Completed)
+		}
+		if reported, ok := late[now]; ok {
+			e.FirstEventUntimed(now, key(reported))
+			e.End(now, key(reported), Completed)
+		}
+		place(now, request+waiting)
+	}
+	if got, want := e.speed.TokenPrefill(), _tokenPrefillTime; got > 2*want {
+		t.Errorf("prefill time of a token: got %v, want %v", got, want)
+	}
+}
