qlfleet: A line tells how many answers of owners were missed

The log told when a router turned to another owner, but not how many of its questions were not answered in time, nor how many requests it decided alone. Now a line a second at most does, if any answer was missed. Test: MissedAnswersAreToldOncePerInterval (new code, there was nothing to fail before).

--- a/internal/qlfleet/qlfleet.go
+++ b/internal/qlfleet/qlfleet.go
@@ -85,6 +85,7 @@
 	packetsSent  atomic.Int64
 	bytesSent    atomic.Int64
 	echo         echo
+	answers      answerCounter
 	// lastTickAt is when the control goroutine has ticked last, in nanoseconds of
 	// Config.Clock.
 	lastTickAt atomic.Int64
@@ -216,6 +217,7 @@
 	f.core.SetLag(lag)
 	f.lagging.Store(f.core.IsLagging())
 	f.core.Tick(now)
+	f.logAnswers(now, lag)
 	f.config.OnTick(now, lag)
 }
 
