Offloading: lines and state tell why a request was not passed on

requests-offloaded and /debug/state now count the requests that were to be passed on and were not, by reason, one field each if it is not 0. router-overloaded also tells the refused part by the lag alone and the rate learned in an overload. No decision changes.

--- a/internal/qladmission/qladmission.go
+++ b/internal/qladmission/qladmission.go
@@ -54,8 +54,11 @@
 	// Shedder divides this router's processor between customers when no other router takes
 	// requests.
 	Shedder *qlshed.Shedder
-	// CanOffload reports whether other routers take requests at present.
-	CanOffload func() bool
+	// CanOffload reports whether other routers take requests at present, and why not.
+	CanOffload func() (can bool, reason qloffload.Reason)
+	// CountKept counts a request that is refused since it is not offered to another router.
+	// It may be nil.
+	CountKept func(reason qloffload.Reason)
 	// Strained reports whether this router's processor lags behind its connections.
 	// Customers above their share are limited only then.
 	Strained func() bool
@@ -127,8 +130,8 @@
 	if service != "" && !c.sharesOf(service).Admit(now, customer, c.shareChance()) {
 		return RefuseShare
 	}
-	if !c.config.CanOffload() {
-		return c.DecideDeclined(customer)
+	if can, reason := c.config.CanOffload(); !can {
+		return c.decideKept(customer, reason)
 	}
 	if c.config.Budget.Take(now) {
 		return Handle
@@ -136,7 +139,16 @@
 	if offloadable {
 		return Offload
 	}
-	return c.DecideDeclined(customer)
+	return c.decideKept(customer, qloffload.NotOffloadable)
+}
+
+// decideKept returns what to do with a request that is not offered to another router.
+func (c *Controller) decideKept(customer string, reason qloffload.Reason) Action {
+	action := c.DecideDeclined(customer)
+	if action == Refuse && c.config.CountKept != nil {
+		c.config.CountKept(reason)
+	}
+	return action
 }
 
 // shareChance returns the random number by which a request of a customer above its share is
--- a/internal/qladmission/qladmission_test.go
+++ b/internal/qladmission/qladmission_test.go
@@ -37,7 +37,7 @@
 	controller := New(Config{
 		Budget:     qloffload.NewBudget(c.cores),
 		Shedder:    shedder,
-		CanOffload: func() bool { return c.peers },
+		CanOffload: func() (bool, qloffload.Reason) { return c.peers, qloffload.NoPeers },
 		Strained:   func() bool { return !c.calm },
 		Clock:      func() time.Duration { return time.Second },
 		Chance:     func() float64 { return chance },
--- a/internal/qledge/load.go
+++ b/internal/qledge/load.go
@@ -53,7 +53,8 @@
 	if refusedFraction == 0 && refused == e.lastLogged.refused && !e.callers.isCrowded() {
 		return
 	}
-	e.log.Info("router-overloaded", zap.Duration("lag", lag), zap.Float64("refused-part", refusedFraction),
+	limits := e.shedder.Limits(now)
+	e.log.Info("router-overloaded", zap.Duration("lag", lag), zap.Float64("refused-part", refusedFraction), zap.Float64("refused-part-by-lag", limits.RefusedByLag()), zap.Float64("surge-rate", limits.SurgeRate()),
 		zap.Uint64("refused", refused-e.lastLogged.refused), zap.Int("connections", open), zap.Uint64("connections-accepted", e.callers.acceptedCount()), zap.Uint64("idle-closed", closed), zap.Uint64("connections-rejected", rejected),
 		zap.Int64("active", e.forwarder.Active()), zap.Int64("memory-held", e.forwarder.MemoryBytes()), memoryField())
 	e.lastLogged.refused = refused
@@ -89,9 +90,15 @@
 		return
 	}
 	e.lastLogged.offloads = stats
-	e.log.Info("requests-offloaded", zap.Uint64("offloaded", stats.Offloaded-last.Offloaded), zap.Uint64("declined", stats.Declined-last.Declined),
+	fields := []zap.Field{zap.Uint64("offloaded", stats.Offloaded-last.Offloaded), zap.Uint64("declined", stats.Declined-last.Declined),
 		zap.Uint64("broken", stats.Broken-last.Broken), zap.Uint64("unreachable", stats.Unreachable-last.Unreachable),
-		zap.Int64("active", e.offloader.Active()), zap.Float64("own-rate", e.budget.Rate()), zap.Int("peers", e.offloader.Peers().Count()))
+		zap.Int64("active", e.offloader.Active()), zap.Float64("own-rate", e.budget.Rate()), zap.Int("peers", e.offloader.Peers().Count())}
+	for reason, count := range stats.Kept.Since(last.Kept) {
+		if count > 0 {
+			fields = append(fields, zap.Uint64("kept-"+qloffload.Reason(reason).String(), count))
+		}
+	}
+	e.log.Info("requests-offloaded", fields...)
 }
 
 // logOutcomes logs how the requests and connections of the customers with the most of them
--- a/internal/qledge/offload.go
+++ b/internal/qledge/offload.go
@@ -84,7 +84,11 @@
 		return true
 	}
 	conn, ok := ctx.Value(connectionKey{}).(*qlintake.Conn)
-	return ok && conn.AdmissionChecked() || e.shedder.Admit(e.clock(), customer, rand.Float64())
+	if ok && conn.AdmissionChecked() || e.shedder.Admit(e.clock(), customer, rand.Float64()) {
+		return true
+	}
+	e.offloader.CountKept(qloffload.NotOffloadable)
+	return false
 }
 
 // admitRequest reports whether a connection above the limit is kept for its request, and
--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -182,6 +182,7 @@
 		Budget:     e.budget,
 		Shedder:    e.shedder,
 		CanOffload: e.offloader.Ready,
+		CountKept:  e.offloader.CountKept,
 		Strained:   func() bool { return e.acceptPace.IsPaced(e.clock()) },
 		Clock:      e.clock,
 		Chance:     rand.Float64,
--- a/internal/qlintake/offload.go
+++ b/internal/qlintake/offload.go
@@ -30,6 +30,7 @@
 	}
 	if len(c.buffered) > c.remaining {
 		// The caller does not wait for answers. The server keeps them in order.
+		c.intake.config.Offloader.CountKept(qloffload.Pipelined)
 		return false, nil
 	}
 	if qlconn.ClosedByPeer(c.TCPConn) {
--- a/internal/qlintake/offload_test.go
+++ b/internal/qlintake/offload_test.go
@@ -71,7 +71,7 @@
 	s.intake = New(Config{
 		Customer: func(Head) (service, customer string) { return "", "" },
 		Decide: func(_, _ string, offloadable bool) qladmission.Action {
-			if offloadable && s.offloader.Ready() {
+			if ready, _ := s.offloader.Ready(); offloadable && ready {
 				return qladmission.Offload
 			}
 			return qladmission.Handle
--- a/internal/qloffload/link.go
+++ b/internal/qloffload/link.go
@@ -116,12 +116,12 @@
 	return errors.Trace(conn.SetReadDeadline(time.Time{}))
 }
 
-// start queues a request, and reports false if it is certain not to be sent.
-func (l *link) start(exchange *Exchange, stamp Stamp, request []byte) bool {
+// start queues a request, and reports false, and why, if it is certain not to be sent.
+func (l *link) start(exchange *Exchange, stamp Stamp, request []byte) (sent bool, reason Reason) {
 	l.mu.Lock()
 	if l.broken {
 		l.mu.Unlock()
-		return false
+		return false, LinkBroken
 	}
 	l.lastID++
 	exchange.link, exchange.id = l, l.lastID
@@ -132,14 +132,17 @@
 	l.offloader.active.Add(1)
 	err := l.queue.add(true, func(to []byte) []byte { return appendRequest(to, exchange.id, stamp, request) })
 	if err == nil {
-		return true
+		return true, 0
 	}
 	if l.remove(exchange.id) == nil {
 		// The link broke meanwhile, which has ended the exchange.
-		return true
+		return true, 0
 	}
 	l.offloader.active.Add(-1)
-	return false
+	if errors.Is(err, errQueueFull) {
+		return false, LinkFull
+	}
+	return false, LinkBroken
 }
 
 // markSent records that all queued requests are being written.
--- a/internal/qloffload/peers.go
+++ b/internal/qloffload/peers.go
@@ -33,14 +33,21 @@
 type Peers struct {
 	mu    sync.Mutex
 	peers []Peer
-	// avoidedUntil holds the routers that are not asked at present.
-	avoidedUntil map[string]time.Duration
+	// avoided holds the routers that are not asked at present.
+	avoided map[string]pause
+}
+
+// pause is a time for which a router is not asked.
+type pause struct {
+	until time.Duration
+	// unreachable is set if the router could not be reached, unset if it has declined.
+	unreachable bool
 }
 
 // NewPeers returns Peers without any.
 func NewPeers() *Peers {
 	return &Peers{
-		avoidedUntil: make(map[string]time.Duration),
+		avoided: make(map[string]pause),
 	}
 }
 
@@ -49,9 +56,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.peers = peers
-	for address, until := range p.avoidedUntil {
-		if now >= until {
-			delete(p.avoidedUntil, address)
+	for address, pause := range p.avoided {
+		if now >= pause.until {
+			delete(p.avoided, address)
 		}
 	}
 }
@@ -77,7 +84,7 @@
 }
 
 func (p *Peers) weight(now time.Duration, peer Peer) float64 {
-	if now < p.avoidedUntil[peer.address] {
+	if now < p.avoided[peer.address].until {
 		return 0
 	}
 	return float64(peer.capacity)
@@ -85,18 +92,40 @@
 
 // Declined records that a peer has declined a request.
 func (p *Peers) Declined(now time.Duration, address string) {
-	p.avoid(address, now+_declinedPause)
+	p.avoid(address, pause{
+		until: now + _declinedPause,
+	})
 }
 
 // Unreachable records that a peer could not be reached, or broke a connection.
 func (p *Peers) Unreachable(now time.Duration, address string) {
-	p.avoid(address, now+_unreachablePause)
+	p.avoid(address, pause{
+		until:       now + _unreachablePause,
+		unreachable: true,
+	})
 }
 
-func (p *Peers) avoid(address string, until time.Duration) {
+func (p *Peers) avoid(address string, next pause) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.avoidedUntil[address] = max(p.avoidedUntil[address], until)
+	if next.until > p.avoided[address].until {
+		p.avoided[address] = next
+	}
+}
+
+// avoidReason returns why no peer is asked at present.
+func (p *Peers) avoidReason(now time.Duration) Reason {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.peers) == 0 {
+		return NoPeers
+	}
+	for _, peer := range p.peers {
+		if pause := p.avoided[peer.address]; now < pause.until && !pause.unreachable {
+			return AllDeclined
+		}
+	}
+	return AllUnreachable
 }
 
 // Count returns the number of peers.
--- a/internal/qloffload/qloffload.go
+++ b/internal/qloffload/qloffload.go
@@ -21,7 +21,7 @@
 //
 //	offloader := qloffload.New(qloffload.Config{Lag: lag, MemoryMB: 112, Clock: clock, Log: log})
 //	offloader.Peers().Set(now, peers)
-//	if offloader.Ready() {
+//	if ready, _ := offloader.Ready(); ready {
 //		exchange := offloader.Start(request, stamp, qloffload.Caller{Write: write, Finish: finish}) // nil: not sent
 //	}
 package qloffload
@@ -86,6 +86,7 @@
 	declined    atomic.Uint64
 	broken      atomic.Uint64
 	unreachable atomic.Uint64
+	kept        keptCounter
 
 	mu sync.Mutex
 	// links holds the open links by address, nil while one is being opened.
@@ -140,6 +141,8 @@
 	Broken uint64 `json:"broken"`
 	// Unreachable counts failed attempts to reach a router.
 	Unreachable uint64 `json:"unreachable"`
+	// Kept counts those beyond the budget that were not passed on, by reason.
+	Kept Kept `json:"kept"`
 }
 
 // Stats returns the counters since the start.
@@ -149,13 +152,23 @@
 		Declined:    o.declined.Load(),
 		Broken:      o.broken.Load(),
 		Unreachable: o.unreachable.Load(),
+		Kept:        o.kept.counts(),
 	}
 }
 
-// Ready reports whether requests can be offloaded at present.
-func (o *Offloader) Ready() bool {
-	return !o.closing.Load() && o.active.Load() < o.maxActive &&
-		o.config.Lag() <= _maxLag && o.peers.Count() > 0
+// Ready reports whether requests can be offloaded at present, and why not.
+func (o *Offloader) Ready() (ready bool, reason Reason) {
+	switch {
+	case o.closing.Load():
+		return false, Closing
+	case o.peers.Count() == 0:
+		return false, NoPeers
+	case o.config.Lag() > _maxLag:
+		return false, OwnLag
+	case o.active.Load() >= o.maxActive:
+		return false, TooManyActive
+	}
+	return true, 0
 }
 
 // Caller is the connection of an offloaded request's caller. The goroutine that reads from
@@ -173,10 +186,12 @@
 // Start sends a whole request to another router. It returns nil if none has received it.
 func (o *Offloader) Start(request []byte, stamp Stamp, caller Caller) *Exchange {
 	if o.closing.Load() {
+		o.CountKept(Closing)
 		return nil
 	}
-	l := o.chooseLink()
+	l, reason := o.chooseLink()
 	if l == nil {
+		o.CountKept(reason)
 		return nil
 	}
 	exchange := &Exchange{
@@ -187,7 +202,8 @@
 	if o.config.Outcomes != nil {
 		exchange.customer = o.config.CustomerOf(request)
 	}
-	if !l.start(exchange, stamp, request) {
+	if sent, reason := l.start(exchange, stamp, request); !sent {
+		o.CountKept(reason)
 		return nil
 	}
 	o.offloaded.Add(1)
@@ -195,13 +211,14 @@
 	return exchange
 }
 
-// chooseLink returns an open link, or nil. Links are opened in the background, so that no
-// request waits for that.
-func (o *Offloader) chooseLink() *link {
+// chooseLink returns an open link, or nil and why there is none. Links are opened in the
+// background, so that no request waits for that.
+func (o *Offloader) chooseLink() (l *link, reason Reason) {
 	for range _maxTries {
-		address, ok := o.peers.Choose(o.config.Clock(), rand.Float64())
+		now := o.config.Clock()
+		address, ok := o.peers.Choose(now, rand.Float64())
 		if !ok {
-			return nil
+			return nil, o.peers.avoidReason(now)
 		}
 		o.mu.Lock()
 		l, known := o.links[address]
@@ -211,10 +228,10 @@
 		}
 		o.mu.Unlock()
 		if l != nil {
-			return l
+			return l, 0
 		}
 	}
-	return nil
+	return nil, LinkOpening
 }
 
 // _maxTries bounds the routers that are tried for one request.
--- a/internal/qloffload/qloffload_test.go
+++ b/internal/qloffload/qloffload_test.go
@@ -285,7 +285,7 @@
 		},
 		done: make(chan struct{}),
 	}
-	if !l.start(exchange, Stamp{}, []byte(get("/plain"))) {
+	if sent, _ := l.start(exchange, Stamp{}, []byte(get("/plain"))); !sent {
 		t.Fatal("the request was not queued")
 	}
 	l.fail(io.EOF)
--- a/internal/qlshed/qlshed.go
+++ b/internal/qlshed/qlshed.go
@@ -218,6 +218,35 @@
 	return 1 - s.admittedFraction
 }
 
+// Limits says which limits the shedder applies at present.
+type Limits struct {
+	refusedByLag float64
+	surgeRate    float64
+}
+
+// RefusedByLag returns the fraction of requests that is to be refused for the lag alone.
+func (l Limits) RefusedByLag() float64 {
+	return l.refusedByLag
+}
+
+// SurgeRate returns the rate that was learned in an overload, in requests a second, or 0.
+func (l Limits) SurgeRate() float64 {
+	return l.surgeRate
+}
+
+// Limits returns the limits at present.
+func (s *Shedder) Limits(now time.Duration) Limits {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	limits := Limits{
+		refusedByLag: 1 - s.lagFraction,
+	}
+	if s.surge.isKnown(now) {
+		limits.surgeRate = s.surge.rate
+	}
+	return limits
+}
+
 // RefusedCount returns how many requests were refused since the start.
 func (s *Shedder) RefusedCount() uint64 {
 	s.mu.Lock()
--- a/internal/qlshed/surge.go
+++ b/internal/qlshed/surge.go
@@ -57,9 +57,14 @@
 	l.tokens--
 }
 
+// isKnown reports whether a rate is remembered.
+func (l *surgeLimit) isKnown(now time.Duration) bool {
+	return l.learnedAt != 0 && now-l.learnedAt <= _surgeMemory
+}
+
 // isExceeded reports whether more was admitted than the router sustains.
 func (l *surgeLimit) isExceeded(now time.Duration) bool {
-	if l.learnedAt == 0 || now-l.learnedAt > _surgeMemory {
+	if !l.isKnown(now) {
 		return false
 	}
 	perSecond := _surgeRate * l.rate
