qloffload: what waits on a link is written by whoever adds to it

Callers of a flooded router got 503 with code 216 at lags of 1 to 25 ms while its peers had room and declined none: the queue of the link (1 MiB) was full.

Once a connection had no room, only the queue's own goroutine wrote, and on a router with a long run queue that got to run every 10 to 100 ms, for one socket buffer (64 KiB) each time. Requests that were queued waited for it for up to seconds.

Now each goroutine that adds a frame writes what the connection has room for by then; the queue's goroutine does so when the kernel tells of room. Requests count as sent only once something was written. A link fails if nothing is written for 10 s, not if all is not.

--- a/internal/qloffload/sendqueue.go
+++ b/internal/qloffload/sendqueue.go
@@ -12,8 +12,8 @@
 const (
 	// _maxQueueBytes bounds what waits to be sent on a link.
 	_maxQueueBytes = 1 << 20
-	// _sendTimeout limits the time to write what is queued. It is longer than a lagging
-	// router needs to read it.
+	// _sendTimeout limits the time in which nothing of what is queued is written. It is longer
+	// than a lagging router needs to read some.
 	_sendTimeout = 10 * time.Second
 	// _batchDelay is how long parts of answers after the first wait for others to share a
 	// packet with. The offloading router, whose processor is busy, reads once for all.
@@ -22,9 +22,10 @@
 
 var errQueueFull = errors.New("the link's queue is full")
 
-// sendQueue collects frames that are written to a link together. Urgent ones are written by
-// the goroutine that adds them, so that on a lagging router they don't wait for another one
-// to run.
+// sendQueue collects frames that are written to a link together. Urgent ones, and all before
+// them, are written by the goroutine that adds them as far as the connection has room. On a
+// lagging router the goroutine that waits for room runs late, and socket buffers hold little:
+// without the others, it would write one buffer each time that it gets to run.
 type sendQueue struct {
 	conn   *net.TCPConn
 	raw    syscall.RawConn
@@ -32,15 +33,17 @@
 	// wake has room for one signal that there is something left to write.
 	wake chan struct{}
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// pending is what is not written yet, and spare the memory for it once that is nothing.
 	pending []byte
-	// blocked is set while run writes what the connection had no room for.
-	blocked bool
+	spare   []byte
+	// written counts all bytes that were written.
+	written uint64
 	closed  bool
 }
 
 // newSendQueue returns an empty queue for a connection. onTake is called, with the queue
-// locked, before frames are written.
+// locked, once frames that were queued may have been written.
 func newSendQueue(conn *net.TCPConn, onTake func()) (*sendQueue, error) {
 	raw, err := conn.SyscallConn()
 	if err != nil {
@@ -59,6 +62,9 @@
 func (q *sendQueue) add(urgent bool, build func(to []byte) []byte) error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if !q.closed && len(q.pending) >= _maxQueueBytes {
+		q.tryWrite()
+	}
 	if !q.closed && len(q.pending) >= _maxQueueBytes {
 		return errQueueFull
 	}
@@ -78,8 +84,15 @@
 	if q.closed {
 		return net.ErrClosed
 	}
+	wasEmpty := len(q.pending) == 0
+	if wasEmpty {
+		q.pending = q.spare[:0]
+	}
 	q.pending = build(q.pending)
-	if urgent && !q.blocked {
+	if wasEmpty && cap(q.pending) <= _bufferSize {
+		q.spare = q.pending[:0]
+	}
+	if urgent {
 		q.tryWrite()
 	}
 	if len(q.pending) > 0 {
@@ -96,31 +109,40 @@
 	}
 }
 
-// tryWrite writes what the connection has room for. The caller holds the lock.
+// tryWrite writes what the connection has room for, also while run waits for room. The
+// caller holds the lock.
 func (q *sendQueue) tryWrite() {
-	q.onTake()
-	n, writeErr := 0, error(nil)
-	err := q.raw.Write(func(descriptor uintptr) bool {
-		for {
-			n, writeErr = syscall.Write(int(descriptor), q.pending)
-			if writeErr != syscall.EINTR {
-				return true
-			}
-		}
-	})
-	if err != nil || writeErr != nil && writeErr != syscall.EAGAIN {
+	var writeErr error
+	err := q.raw.Control(func(descriptor uintptr) { writeErr = q.writeTo(int(descriptor)) })
+	if err == nil {
+		err = writeErr
+	}
+	if err != nil {
 		// The reader of the connection notices this, and ends all requests.
 		q.closed = true
 		q.pending = nil
 		_ = q.conn.Close()
 		q.signal()
-		return
 	}
-	rest := copy(q.pending, q.pending[max(n, 0):])
-	q.pending = q.pending[:rest]
-	if rest == 0 && cap(q.pending) > _bufferSize {
-		q.pending = nil
+}
+
+// writeTo writes what the connection has room for. The caller holds the lock.
+func (q *sendQueue) writeTo(descriptor int) error {
+	for len(q.pending) > 0 {
+		n, err := syscall.Write(descriptor, q.pending)
+		switch {
+		case err == syscall.EINTR:
+			continue
+		case err == syscall.EAGAIN:
+			return nil
+		case err != nil:
+			return errors.Trace(err)
+		}
+		q.onTake()
+		q.pending = q.pending[n:]
+		q.written += uint64(n)
 	}
+	return nil
 }
 
 // close ends run after what is queued was written.
@@ -131,23 +153,12 @@
 	q.signal()
 }
 
-// take returns what is to be written.
-func (q *sendQueue) take() (data []byte, closed bool) {
+// state returns how many bytes were written in all, whether that is all of them, and whether
+// the queue is closed.
+func (q *sendQueue) state() (written uint64, empty, closed bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	data, q.pending = q.pending, nil
-	q.blocked = len(data) > 0
-	q.onTake()
-	return data, q.closed
-}
-
-func (q *sendQueue) unblock() {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.blocked = false
-	if len(q.pending) > 0 {
-		q.signal()
-	}
+	return q.written, len(q.pending) == 0, q.closed
 }
 
 // run writes frames that were not written at once, until the queue is closed or the
@@ -159,21 +170,40 @@
 		<-q.wake
 		timer.Reset(_batchDelay)
 		<-timer.C
-		data, closed := q.take()
-		if len(data) > 0 {
-			if err := q.conn.SetWriteDeadline(time.Now().Add(_sendTimeout)); err != nil {
-				return errors.Trace(err)
+		for {
+			_, empty, closed := q.state()
+			if empty && closed {
+				return nil
 			}
-			if _, err := q.conn.Write(data); err != nil {
-				return errors.Trace(err)
+			if empty {
+				break
 			}
-			if err := q.conn.SetWriteDeadline(time.Time{}); err != nil {
+			if err := q.awaitProgress(); err != nil {
 				return errors.Trace(err)
 			}
 		}
-		q.unblock()
-		if closed {
-			return nil
-		}
 	}
 }
+
+// awaitProgress waits until some of what is queued was written, by whichever goroutine.
+func (q *sendQueue) awaitProgress() error {
+	before, _, _ := q.state()
+	if err := q.conn.SetWriteDeadline(time.Now().Add(_sendTimeout)); err != nil {
+		return errors.Trace(err)
+	}
+	var writeErr error
+	err := q.raw.Write(func(descriptor uintptr) bool {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		writeErr = q.writeTo(int(descriptor))
+		return writeErr != nil || q.written > before || len(q.pending) == 0
+	})
+	if err == nil {
+		err = writeErr
+	}
+	if after, _, _ := q.state(); after > before {
+		// What the connection does next shows whether it has failed.
+		return nil
+	}
+	return errors.Trace(err)
+}
