qloffload: several links to a router while one is busy

A router opens up to four links to another one, a further one while more than 32 KiB wait on each, and uses the one on which least waits. A link on which 256 KiB wait gets no further request: the next peer is tried then. A further link that fails causes no pause for the router.

--- a/internal/qloffload/qloffload.go
+++ b/internal/qloffload/qloffload.go
@@ -4,8 +4,10 @@
 // of a fleet's requests while the others idle. Such a VM offloads what exceeds its budget:
 // it sends the request, as it has received it, to another router of its zone, and passes
 // the answer on as it comes. Two routers share one connection for this (a link), so that a
-// busy one reads and writes once for many requests. The other router handles the request
-// as if its caller had connected there.
+// busy one reads and writes once for many requests. A link carries no more than its socket
+// buffers hold each time that both processes get to run: a router opens further links to
+// another one while what it sends there waits. The other router handles the request as if
+// its caller had connected there.
 //
 // # What is known about a request
 //
@@ -28,6 +30,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -89,8 +92,27 @@
 	kept        keptCounter
 
 	mu sync.Mutex
-	// links holds the open links by address, nil while one is being opened.
-	links map[string]*link
+	// links holds the links by address.
+	links map[string]*peerLinks
+}
+
+// peerLinks are the links to one router.
+type peerLinks struct {
+	open []*link
+	// opening is set while a further one is being opened. None is before openAfter.
+	opening   bool
+	openAfter time.Duration
+}
+
+// best returns the open link on which least waits to be sent, and how many bytes that is, or
+// nil.
+func (p *peerLinks) best() (best *link, waiting int) {
+	for _, l := range p.open {
+		if size := l.queue.size(); best == nil || size < waiting {
+			best, waiting = l, size
+		}
+	}
+	return best, waiting
 }
 
 // New returns an offloader without peers.
@@ -100,7 +122,7 @@
 		peers:     NewPeers(),
 		buffers:   qlbuffer.NewPool(_bufferSize),
 		maxActive: int64(_maxActivePerMB * config.MemoryMB),
-		links:     make(map[string]*link),
+		links:     make(map[string]*peerLinks),
 	}
 }
 
@@ -220,47 +242,95 @@
 		if !ok {
 			return nil, o.peers.avoidReason(now)
 		}
-		o.mu.Lock()
-		l, known := o.links[address]
-		if !known {
-			o.links[address] = nil
-			go o.openLink(address)
-		}
-		o.mu.Unlock()
-		if l != nil {
+		if l, reason = o.linkTo(address); l != nil {
 			return l, 0
 		}
 	}
-	return nil, LinkOpening
+	return nil, reason
+}
+
+// linkTo returns an open link to a router with room in its queue, or nil and why there is
+// none. It opens a further one while the queues are busy.
+func (o *Offloader) linkTo(address string) (l *link, reason Reason) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	links := o.links[address]
+	if links == nil {
+		links = &peerLinks{}
+		o.links[address] = links
+	}
+	l, waiting := links.best()
+	busy := waiting > _busyQueueBytes && len(links.open) < _maxLinksPerPeer && o.config.Clock() >= links.openAfter
+	if !links.opening && (l == nil || busy) {
+		links.opening = true
+		go o.openLink(address, links)
+	}
+	switch {
+	case l == nil:
+		return nil, LinkOpening
+	case waiting >= _maxRequestQueueBytes:
+		return nil, LinkFull
+	}
+	return l, 0
 }
 
-// _maxTries bounds the routers that are tried for one request.
-const _maxTries = 4
+const (
+	// _maxTries bounds the routers that are tried for one request.
+	_maxTries = 4
+	// _maxLinksPerPeer bounds the links to one router. A further one is opened while more
+	// than _busyQueueBytes wait on each.
+	_maxLinksPerPeer = 4
+	_busyQueueBytes  = 32 << 10
+	// _maxRequestQueueBytes bounds what waits on a link that is given a further request: the
+	// time to send it is lost to all of them.
+	_maxRequestQueueBytes = 256 << 10
+)
 
 // openLink opens a link and serves it until it ends.
-func (o *Offloader) openLink(address string) {
+func (o *Offloader) openLink(address string, links *peerLinks) {
 	l, err := o.dial(address)
 	if err != nil {
 		o.unreachable.Add(1)
-		o.peers.Unreachable(o.config.Clock(), address)
 		o.config.Log.Info("offload-unreachable", zap.String("address", address), zap.Error(err))
-		o.mu.Lock()
-		delete(o.links, address)
-		o.mu.Unlock()
+		o.recordUnreachable(address, links)
 		return
 	}
 	o.mu.Lock()
-	o.links[address] = l
+	links.opening = false
+	links.open = append(links.open, l)
 	o.mu.Unlock()
 	l.run(o.buffers)
 }
 
+// recordUnreachable records that a link to a router was not opened. The router is not asked
+// for a time if it was the only one.
+func (o *Offloader) recordUnreachable(address string, links *peerLinks) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.config.Clock()
+	links.opening, links.openAfter = false, now+_unreachablePause
+	if len(links.open) == 0 {
+		delete(o.links, address)
+		o.peers.Unreachable(now, address)
+	}
+}
+
 // removeLink removes a link that has ended.
 func (o *Offloader) removeLink(ended *link) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.links[ended.address] == ended {
-		delete(o.links, ended.address)
+	links := o.links[ended.address]
+	if links == nil {
+		return
+	}
+	links.open = slices.DeleteFunc(links.open, func(l *link) bool { return l == ended })
+	o.forgetUnused(ended.address, links)
+}
+
+// forgetUnused drops what is known of a router without links. The caller holds the lock.
+func (o *Offloader) forgetUnused(address string, links *peerLinks) {
+	if len(links.open) == 0 && !links.opening {
+		delete(o.links, address)
 	}
 }
 
@@ -275,10 +345,8 @@
 func (o *Offloader) Cut() int64 {
 	o.mu.Lock()
 	links := make([]*link, 0, len(o.links))
-	for _, l := range o.links {
-		if l != nil {
-			links = append(links, l)
-		}
+	for _, peer := range o.links {
+		links = append(links, peer.open...)
 	}
 	o.mu.Unlock()
 	cut := int64(0)
@@ -296,11 +364,15 @@
 func (o *Offloader) closeLinks(ends func(l *link) bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for address, l := range o.links {
-		if l != nil && ends(l) {
-			delete(o.links, address)
+	for address, links := range o.links {
+		links.open = slices.DeleteFunc(links.open, func(l *link) bool {
+			if !ends(l) {
+				return false
+			}
 			// The link's reader notices this.
 			l.queue.close()
-		}
+			return true
+		})
+		o.forgetUnused(address, links)
 	}
 }
--- a/internal/qloffload/sendqueue.go
+++ b/internal/qloffload/sendqueue.go
@@ -101,6 +101,13 @@
 	return nil
 }
 
+// size returns how many bytes wait to be sent.
+func (q *sendQueue) size() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.pending)
+}
+
 func (q *sendQueue) signal() {
 	select {
 	case q.wake <- struct{}{}:
