--- a/internal/qladmission/qladmission_test.go
+++ b/internal/qladmission/qladmission_test.go
@@ -38,7 +38,7 @@
 	controller := New(Config{
 		Budget:     qloffload.NewBudget(c.cores),
 		Shedder:    shedder,
-		CanOffload: func() bool { return c.peers },
+		CanOffload: func() (bool, qloffload.Reason) { return c.peers, qloffload.NoPeers },
 		Strained:   func() bool { return !c.calm },
 		Clock:      func() time.Duration { return time.Second },
 		Chance:     func() float64 { return chance },
@@ -153,7 +153,7 @@
 	controller := New(Config{
 		Budget:     qloffload.NewBudget(0),
 		Shedder:    shedder,
-		CanOffload: func() bool { return false },
+		CanOffload: func() (bool, qloffload.Reason) { return false, qloffload.NoPeers },
 		Strained:   func() bool { return true },
 		Clock:      func() time.Duration { return now },
 		Chance:     random.Float64,
--- a/internal/qledge/kept_test.go
+++ b/internal/qledge/kept_test.go
@@ -198,10 +198,11 @@
 }
 
 func (f *keptFront) decide(_, customer string, offloadable bool) qladmission.Action {
+	ready, _ := f.offloader.Ready()
 	switch {
 	case customer != "":
 		return qladmission.Refuse
-	case f.config.offloads && offloadable && f.offloader.Ready():
+	case f.config.offloads && offloadable && ready:
 		return qladmission.Offload
 	}
 	return qladmission.Handle
--- a/internal/qlintake/offload_test.go
+++ b/internal/qlintake/offload_test.go
@@ -91,7 +91,7 @@
 	s.intake = New(Config{
 		Customer: func(Head) (service, customer string) { return "", "" },
 		Decide: func(_, _ string, offloadable bool) qladmission.Action {
-			if offloadable && s.offloader.Ready() && !s.handles.Load() {
+			if ready, _ := s.offloader.Ready(); offloadable && ready && !s.handles.Load() {
 				return qladmission.Offload
 			}
 			return qladmission.Handle
--- a/internal/qloffload/qloffload.go
+++ b/internal/qloffload/qloffload.go
@@ -4,8 +4,10 @@
 // of a fleet's requests while the others idle. Such a VM offloads what exceeds its budget:
 // it sends the request, as it has received it, to another router of its zone, and passes
 // the answer on as it comes. Two routers share one connection for this (a link), so that a
-// busy one reads and writes once for many requests. The other router handles the request
-// as if its caller had connected there.
+// busy one reads and writes once for many requests. A link carries no more than its socket
+// buffers hold each time that both processes get to run: a router opens further links to
+// another one while what it sends there waits. The other router handles the request as if
+// its caller had connected there.
 //
 // # What is known about a request
 //
@@ -21,13 +23,14 @@
 //
 //	offloader := qloffload.New(qloffload.Config{Lag: lag, MemoryMB: 112, Clock: clock, Log: log})
 //	offloader.Peers().Set(now, peers)
-//	if offloader.Ready() {
+//	if ready, _ := offloader.Ready(); ready {
 //		exchange := offloader.Start(request, stamp, qloffload.Caller{Write: write, Finish: finish}) // nil: not sent
 //	}
 package qloffload
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -86,10 +89,30 @@
 	declined    atomic.Uint64
 	broken      atomic.Uint64
 	unreachable atomic.Uint64
+	kept        keptCounter
 
 	mu sync.Mutex
-	// links holds the open links by address, nil while one is being opened.
-	links map[string]*link
+	// links holds the links by address.
+	links map[string]*peerLinks
+}
+
+// peerLinks are the links to one router.
+type peerLinks struct {
+	open []*link
+	// opening is set while a further one is being opened. None is before openAfter.
+	opening   bool
+	openAfter time.Duration
+}
+
+// best returns the open link on which least waits to be sent, and how many bytes that is, or
+// nil.
+func (p *peerLinks) best() (best *link, waiting int) {
+	for _, l := range p.open {
+		if size := l.queue.size(); best == nil || size < waiting {
+			best, waiting = l, size
+		}
+	}
+	return best, waiting
 }
 
 // New returns an offloader without peers.
@@ -99,7 +122,7 @@
 		peers:     NewPeers(),
 		buffers:   qlbuffer.NewPool(_bufferSize),
 		maxActive: int64(_maxActivePerMB * config.MemoryMB),
-		links:     make(map[string]*link),
+		links:     make(map[string]*peerLinks),
 	}
 }
 
@@ -140,6 +163,8 @@
 	Broken uint64 `json:"broken"`
 	// Unreachable counts failed attempts to reach a router.
 	Unreachable uint64 `json:"unreachable"`
+	// Kept counts those beyond the budget that were not passed on, by reason.
+	Kept Kept `json:"kept"`
 }
 
 // Stats returns the counters since the start.
@@ -149,13 +174,23 @@
 		Declined:    o.declined.Load(),
 		Broken:      o.broken.Load(),
 		Unreachable: o.unreachable.Load(),
+		Kept:        o.kept.counts(),
 	}
 }
 
-// Ready reports whether requests can be offloaded at present.
-func (o *Offloader) Ready() bool {
-	return !o.closing.Load() && o.active.Load() < o.maxActive &&
-		o.config.Lag() <= _maxLag && o.peers.Count() > 0
+// Ready reports whether requests can be offloaded at present, and why not.
+func (o *Offloader) Ready() (ready bool, reason Reason) {
+	switch {
+	case o.closing.Load():
+		return false, Closing
+	case o.peers.Count() == 0:
+		return false, NoPeers
+	case o.config.Lag() > _maxLag:
+		return false, OwnLag
+	case o.active.Load() >= o.maxActive:
+		return false, TooManyActive
+	}
+	return true, 0
 }
 
 // Caller is the connection of an offloaded request's caller. The goroutine that reads from
@@ -185,10 +220,12 @@
 // tryStart is Start for a request that counts as active.
 func (o *Offloader) tryStart(request []byte, stamp Stamp, caller Caller) *Exchange {
 	if o.closing.Load() {
+		o.CountKept(Closing)
 		return nil
 	}
-	l := o.chooseLink()
+	l, reason := o.chooseLink()
 	if l == nil {
+		o.CountKept(reason)
 		return nil
 	}
 	exchange := &Exchange{
@@ -199,7 +236,8 @@
 	if o.config.Outcomes != nil {
 		exchange.customer = o.config.CustomerOf(request)
 	}
-	if !l.start(exchange, stamp, request) {
+	if sent, reason := l.start(exchange, stamp, request); !sent {
+		o.CountKept(reason)
 		return nil
 	}
 	o.offloaded.Add(1)
@@ -207,55 +245,104 @@
 	return exchange
 }
 
-// chooseLink returns an open link, or nil. Links are opened in the background, so that no
-// request waits for that.
-func (o *Offloader) chooseLink() *link {
+// chooseLink returns an open link, or nil and why there is none. Links are opened in the
+// background, so that no request waits for that.
+func (o *Offloader) chooseLink() (l *link, reason Reason) {
 	for range _maxTries {
-		address, ok := o.peers.Choose(o.config.Clock(), rand.Float64())
+		now := o.config.Clock()
+		address, ok := o.peers.Choose(now, rand.Float64())
 		if !ok {
-			return nil
-		}
-		o.mu.Lock()
-		l, known := o.links[address]
-		if !known {
-			o.links[address] = nil
-			go o.openLink(address)
+			return nil, o.peers.avoidReason(now)
 		}
-		o.mu.Unlock()
-		if l != nil {
-			return l
+		if l, reason = o.linkTo(address); l != nil {
+			return l, 0
 		}
 	}
-	return nil
+	return nil, reason
 }
 
-// _maxTries bounds the routers that are tried for one request.
-const _maxTries = 4
+// linkTo returns an open link to a router with room in its queue, or nil and why there is
+// none. It opens a further one while the queues are busy.
+func (o *Offloader) linkTo(address string) (l *link, reason Reason) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	links := o.links[address]
+	if links == nil {
+		links = &peerLinks{}
+		o.links[address] = links
+	}
+	l, waiting := links.best()
+	busy := waiting > _busyQueueBytes && len(links.open) < _maxLinksPerPeer && o.config.Clock() >= links.openAfter
+	if !links.opening && (l == nil || busy) {
+		links.opening = true
+		go o.openLink(address, links)
+	}
+	switch {
+	case l == nil:
+		return nil, LinkOpening
+	case waiting >= _maxRequestQueueBytes:
+		return nil, LinkFull
+	}
+	return l, 0
+}
+
+const (
+	// _maxTries bounds the routers that are tried for one request.
+	_maxTries = 4
+	// _maxLinksPerPeer bounds the links to one router. A further one is opened while more
+	// than _busyQueueBytes wait on each.
+	_maxLinksPerPeer = 4
+	_busyQueueBytes  = 32 << 10
+	// _maxRequestQueueBytes bounds what waits on a link that is given a further request: the
+	// time to send it is lost to all of them.
+	_maxRequestQueueBytes = 256 << 10
+)
 
 // openLink opens a link and serves it until it ends.
-func (o *Offloader) openLink(address string) {
+func (o *Offloader) openLink(address string, links *peerLinks) {
 	l, err := o.dial(address)
 	if err != nil {
 		o.unreachable.Add(1)
-		o.peers.Unreachable(o.config.Clock(), address)
 		o.config.Log.Info("offload-unreachable", zap.String("address", address), zap.Error(err))
-		o.mu.Lock()
-		delete(o.links, address)
-		o.mu.Unlock()
+		o.recordUnreachable(address, links)
 		return
 	}
 	o.mu.Lock()
-	o.links[address] = l
+	links.opening = false
+	links.open = append(links.open, l)
 	o.mu.Unlock()
 	l.run(o.buffers)
 }
 
+// recordUnreachable records that a link to a router was not opened. The router is not asked
+// for a time if it was the only one.
+func (o *Offloader) recordUnreachable(address string, links *peerLinks) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.config.Clock()
+	links.opening, links.openAfter = false, now+_unreachablePause
+	if len(links.open) == 0 {
+		delete(o.links, address)
+		o.peers.Unreachable(now, address)
+	}
+}
+
 // removeLink removes a link that has ended.
 func (o *Offloader) removeLink(ended *link) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.links[ended.address] == ended {
-		delete(o.links, ended.address)
+	links := o.links[ended.address]
+	if links == nil {
+		return
+	}
+	links.open = slices.DeleteFunc(links.open, func(l *link) bool { return l == ended })
+	o.forgetUnused(ended.address, links)
+}
+
+// forgetUnused drops what is known of a router without links. The caller holds the lock.
+func (o *Offloader) forgetUnused(address string, links *peerLinks) {
+	if len(links.open) == 0 && !links.opening {
+		delete(o.links, address)
 	}
 }
 
@@ -270,10 +357,8 @@
 func (o *Offloader) Cut() int64 {
 	o.mu.Lock()
 	links := make([]*link, 0, len(o.links))
-	for _, l := range o.links {
-		if l != nil {
-			links = append(links, l)
-		}
+	for _, peer := range o.links {
+		links = append(links, peer.open...)
 	}
 	o.mu.Unlock()
 	cut := int64(0)
@@ -291,11 +376,15 @@
 func (o *Offloader) closeLinks(ends func(l *link) bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for address, l := range o.links {
-		if l != nil && ends(l) {
-			delete(o.links, address)
+	for address, links := range o.links {
+		links.open = slices.DeleteFunc(links.open, func(l *link) bool {
+			if !ends(l) {
+				return false
+			}
 			// The link's reader notices this.
 			l.queue.close()
-		}
+			return true
+		})
+		o.forgetUnused(address, links)
 	}
 }
