Requests are not sent once their callers have left or their time has passed

Callers that give up while their connection waits to be accepted were found by chance only: the check before a request is sent was made while the router lagged or refused, but no lag shows the accept queue. A trial with times in the accept loop shows where requests wait: the accept queue of edge-tamworth-1 was not empty for 0.3 to 1.4 s at a time from 3.6 s on, at lags of 2 to 35 ms; the loop spent 0.37 to 0.50 s of each 0.5 s behind other goroutines, up to 0.07 s in its own pace.

The connection is now checked before each send, and so is the time limit, which a timer of a lagging process notices late. An upstream to which a request was not sent for that is not blamed.

TestRequestsOfCallersThatLeftTheAcceptQueueAreNotSent fails on the code before in 2 of 3 runs (60 of 60 requests sent, want none; the third found them all by chance) and holds in 3 of 3; TestRequestThatRunsOutOfTimeBeforeItIsSentIsRefused fails there (status 200, want 503; outcome at the engine 1, want 2).

--- /dev/null
+++ b/internal/qledge/left_test.go
@@ -0,0 +1,100 @@
+package qledge
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+// gatedListener leaves connections in the accept queue while its gate is shut.
+type gatedListener struct {
+	net.Listener
+	gate chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l *gatedListener) Accept() (net.Conn, error) {
+	<-l.gate
+	return l.Listener.Accept()
+}
+
+// serveGated makes a router accept further callers at an address once the gate opens.
+func serveGated(t *testing.T, r *runningEdge) (address string, gate chan struct{}) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", loopbackAddress(1)+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	gate = make(chan struct{})
+	server := r.edge.newCallerServer(context.Background())
+	// The server ends with an error that says that it was closed.
+	go func() {
+		_ = server.Serve(r.edge.newCallerListener(&gatedListener{
+			Listener: listener,
+			gate:     gate,
+		}, server))
+	}()
+	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String(), gate
+}
+
+// TestRequestsOfCallersThatLeftTheAcceptQueueAreNotSent guards against work for callers that
+// have given up while their connections waited to be accepted, by a router without lag.
+func TestRequestsOfCallersThatLeftTheAcceptQueueAreNotSent(t *testing.T) {
+	const callers = 20
+	upstream, store := newWorkingUpstream(t), newFakeStore()
+	store.addRoutes(upstream.address())
+	r := startEdge(t, "r1", store, nil)
+	r.awaitState(t, "1 engines plain")
+	// No request has to wait for a connection to the upstream to be opened.
+	var warming sync.WaitGroup
+	for range callers {
+		for _, path := range []string{_lookupPath, _orderPath, _streamPath} {
+			warming.Go(func() {
+				if caller, err := dialRouter(r.callers); err == nil {
+					caller.ask(path, "first", 100*time.Millisecond)
+					_ = caller.conn.Close()
+				}
+			})
+		}
+	}
+	warming.Wait()
+	address, gate := serveGated(t, r)
+	var ids []string
+	for n := range callers {
+		for _, path := range []string{_lookupPath, _orderPath, _streamPath} {
+			caller, err := dialRouter(address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			ids = append(ids, fmt.Sprint(path, n))
+			if _, err := io.WriteString(caller.conn, routerRequest(path, ids[len(ids)-1], 0)); err != nil {
+				t.Fatal(err)
+			}
+			_ = caller.conn.Close()
+		}
+	}
+	time.Sleep(50 * time.Millisecond)
+	close(gate)
+	last, err := dialRouter(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = last.conn.Close() }()
+	if got := last.ask(_orderPath, "last", 0); got.status != http.StatusOK {
+		t.Fatalf("a caller that waits: got %+v, want 200", got)
+	}
+	time.Sleep(50 * time.Millisecond)
+	sent := 0
+	for _, id := range ids {
+		sent += upstream.runs(id)
+	}
+	if sent > 0 {
+		t.Errorf("requests sent after their callers had left: got %d of %d, want none", sent, len(ids))
+	}
+}
--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -393,13 +393,12 @@
 	return retryAfter, elsewhere || e.acceptPace.IsPaced(now)
 }
 
-// callerLeft reports whether a caller has closed its connection. It checks only
-// while the processor is overloaded: the server notices by itself, but late
-// then, and requests that waited unread may be of callers that have given up
-// meanwhile.
+// callerLeft reports whether a caller has closed its connection. The server notices by
+// itself, but after requests that are ready to be sent, and no lag shows how long a
+// connection has waited to be accepted.
 func (e *Edge) callerLeft(ctx context.Context) bool {
 	conn, ok := ctx.Value(connectionKey{}).(net.Conn)
-	return ok && (e.shedder.RefusedFraction() > 0 || e.fleet.Lag() > _unreadLagThreshold) && qlconn.ClosedByPeer(conn)
+	return ok && qlconn.ClosedByPeer(conn)
 }
 
 // newCallerServer returns the server for callers. It has the limits of the
--- a/internal/qlforward/engine.go
+++ b/internal/qlforward/engine.go
@@ -272,7 +272,7 @@
 		}
 		f.endCallerGone(x)
 		return attemptDone, nil
-	case errors.Is(err, qlconn.ErrTooManyConnections):
+	case x.outOfTime, errors.Is(err, qlconn.ErrTooManyConnections):
 		outcome = qlengine.Abandoned
 		return attemptNotSent, err
 	case errors.Is(err, qlconn.ErrNotSent):
--- a/internal/qlforward/exchange.go
+++ b/internal/qlforward/exchange.go
@@ -65,6 +65,8 @@
 	// callerLeft is set when Config.CallerLeft reported that the caller has
 	// closed its connection.
 	callerLeft bool
+	// outOfTime is set when the request was not sent since its time limit had passed.
+	outOfTime bool
 	// decider and predicted are the router that made the last placement
 	// decision and its estimate of the time to the first event.
 	decider   string
--- a/internal/qlforward/late_test.go
+++ b/internal/qlforward/late_test.go
@@ -1,6 +1,7 @@
 package qlforward
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"testing"
@@ -59,3 +60,42 @@
 		t.Errorf("fraction of requests sent: got %.2f, want %.2f", got, want)
 	}
 }
+
+// TestRequestThatRunsOutOfTimeBeforeItIsSentIsRefused guards against work whose caller has
+// given up, by a lagging process whose timers fire late. The upstream is not blamed.
+func TestRequestThatRunsOutOfTimeBeforeItIsSentIsRefused(t *testing.T) {
+	for _, c := range []struct {
+		path   string
+		header map[string]string
+	}{
+		{path: "/order/x"},
+		{path: "/look/x"},
+		{path: "/chat/x", header: promptHeaders()},
+	} {
+		upstream := newFakeUpstream(t, "u1", respond(200, "Signature: s\r\n", "x"))
+		h := newHarness(t, upstream)
+		// The last check before the request is sent is late, but the timer is, too.
+		h.forwarder.config.CallerLeft = func(context.Context) bool {
+			time.Sleep(110 * time.Millisecond)
+			return false
+		}
+		header := map[string]string{"Timeout": "100"}
+		for name, value := range c.header {
+			header[name] = value
+		}
+		got := h.send(t, http.MethodPost, c.path, header, "body")
+		if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+			t.Errorf("%s: got status %d, Retry-After %q, want 503 with a time", c.path, got.status, got.header.Get("Retry-After"))
+		}
+		if got := upstream.count(); got != 0 {
+			t.Errorf("%s: requests sent: got %d, want none", c.path, got)
+		}
+		h.mu.Lock()
+		for _, outcome := range h.outcomes {
+			if outcome != qlengine.Abandoned {
+				t.Errorf("%s: outcome at the engine: got %v, want %v", c.path, outcome, qlengine.Abandoned)
+			}
+		}
+		h.mu.Unlock()
+	}
+}
--- a/internal/qlforward/qlforward.go
+++ b/internal/qlforward/qlforward.go
@@ -364,9 +364,14 @@
 		MaxConnections: connectionShare(x.service.MaxConnections(), routers),
 		Abandoned: func() bool {
 			x.callerLeft = f.config.CallerLeft(x.request.Context())
-			return x.callerLeft
+			// The timer of the context may fire late.
+			x.outOfTime = x.remaining() <= 0
+			return x.callerLeft || x.outOfTime
 		},
 	})
+	if x.outOfTime {
+		return nil, errors.WithType(errOutOfTime, qlconn.ErrNotSent)
+	}
 	if err == nil || !errors.Is(err, qlconn.ErrNotSent) {
 		x.attempts++
 		x.sentBeforeAttempt = x.sent
@@ -378,6 +383,9 @@
 	return e, err
 }
 
+// errOutOfTime ends a request whose time limit has passed before it was sent.
+var errOutOfTime = errors.New("the time limit has passed before the request was sent")
+
 const (
 	// _usableConnectionFraction is the fraction of an upstream's connection
 	// limit that all routers together may use. The rest allows for the moments
