--- a/internal/qlintake/late_test.go
+++ b/internal/qlintake/late_test.go
@@ -87,3 +87,25 @@
 		})
 	}
 }
+
+// TestCallerThatDoesNotReadIsReset guards against an answer that waits for its caller without
+// end, and against one that ends early and looks whole.
+func TestCallerThatDoesNotReadIsReset(t *testing.T) {
+	s := newOffloadingServer(t)
+	caller := s.dialSlow()
+	_ = caller.conn.SetDeadline(time.Now().Add(3 * _answerWriteTimeout))
+	if _, err := io.WriteString(caller.conn, post("/large", "", 1)); err != nil {
+		t.Fatal(err)
+	}
+	s.awaitDelivery()
+	time.Sleep(_answerWriteTimeout)
+	for end := time.Now().Add(_answerWriteTimeout); s.offloader.Delivering() > 0 && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if got := s.offloader.Delivering(); got != 0 {
+		t.Errorf("answers that wait: got %d, want none", got)
+	}
+	if got := caller.read(); strings.HasPrefix(got, "there 1") {
+		t.Errorf("got an answer of %d bytes that looks whole", len(got))
+	}
+}
