Planned stop: connections that wait to be accepted are answered

What callers saw: their connection was reset without an answer when a router stopped that had received more connections than it accepted.

Cause: a router that lags paces the connections that it accepts, the others wait in the kernel. It did so to the end of a stop, and then closed its listener, which resets those that wait: up to 1,000 a core, 100 at least.

A stop now accepts them without a pace before it closes the listener, for a second at most, until none has come for 20 ms, and waits until their requests are answered. They get a refusal (the router stops, not run).

--- a/internal/qledge/kept_test.go
+++ b/internal/qledge/kept_test.go
@@ -69,6 +69,8 @@
 	idleTimeout time.Duration
 	// headerTimeout limits the time to send the head of a request.
 	headerTimeout time.Duration
+	// asksToClose makes each offloaded answer the last one of its connection.
+	asksToClose bool
 	// linkLife is after which time each link to the other router is reset, 0 for never.
 	linkLife time.Duration
 }
@@ -185,9 +187,14 @@
 			},
 			IdleTimeout: func() time.Duration { return f.config.idleTimeout },
 			Offloader:   f.offloader,
-			Stamp:       func() qloffload.Stamp { return qloffload.Stamp{Revision: router.edge.revision.Load()} },
-			OnState:     f.callers.onStateChange,
-			Pause:       f.pauser.pause,
+			Stamp: func() qloffload.Stamp {
+				return qloffload.Stamp{
+					Revision:   router.edge.revision.Load(),
+					AskToClose: f.config.asksToClose,
+				}
+			},
+			OnState: f.callers.onStateChange,
+			Pause:   f.pauser.pause,
 		}),
 		AdmitRequest:        func([]byte) bool { return false },
 		Refusal:             router.edge.forwarder.RawRefusal,
@@ -350,6 +357,22 @@
 	}
 }
 
+// TestConnectionThatClosesAfterAnAnswerSaysSo guards against callers that send their next
+// request on a connection which the router closes after an offloaded answer.
+func TestConnectionThatClosesAfterAnAnswerSaysSo(t *testing.T) {
+	const requests = 100
+	f := newKeptFront(t, keptFrontConfig{
+		offloads:      true,
+		descriptors:   _roomyDescriptors,
+		idleTimeout:   time.Minute,
+		headerTimeout: time.Minute,
+		asksToClose:   true,
+	})
+	if got := f.play(t, requests); got != 0 {
+		t.Errorf("connections that ended without an answer: got %d, want 0", got)
+	}
+}
+
 // TestNoConnectionEndsWithoutAnswerThoughLinksBreak guards against callers whose connections
 // end without an answer when the link breaks on which their requests were passed on.
 func TestNoConnectionEndsWithoutAnswerThoughLinksBreak(t *testing.T) {
--- a/internal/qledge/listener.go
+++ b/internal/qledge/listener.go
@@ -3,10 +3,12 @@
 import (
 	"net"
 	"net/http"
+	"os"
 	"runtime"
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/quetzallane/quetzallane/internal/qlintake"
 	"go.uber.org/zap"
 )
@@ -18,6 +20,8 @@
 	// _maxWaitingConnections bounds the connections above the limit that wait for their
 	// request. Further ones are rejected at once.
 	_maxWaitingConnections = 128
+	// _drainedWait is for how long no connection comes once all that waited were accepted.
+	_drainedWait = 20 * time.Millisecond
 )
 
 // listenerConfig configures a limitListener.
@@ -59,8 +63,13 @@
 	failed   chan error
 	closed   chan struct{}
 	waiting  chan struct{}
+	// drained is closed once all connections that waited were accepted, after Drain.
+	drained chan struct{}
 
 	mu sync.Mutex
+	// draining is set by Drain until that is so, unpaced from then on.
+	draining bool
+	unpaced  bool
 	// unreturned are the connections that Accept has not returned yet.
 	unreturned map[*qlintake.Conn]struct{}
 }
@@ -73,6 +82,7 @@
 		failed:   make(chan error, 1),
 		closed:   make(chan struct{}),
 		waiting:  make(chan struct{}, _maxWaitingConnections),
+		drained:  make(chan struct{}),
 
 		unreturned: make(map[*qlintake.Conn]struct{}),
 	}
@@ -110,10 +120,8 @@
 		// Without this, the loop would accept connections for a time slice of the scheduler
 		// before any of them is served.
 		runtime.Gosched()
-		for delay := l.config.Delay(); delay > 0; delay = l.config.Delay() {
-			time.Sleep(delay)
-		}
-		conn, err := l.Listener.Accept()
+		l.awaitPace()
+		conn, err := l.acceptNext()
 		if err != nil {
 			l.failed <- err
 			return
@@ -155,6 +163,105 @@
 	return true
 }
 
+// awaitPace waits until the next connection may be accepted.
+func (l *limitListener) awaitPace() {
+	for delay := l.config.Delay(); delay > 0 && !l.isUnpaced(); delay = l.config.Delay() {
+		time.Sleep(delay)
+	}
+}
+
+func (l *limitListener) isUnpaced() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.unpaced
+}
+
+// acceptNext accepts the next connection. It closes drained if there is none for a while after
+// Drain.
+func (l *limitListener) acceptNext() (net.Conn, error) {
+	for {
+		draining, err := l.limitAccept()
+		if err != nil {
+			return nil, err
+		}
+		conn, err := l.Listener.Accept()
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return conn, err
+		}
+		if draining {
+			l.endDrain()
+		}
+	}
+}
+
+// limitAccept limits the wait for the next connection while the listener is drained, and
+// reports whether it is.
+func (l *limitListener) limitAccept() (draining bool, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	deadline := time.Time{}
+	if l.draining {
+		deadline = time.Now().Add(_drainedWait)
+	}
+	if !l.unpaced {
+		return false, nil
+	}
+	return l.draining, l.setAcceptDeadline(deadline)
+}
+
+func (l *limitListener) endDrain() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.draining = false
+	close(l.drained)
+}
+
+func (l *limitListener) setAcceptDeadline(deadline time.Time) error {
+	limited, ok := l.Listener.(interface {
+		SetDeadline(deadline time.Time) error
+	})
+	if !ok {
+		return errors.NotSupportedf("listener of type %T", l.Listener)
+	}
+	return errors.Trace(limited.SetDeadline(deadline))
+}
+
+// Drain accepts the connections that wait to be accepted, without a pace, and waits within the
+// time until they are and their requests are answered or passed to the server. It is called
+// once, before the listener is closed: that would reset them.
+func (l *limitListener) Drain(within time.Duration) error {
+	end := time.Now().Add(within)
+	l.mu.Lock()
+	l.draining, l.unpaced = true, true
+	// The wait for the next connection begins again, with a limit.
+	err := l.setAcceptDeadline(time.Now())
+	l.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	select {
+	case <-l.drained:
+	case <-l.closed:
+	case <-time.After(within):
+	}
+	for time.Now().Before(end) && l.anyPendingRequest() {
+		time.Sleep(_drainedWait)
+	}
+	return nil
+}
+
+// anyPendingRequest reports whether a connection that Accept has not returned holds a request.
+func (l *limitListener) anyPendingRequest() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for conn := range l.unreturned {
+		if hasPendingRequest(conn) {
+			return true
+		}
+	}
+	return false
+}
+
 // keep serves a connection until it has a request for the server.
 func (l *limitListener) keep(accepted net.Conn) {
 	l.config.OnState(accepted, http.StateNew)
--- a/internal/qledge/offload.go
+++ b/internal/qledge/offload.go
@@ -15,7 +15,7 @@
 )
 
 // newCallerListener returns the listener for callers' connections.
-func (e *Edge) newCallerListener(listener net.Listener, server *http.Server) net.Listener {
+func (e *Edge) newCallerListener(listener net.Listener, server *http.Server) *limitListener {
 	return newLimitListener(listenerConfig{
 		Listener: listener,
 		Delay:    func() time.Duration { return e.acceptPace.Delay(e.clock(), e.fleet.Lag()) },
--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -363,8 +363,9 @@
 	e.log.Info("started", zap.String("zone", e.settings.Zone), zap.String("callers", e.settings.CallerAddress),
 		zap.String("peers", e.settings.PeerAddress), zap.Strings("seeds", e.settings.Seeds))
 	server := e.newCallerServer(ctx)
+	callers := e.newCallerListener(listener, server)
 	go func() {
-		if err := server.Serve(e.newCallerListener(listener, server)); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(callers); !errors.Is(err, http.ErrServerClosed) {
 			e.log.Error("callers-not-served", zap.Error(err))
 		}
 	}()
@@ -374,7 +375,7 @@
 		}
 	}()
 	<-ctx.Done()
-	err = e.stop(server, offloadListener)
+	err = e.stop(server, callers, offloadListener)
 	cancel()
 	<-fleetEnded
 	return errors.Trace(err)
--- a/internal/qledge/stop.go
+++ b/internal/qledge/stop.go
@@ -28,7 +28,7 @@
 // stop makes a planned stop. First the router reports that it is not ready, and
 // accepts connections until the balancer has noticed; then it waits for the
 // last requests. It returns an error if requests were cut off at the deadline.
-func (e *Edge) stop(server *http.Server, offloadListener net.Listener) error {
+func (e *Edge) stop(server *http.Server, callers *limitListener, offloadListener net.Listener) error {
 	began := time.Now()
 	deadline := began.Add(e.settings.StopDeadline.Std() - _stopMargin)
 	e.stopping.Store(true)
@@ -40,6 +40,9 @@
 	e.log.Info("stopping", zap.Int64("active", e.forwarder.Active()))
 	time.Sleep(e.settings.BalancerNotice.Std())
 	e.forwarder.SetRefusing()
+	if err := callers.Drain(min(_maxUnreadWait, time.Until(cutoff))); err != nil {
+		e.log.Warn("callers-not-drained", zap.Error(err))
+	}
 	e.awaitPendingRequests(time.Now().Add(min(_maxUnreadWait, time.Until(deadline))))
 	cut := e.awaitOffloaded(cutoff)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
