--- a/internal/qlowner/flood_test.go
+++ b/internal/qlowner/flood_test.go
@@ -351,3 +351,18 @@
 		}
 	}
 }
+
+// TestLossOfDatagramsDoesNotChangeTheOwner guards against routers that take two lost answers
+// for the loss of the owner.
+func TestLossOfDatagramsDoesNotChangeTheOwner(t *testing.T) {
+	const loss = 0.05
+	for seed := range uint64(3) {
+		f, owner := newHotOwnerFlood(t, seed)
+		f.isLost = func(int, int) bool { return f.random.Float64() < loss }
+		f.run(_floodSpan, (owner+1)%_floodRouters)
+		f.report("5% lost")
+		if got, want := f.changeCount(), 0; got != want {
+			t.Errorf("seed %d: owner changes: got %d, want %d", seed, got, want)
+		}
+	}
+}
