--- a/internal/qladmission/model_fleet_test.go
+++ b/internal/qladmission/model_fleet_test.go
@@ -70,11 +70,16 @@
 	// room.
 	zoneRoom  int
 	fleetRoom int
+	// onTime are those while the router itself had no lag that it reacts to.
+	onTime int
 }
 
+// _onTimeLag is the lag above which a router handles fewer requests itself.
+const _onTimeLag = 15 * time.Millisecond
+
 func (c refusalCounts) String() string {
-	return fmt.Sprintf("%d refusals for the processor since it lags too much to offload, %d since no peer is left, %d declined; %d with room in the zone, %d in the fleet",
-		c.byReason[_lagsTooMuch], c.byReason[_noPeer], c.byReason[_peerDeclined], c.zoneRoom, c.fleetRoom)
+	return fmt.Sprintf("%d refusals for the processor since it lags too much to offload, %d since no peer is left, %d declined; %d with room in the zone, %d in the fleet, %d by a router on time",
+		c.byReason[_lagsTooMuch], c.byReason[_noPeer], c.byReason[_peerDeclined], c.zoneRoom, c.fleetRoom, c.onTime)
 }
 
 // newModelFleet returns a fleet with zones of routers that have so many cores each.
@@ -162,6 +167,9 @@
 		return
 	}
 	f.refusals.byReason[reason]++
+	if by.lag() <= _onTimeLag {
+		f.refusals.onTime++
+	}
 	zoneRoom, fleetRoom := false, false
 	for _, r := range f.routers {
 		if r != by && r.hasRoom {
