Shares are limited from the lag at which a router refuses for its processor

Callers of small fleets whose every router was hot got 503 with code 216, whoever they were, or waited until their deadline, while requests of customers above their share were read, decided on and passed between hot routers.

A router refuses at a lag of 30 ms, and declines what others offload. Requests of customers above their share it refused at the head only while it paced new connections, above 100 ms: between the two it spent its processor on requests that the owner of the engines would refuse.

Now it is strained, and limits those customers, from 30 ms on and for 300 ms after that. Connections are paced as before.

--- a/internal/qladmission/accept.go
+++ b/internal/qladmission/accept.go
@@ -9,6 +9,9 @@
 	// _acceptTargetLag is the scheduling lag above which new connections are paced, and
 	// fewer of them are accepted with each sample.
 	_acceptTargetLag = 100 * time.Millisecond
+	// _strainedLag is the scheduling lag above which a router does not keep up. It is that from
+	// which it declines requests of others and refuses some of its own callers.
+	_strainedLag = _maxTakingLag
 	// _minAcceptsPerCore and _maxAcceptsPerCore limit the pace, in connections a second per
 	// core.
 	_minAcceptsPerCore = 2000
@@ -22,7 +25,8 @@
 	// _paceIncrease is the relative increase at a sample up to the target lag.
 	_paceIncrease = 0.05
 	// _acceptHold is how long connections are paced after a lag, and after the pace has made
-	// one wait: the lag falls before a flood has ended.
+	// one wait, and how long a router is strained after a lag: the lag falls before a flood has
+	// ended.
 	_acceptHold = 300 * time.Millisecond
 	// _acceptBurst is for how long of the pace connections may be accepted at once.
 	_acceptBurst = 20 * time.Millisecond
@@ -47,6 +51,8 @@
 	refilledAt   time.Duration
 	// pacedUntil is when the pace ends to apply.
 	pacedUntil time.Duration
+	// strainedUntil is when the router ends to be strained.
+	strainedUntil time.Duration
 }
 
 // NewAcceptPace returns the pace of a VM with so many cores.
@@ -65,6 +71,9 @@
 		p.acceptedRate += (p.accepted/elapsed - p.acceptedRate) * _rateWeight
 		p.accepted, p.sampledAt = 0, now
 	}
+	if lag > _strainedLag {
+		p.strainedUntil = now + _acceptHold
+	}
 	if lag <= _acceptTargetLag {
 		p.setRate(p.rate * (1 + _paceIncrease))
 		return
@@ -93,6 +102,14 @@
 	return now < p.pacedUntil
 }
 
+// IsStrained reports whether the router has not kept up lately. It has not, too, while
+// connections are paced.
+func (p *AcceptPace) IsStrained(now time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now < p.strainedUntil || now < p.pacedUntil
+}
+
 // Delay returns how long to wait before the next connection is accepted. If that is 0, it
 // counts the connection.
 func (p *AcceptPace) Delay(now, lag time.Duration) time.Duration {
--- a/internal/qladmission/model_router_test.go
+++ b/internal/qladmission/model_router_test.go
@@ -99,7 +99,7 @@
 		Budget:     r.budget,
 		Shedder:    r.shedder,
 		CanOffload: r.offloader.Ready,
-		Strained:   func() bool { return r.pace.IsPaced(clock.now) },
+		Strained:   func() bool { return r.pace.IsStrained(clock.now) },
 		Clock:      now,
 		Chance:     clock.random.Float64,
 	})
--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -183,7 +183,7 @@
 		Shedder:    e.shedder,
 		CanOffload: e.offloader.Ready,
 		CountKept:  e.offloader.CountKept,
-		Strained:   func() bool { return e.acceptPace.IsPaced(e.clock()) },
+		Strained:   func() bool { return e.acceptPace.IsStrained(e.clock()) },
 		Clock:      e.clock,
 		Chance:     rand.Float64,
 	})
