qloffload: A link that breaks while it is full holds nobody

Whoever adds a frame to a link writes what waits there, and closed the connection under the queue's lock if that failed. Close waits for all that use the connection, such as the goroutine that waits for room, which a reset wakes and which then waits for that lock: both waited for ever.

The queue now lets the goroutines that use the connection end, and run closes it.

go test ./qloffload -run TestBrokenLinkHoldsNobody before: in both cases, a reset of a full link and a reset just as there is room, the goroutine that adds a frame holds after 2 s; now 3 of 3 runs pass in 0.2 s each.

--- a/internal/qloffload/sendqueue.go
+++ b/internal/qloffload/sendqueue.go
@@ -125,10 +125,12 @@
 		err = writeErr
 	}
 	if err != nil {
-		// The reader of the connection notices this, and ends all requests.
 		q.closed = true
 		q.pending = nil
-		_ = q.conn.Close()
+		// This wakes the reader of the connection, which ends all requests, and run, which
+		// closes it. To close it here would wait for run, which may wait for the lock. It
+		// fails on a connection that is closed already.
+		_ = q.conn.SetDeadline(time.Unix(1, 0))
 		q.signal()
 	}
 }
--- a/internal/qloffload/sendqueue_test.go
+++ b/internal/qloffload/sendqueue_test.go
@@ -153,3 +153,60 @@
 		t.Errorf("got %d bytes, want %d", received, want)
 	}
 }
+
+// TestBrokenLinkHoldsNobody guards against a link whose connection fails just as both the
+// goroutine that waits for room and one that adds a frame write to it.
+func TestBrokenLinkHoldsNobody(t *testing.T) {
+	for name, drains := range map[string]bool{
+		"reset":                    false,
+		"reset once there is room": true,
+	} {
+		t.Run(name, func(t *testing.T) {
+			sender, reader := newTestPair(t)
+			fillConnection(t, sender)
+			queue, err := newSendQueue(sender, func() {})
+			if err != nil {
+				t.Fatal(err)
+			}
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				_ = queue.run()
+			}()
+			waiting := make([]byte, _maxQueueBytes)
+			if err := queue.add(true, func(to []byte) []byte { return append(to, waiting...) }); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(10 * _batchDelay)
+			queue.mu.Lock()
+			// The goroutine that waits for room is woken, and waits for the lock.
+			for drains && readArrived(t, reader) > 0 {
+				time.Sleep(_batchDelay)
+			}
+			if err := reader.SetLinger(0); err != nil {
+				t.Fatal(err)
+			}
+			if err := reader.Close(); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(10 * _batchDelay)
+			added := make(chan struct{})
+			go func() {
+				defer close(added)
+				defer queue.mu.Unlock()
+				_ = queue.addLocked(true, func(to []byte) []byte { return appendFrame(to, frameCancel, 1, nil) })
+			}()
+			timeout := time.After(2 * time.Second)
+			for name, done := range map[string]chan struct{}{"adds a frame": added, "waits for room": ended} {
+				select {
+				case <-done:
+				case <-timeout:
+					t.Fatalf("the goroutine that %s holds 2 s after the connection has failed", name)
+				}
+			}
+			if got, want := queue.addControl(frameCancel, 2, nil), net.ErrClosed; got != want {
+				t.Errorf("a frame on a broken link: got %v, want %v", got, want)
+			}
+		})
+	}
+}
