Intake: an answer that goes on long after its caller was slow is not broken off

Found by review. If a caller's connection has no room for a part of an offloaded answer, a goroutine writes the rest of it within 5 s. That time limit stayed on the connection: the next part that was written later than that failed at once, the exchange was canceled, and the caller's connection was reset within the answer. Each offloaded stream that goes on for more than 5 s after one such part was broken off.

The limit ends with the part.

go test ./qlintake -run TestAnswerGoesOnLongAfterItsCallerWasSlow before: connection reset by peer, once; now 524,295 bytes, once.

--- a/internal/qlintake/late_test.go
+++ b/internal/qlintake/late_test.go
@@ -87,3 +87,25 @@
 		})
 	}
 }
+
+// TestAnswerGoesOnLongAfterItsCallerWasSlow guards against the time limit for a part that
+// waited for its caller, which outlived it and broke off an answer that went on later.
+func TestAnswerGoesOnLongAfterItsCallerWasSlow(t *testing.T) {
+	s := newOffloadingServer(t)
+	caller := s.dialSlow()
+	if err := caller.conn.SetDeadline(time.Now().Add(3 * _answerWriteTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(caller.conn, post("/largeheld", "", 1)); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(2 * time.Second); s.offloader.Delivering() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no part of the answer waits for its caller within 2 s")
+		}
+	}
+	time.AfterFunc(_answerWriteTimeout+200*time.Millisecond, func() { close(s.held) })
+	if got, want := caller.read(), len("there 1")+_largeBytes; len(got) != want {
+		t.Errorf("got %.40q of %d bytes, want %d", got, len(got), want)
+	}
+}
--- a/internal/qlintake/offload.go
+++ b/internal/qlintake/offload.go
@@ -238,10 +238,15 @@
 		data := w.pending
 		w.pending = nil
 		if len(data) == 0 {
+			// What comes later is written without waiting, and has no time limit.
+			err := w.conn.SetWriteDeadline(time.Time{})
 			w.writing = false
 			outcome := w.outcome
 			w.mu.Unlock()
-			if outcome != 0 {
+			switch {
+			case err != nil:
+				w.end(qloffload.Broken)
+			case outcome != 0:
 				w.end(outcome)
 			}
 			return
--- a/internal/qlintake/offload_test.go
+++ b/internal/qlintake/offload_test.go
@@ -177,7 +177,10 @@
 			_, _ = io.WriteString(w, " event")
 		}
 		_ = controller.Flush()
-	case "/held", "/heldbroken":
+	case "/held", "/heldbroken", "/largeheld":
+		if r.URL.Path == "/largeheld" {
+			_, _ = w.Write(bytes.Repeat([]byte("x"), _largeBytes))
+		}
 		_ = controller.Flush()
 		select {
 		case <-r.Context().Done():
