Shares: requests whose callers left before they were passed on do not count as placed

A request that waits in a lagging router until its caller gives up was let through by Decide, and never reached the owner, but counted as placed: in a flood whose callers leave, the limit on shares ended. It is now taken back where the intake notices that the caller has left.

Before: go test ./qladmission -run TestRequestsOfCallersThatLeftDoNotEndTheLimit, with a Withdraw that does nothing: the part passed on is 1.00, want 0.15; go test ./qlintake -run TestRequestWhoseCallerLeftBeforeItWasPassedOnIsReported without the calls: 0 reported, want 1. Both pass now.

--- a/internal/qladmission/qladmission.go
+++ b/internal/qladmission/qladmission.go
@@ -173,10 +173,20 @@
 	if c.config.Shedder.Admit(now, customer, c.config.Chance()) {
 		return Handle
 	}
+	c.withdraw(now, service, customer)
+	return Refuse
+}
+
+// Withdraw takes back that Decide has let a request through, since its caller has left before
+// the request was passed on: the owner never hears of it.
+func (c *Controller) Withdraw(service, customer string) {
+	c.withdraw(c.config.Clock(), service, customer)
+}
+
+func (c *Controller) withdraw(now time.Duration, service, customer string) {
 	if service != "" {
 		c.sharesOf(service).Withdraw(now, customer)
 	}
-	return Refuse
 }
 
 // TakesOffloaded reports whether this router, with the scheduling lag, has processor time for
--- a/internal/qladmission/share.go
+++ b/internal/qladmission/share.go
@@ -98,8 +98,8 @@
 	}
 }
 
-// Withdraw records that a request which Admit has passed on was refused here after that, so
-// that the owner never hears of it.
+// Withdraw records that a request which Admit has passed on was refused here after that, or
+// that its caller left, so that the owner never hears of it.
 func (l *ShareLimit) Withdraw(now time.Duration, customer string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/qladmission/share_test.go
+++ b/internal/qladmission/share_test.go
@@ -6,7 +6,9 @@
 	"testing"
 	"time"
 
+	"github.com/quetzallane/quetzallane/internal/qloffload"
 	"github.com/quetzallane/quetzallane/internal/qlshare"
+	"github.com/quetzallane/quetzallane/internal/qlshed"
 )
 
 const (
@@ -268,3 +270,41 @@
 		t.Errorf("unknown customer: got %v, want up to %v", got, highest)
 	}
 }
+
+// TestRequestsOfCallersThatLeftDoNotEndTheLimit guards against a flood whose callers leave
+// while their requests wait: those were counted as placed.
+func TestRequestsOfCallersThatLeftDoNotEndTheLimit(t *testing.T) {
+	const (
+		refused  = 100
+		placed   = 100
+		left     = 800
+		received = refused + placed + left
+	)
+	now := time.Second
+	controller := New(Config{
+		Budget:     qloffload.NewBudget(0),
+		Shedder:    qlshed.New(),
+		CanOffload: func() (bool, qloffload.Reason) { return true, 0 },
+		Strained:   func() bool { return true },
+		Clock:      func() time.Duration { return now },
+		Chance:     func() float64 { return 0 },
+	})
+	for i := range received {
+		if got := controller.Decide(_testService, _testCustomer, true); got != Offload {
+			t.Fatalf("request %d: got action %d, want %d", i, got, Offload)
+		}
+		switch {
+		case i < refused:
+			controller.RecordOverShare(_testService, _testCustomer)
+		case i >= refused+placed:
+			controller.Withdraw(_testService, _testCustomer)
+		}
+	}
+	limit := controller.sharesOf(_testService)
+	limit.mu.Lock()
+	defer limit.mu.Unlock()
+	got, want := limit.counts(now, _testCustomer).admittedPart(), _shareMargin*placed/received
+	if got < 0.99*want || got > 1.01*want {
+		t.Errorf("part that is passed on: got %.2f, want %.2f", got, want)
+	}
+}
--- a/internal/qledge/offload.go
+++ b/internal/qledge/offload.go
@@ -25,6 +25,7 @@
 			Customer:       e.serviceAndCustomer,
 			Decide:         e.admission.Decide,
 			DecideDeclined: e.admission.DecideDeclined,
+			OnLeft:         e.admission.Withdraw,
 			OnOverShare:    e.admission.RecordOverShare,
 			Refusal:        e.refusal,
 			IdleTimeout:    func() time.Duration { return server.IdleTimeout },
--- a/internal/qlintake/offload.go
+++ b/internal/qlintake/offload.go
@@ -27,6 +27,7 @@
 // served here; it is then unchanged.
 func (c *Conn) offload(service, customer string) (served bool, err error) {
 	if err := c.readWhole(); err != nil {
+		c.intake.config.recordLeft(service, customer)
 		return false, err
 	}
 	if len(c.buffered) > c.remaining {
@@ -36,6 +37,7 @@
 	}
 	if qlconn.ClosedByPeer(c.TCPConn) {
 		// The request has waited here until its caller gave up.
+		c.intake.config.recordLeft(service, customer)
 		return false, io.EOF
 	}
 	if err := c.SetReadDeadline(time.Time{}); err != nil {
--- a/internal/qlintake/offload_test.go
+++ b/internal/qlintake/offload_test.go
@@ -42,9 +42,10 @@
 	left chan struct{}
 	// held makes the other router hold requests to /held until it is closed.
 	held chan struct{}
-	// states counts what the intake told about connections.
-	active atomic.Int64
-	idle   atomic.Int64
+	// states counts what the intake told about connections, and callersLeft about callers.
+	active      atomic.Int64
+	idle        atomic.Int64
+	callersLeft atomic.Int64
 }
 
 func newOffloadingServer(t *testing.T) *offloadingServer {
@@ -97,6 +98,7 @@
 			return qladmission.Handle
 		},
 		DecideDeclined: func(string, string) qladmission.Action { return qladmission.Handle },
+		OnLeft:         func(string, string) { s.callersLeft.Add(1) },
 		IdleTimeout: func() time.Duration {
 			time.Sleep(time.Duration(s.lateEnd.Swap(0)))
 			return time.Duration(s.idleTimeout.Load())
@@ -295,6 +297,27 @@
 	return string(body)
 }
 
+// TestRequestWhoseCallerLeftBeforeItWasPassedOnIsReported guards against requests that nobody
+// has decided on and that count as placed.
+func TestRequestWhoseCallerLeftBeforeItWasPassedOnIsReported(t *testing.T) {
+	s := newOffloadingServer(t)
+	taken := s.other.Taken()
+	caller := s.dial()
+	if _, err := io.WriteString(caller.conn, post("/", "", 5000)[:3000]); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(20 * time.Millisecond)
+	if err := caller.conn.Close(); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(time.Second); s.callersLeft.Load() == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if got, want := s.callersLeft.Load(), int64(1); got != want || s.other.Taken() != taken {
+		t.Errorf("callers that left: got %d, want %d; passed on %d, want none", got, want, s.other.Taken()-taken)
+	}
+}
+
 func TestOffloadedAndOtherRequestsTakeTurns(t *testing.T) {
 	s := newOffloadingServer(t)
 	caller := s.dial()
--- a/internal/qlintake/qlintake.go
+++ b/internal/qlintake/qlintake.go
@@ -57,6 +57,9 @@
 	Decide func(service, customer string, offloadable bool) qladmission.Action
 	// DecideDeclined decides on a request that no other router takes.
 	DecideDeclined func(service, customer string) qladmission.Action
+	// OnLeft is called when the caller of a request that was to be offloaded has left before
+	// that. It may be nil.
+	OnLeft func(service, customer string)
 	// OnOverShare is called when the owner of the engines has refused an offloaded request
 	// since its customer is above its share.
 	OnOverShare func(service, customer string)
@@ -85,6 +88,13 @@
 	}
 }
 
+// recordLeft calls OnLeft, if any.
+func (c *Config) recordLeft(service, customer string) {
+	if c.OnLeft != nil {
+		c.OnLeft(service, customer)
+	}
+}
+
 // Intake wraps accepted connections, which share its buffers.
 type Intake struct {
 	config  Config
