--- a/internal/qlintake/offload.go
+++ b/internal/qlintake/offload.go
@@ -27,6 +27,7 @@
 // served here; it is then unchanged.
 func (c *Conn) offload(service, customer string) (served bool, err error) {
 	if err := c.readWhole(); err != nil {
+		c.intake.config.recordLeft(service, customer)
 		return false, err
 	}
 	if len(c.buffered) > c.remaining {
@@ -36,6 +37,7 @@
 	}
 	if qlconn.ClosedByPeer(c.TCPConn) {
 		// The request has waited here until its caller gave up.
+		c.intake.config.recordLeft(service, customer)
 		return false, io.EOF
 	}
 	if err := c.SetReadDeadline(time.Time{}); err != nil {
@@ -238,10 +240,15 @@
 		data := w.pending
 		w.pending = nil
 		if len(data) == 0 {
+			// What comes later is written without waiting, and has no time limit.
+			err := w.conn.SetWriteDeadline(time.Time{})
 			w.writing = false
 			outcome := w.outcome
 			w.mu.Unlock()
-			if outcome != 0 {
+			switch {
+			case err != nil:
+				w.end(qloffload.Broken)
+			case outcome != 0:
 				w.end(outcome)
 			}
 			return
