Offloading: a router tells its room, and gets no more requests than that

A router knew of another one's load only from refusals: after each, it asked it for nothing for 200 ms, and then for as much as it liked until the next one came back.

Now each router tells the others on their open links the rate of requests that it takes, divided between those that have offloaded within a second (frame 7; routers of an earlier version ignore it, and one that tells none is asked as before). Peers are asked for no more; where none has room, what exceeds the budget is decided on at once by the head (kept-no-room). Declining stays for what the rate did not foresee.

The model tells rooms as the routers do.

--- a/internal/qladmission/model_router_test.go
+++ b/internal/qladmission/model_router_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/quetzallane/quetzallane/internal/qladmission"
@@ -33,6 +34,7 @@
 	// _acceptQueuePerCore bounds the connections that wait to be accepted.
 	_acceptQueuePerCore = 1000
 	_linkDelay          = 200 * time.Microsecond
+	_offerTime          = time.Second
 	_ownerDelay         = 2 * time.Millisecond
 	_modelMemoryMB      = 112
 	_modelService       = "engines"
@@ -65,6 +67,10 @@
 	echoTime    time.Duration
 	// hasRoom is set if the router took requests of others at its last tick.
 	hasRoom bool
+	// offeredAt holds when other routers have offloaded requests here last, and toldRoom is
+	// the room of each of them that it has told.
+	offeredAt map[*modelRouter]time.Duration
+	toldRoom  float64
 
 	// Of the balancer: whether it sends new connections here, and the failed checks in a row.
 	inRotation   bool
@@ -88,6 +94,8 @@
 		shedder:    qlshed.New(),
 		tickDueAt:  _tickInterval,
 		inRotation: true,
+		offeredAt:  make(map[*modelRouter]time.Duration),
+		toldRoom:   -1,
 	}
 	r.offloader = qloffload.New(qloffload.Config{
 		Lag:      r.lag,
@@ -144,6 +152,31 @@
 	r.shedder.RecordLag(now, lag)
 	r.budget.RecordLag(lag)
 	r.hasRoom = r.controller.TakesOffloaded(r.lag())
+	r.tellRoom(r.controller.Room(lag))
+}
+
+// tellRoom tells the zone's other routers how many requests this one takes from them. The room
+// is divided between those that have offloaded requests here lately, as package qloffload does.
+func (r *modelRouter) tellRoom(room float64) {
+	offering := 0
+	for _, at := range r.offeredAt {
+		if r.clock.now-at <= _offerTime {
+			offering++
+		}
+	}
+	part := math.Floor(room / float64(max(offering, 1)))
+	if part == r.toldRoom {
+		return
+	}
+	r.toldRoom = part
+	for _, peer := range r.fleet.zones[r.zone] {
+		if peer == r {
+			continue
+		}
+		r.clock.after(_linkDelay, func() {
+			peer.processor.do(_controlWork, func() { peer.offloader.Peers().SetRoom(r.clock.now, r.address, part) })
+		})
+	}
 }
 
 // connect queues a new connection. It reports false if the queue is full.
@@ -229,6 +262,7 @@
 
 // take serves or declines a request that another router offloads.
 func (r *modelRouter) take(attempt *modelAttempt, origin *modelRouter) {
+	r.offeredAt[origin] = r.clock.now
 	if r.controller.TakesOffloaded(r.lag()) {
 		r.serve(attempt, origin)
 		return
--- a/internal/qladmission/qladmission.go
+++ b/internal/qladmission/qladmission.go
@@ -133,13 +133,17 @@
 	if service != "" && !c.sharesOf(service).Admit(now, customer, c.shareChance()) {
 		return RefuseShare
 	}
-	if can, reason := c.config.CanOffload(); !can {
+	can, reason := c.config.CanOffload()
+	if !can && reason != qloffload.NoRoom {
 		return c.decideKept(customer, reason)
 	}
 	if c.config.Budget.Take(now) {
 		return Handle
 	}
-	if offloadable {
+	switch {
+	case !can:
+		return c.decideKept(customer, reason)
+	case offloadable:
 		return Offload
 	}
 	return c.decideKept(customer, qloffload.NotOffloadable)
@@ -172,6 +176,15 @@
 	return Refuse
 }
 
+// Room returns the rate of requests that this router, with the scheduling lag, takes from
+// others, in requests a second.
+func (c *Controller) Room(lag time.Duration) float64 {
+	if !c.TakesOffloaded(lag) {
+		return 0
+	}
+	return c.config.Budget.Room()
+}
+
 // TakesOffloaded reports whether this router, with the scheduling lag, has processor time for
 // a request that another router offloads.
 func (c *Controller) TakesOffloaded(lag time.Duration) bool {
--- a/internal/qladmission/qladmission_test.go
+++ b/internal/qladmission/qladmission_test.go
@@ -29,18 +29,25 @@
 	wantDeclined Action
 	// calm is set if the processor keeps up.
 	calm bool
+	// full is set if the others have no room at present.
+	full bool
 }
 
 func (c *decisionCase) newController() *Controller {
 	shedder := qlshed.New()
 	chance := 0.0
 	controller := New(Config{
-		Budget:     qloffload.NewBudget(c.cores),
-		Shedder:    shedder,
-		CanOffload: func() (bool, qloffload.Reason) { return c.peers, qloffload.NoPeers },
-		Strained:   func() bool { return !c.calm },
-		Clock:      func() time.Duration { return time.Second },
-		Chance:     func() float64 { return chance },
+		Budget:  qloffload.NewBudget(c.cores),
+		Shedder: shedder,
+		CanOffload: func() (bool, qloffload.Reason) {
+			if c.full {
+				return false, qloffload.NoRoom
+			}
+			return c.peers, qloffload.NoPeers
+		},
+		Strained: func() bool { return !c.calm },
+		Clock:    func() time.Duration { return time.Second },
+		Chance:   func() float64 { return chance },
 	})
 	if c.overShare != "" {
 		for range 2 * _minShareRefusals {
@@ -67,6 +74,9 @@
 		{name: "beyond the budget, lag", peers: true, offloadable: true, lag: lag, want: Offload, wantDeclined: Refuse},
 		{name: "not offloadable", peers: true, want: Handle, wantDeclined: Handle},
 		{name: "not offloadable, lag", peers: true, lag: lag, want: Refuse, wantDeclined: Refuse},
+		{name: "no room elsewhere", peers: true, full: true, offloadable: true, want: Handle, wantDeclined: Handle},
+		{name: "no room elsewhere, lag", peers: true, full: true, offloadable: true, lag: lag, want: Refuse, wantDeclined: Refuse},
+		{name: "no room elsewhere, lag within the budget", cores: 1, peers: true, full: true, offloadable: true, lag: lag, want: Handle, wantDeclined: Refuse},
 		{name: "no other router", offloadable: true, want: Handle, wantDeclined: Handle},
 		{name: "no other router, lag", offloadable: true, lag: lag, want: Refuse, wantDeclined: Refuse},
 		{name: "no other router, lag within the budget", cores: 1, offloadable: true, lag: lag, want: Refuse, wantDeclined: Refuse},
--- a/internal/qledge/offload.go
+++ b/internal/qledge/offload.go
@@ -115,6 +115,15 @@
 		!e.admission.TakesOffloaded(e.fleet.Lag()) || e.forwarder.MemoryHalfUsed()
 }
 
+// offloadRoom returns the rate of requests that this router takes from others, in requests a
+// second.
+func (e *Edge) offloadRoom(lag time.Duration) float64 {
+	if e.stopping.Load() || e.forwarder.MemoryHalfUsed() {
+		return 0
+	}
+	return e.admission.Room(lag)
+}
+
 // offloadPeers returns the routers of this zone that may take requests.
 func (e *Edge) offloadPeers() []qloffload.Peer {
 	_, port, err := net.SplitHostPort(e.settings.OffloadAddress)
--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -313,6 +313,7 @@
 	e.shedder.RecordCrowding(crowding)
 	e.shedder.RecordLag(now, lag)
 	e.budget.RecordLag(lag)
+	e.offloadServer.SetRoom(now, e.offloadRoom(lag))
 	e.checkStoreLoss(now)
 	e.publishIfChanged(now)
 	if e.liveChanged {
--- a/internal/qloffload/frame.go
+++ b/internal/qloffload/frame.go
@@ -23,6 +23,9 @@
 	frameDeclined
 	// frameBroken: the answer has broken off.
 	frameBroken
+	// frameRoom: the payload is the rate of requests that the router takes from the other one,
+	// in requests a second. It belongs to no request.
+	frameRoom
 )
 
 const (
@@ -30,6 +33,7 @@
 	// the rest.
 	_frameHeadBytes  = 1 + 4 + 4
 	_stampBytes      = 1 + 8 + 4
+	_roomBytes       = 4
 	_maxPayloadBytes = 256 << 10
 	// _flagAskToClose is set in a stamp if the caller is to close its connection.
 	_flagAskToClose = 1
@@ -73,6 +77,19 @@
 	return append(to, request...)
 }
 
+// roomPayload returns the payload of a frame that tells a rate.
+func roomPayload(rate uint32) []byte {
+	return binary.BigEndian.AppendUint32(nil, rate)
+}
+
+// splitRoom returns the rate of such a payload. Further bytes are of later versions.
+func splitRoom(payload []byte) (rate uint32, err error) {
+	if len(payload) < _roomBytes {
+		return 0, errors.NotValidf("room of %d bytes", len(payload))
+	}
+	return binary.BigEndian.Uint32(payload), nil
+}
+
 // splitRequest returns the stamp and the request of a frame's payload.
 func splitRequest(payload []byte) (stamp Stamp, request []byte, err error) {
 	if len(payload) < _stampBytes {
--- a/internal/qloffload/link.go
+++ b/internal/qloffload/link.go
@@ -229,6 +229,12 @@
 			exchange.countEnd(Broken)
 			exchange.finishBroken()
 		}
+	case frameRoom:
+		rate, err := splitRoom(payload)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		l.offloader.peers.SetRoom(l.offloader.config.Clock(), l.address, float64(rate))
 	case frameRequest, frameCancel:
 		return errors.NotValidf("frame of kind %d in an answer", kind)
 	}
--- a/internal/qloffload/qloffload.go
+++ b/internal/qloffload/qloffload.go
@@ -11,9 +11,10 @@
 //
 // # What is known about a request
 //
-// A router that cannot take a request declines it before it handles it. One that is still
-// queued when its link breaks has not been received. In both cases it is served, or
-// refused, where its caller has connected. Once it was sent and not declined, only an
+// Each router tells the others, on their links, how many requests it takes from them, and they
+// offer no more. One that cannot take a request all the same declines it before it handles
+// it. One that is still queued when its link breaks has not been received. In both cases it
+// is served, or refused, where its caller has connected. Once it was sent and not declined, only an
 // answer tells whether it has run: if the link breaks, the caller is told that the outcome
 // is unknown. If the answer has begun, the caller's connection is reset, so that it does
 // not look complete. Offloaded requests are not offloaded again. If the caller disconnects,
@@ -190,7 +191,7 @@
 	case o.active.Load() >= o.maxActive:
 		return false, TooManyActive
 	}
-	return true, 0
+	return o.peers.Offers(o.config.Clock())
 }
 
 // Caller is the connection of an offloaded request's caller. The goroutine that reads from
@@ -240,7 +241,7 @@
 		now := o.config.Clock()
 		address, ok := o.peers.Choose(now, rand.Float64())
 		if !ok {
-			return nil, o.peers.avoidReason(now)
+			return nil, o.peers.reason(now)
 		}
 		if l, reason = o.linkTo(address); l != nil {
 			return l, 0
@@ -329,8 +330,11 @@
 
 // forgetUnused drops what is known of a router without links. The caller holds the lock.
 func (o *Offloader) forgetUnused(address string, links *peerLinks) {
-	if len(links.open) == 0 && !links.opening {
-		delete(o.links, address)
+	if len(links.open) == 0 {
+		o.peers.forgetRoom(address)
+		if !links.opening {
+			delete(o.links, address)
+		}
 	}
 }
 
--- a/internal/qloffload/reason.go
+++ b/internal/qloffload/reason.go
@@ -22,6 +22,8 @@
 	AllDeclined
 	// AllUnreachable means that no other router could be reached lately.
 	AllUnreachable
+	// NoRoom means that no other router has room, as they have told.
+	NoRoom
 	// LinkOpening means that the link to the chosen router was not open yet.
 	LinkOpening
 	// LinkFull means that the queue of the link was full.
@@ -44,6 +46,7 @@
 	NoPeers:        "no-peers",
 	AllDeclined:    "all-declined",
 	AllUnreachable: "all-unreachable",
+	NoRoom:         "no-room",
 	LinkOpening:    "link-opening",
 	LinkFull:       "link-full",
 	LinkBroken:     "link-broken",
--- a/internal/qloffload/server.go
+++ b/internal/qloffload/server.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -31,9 +32,47 @@
 	readers sync.Pool
 	active  atomic.Int64
 	taken   atomic.Uint64
+	// setRoomAt is when the room was set last.
+	setRoomAt atomic.Int64
 
 	mu    sync.Mutex
 	links map[*serverLink]bool
+	// room is the rate of requests that this router takes from all others, in requests a
+	// second. It is unlimited, and not told, until it is set.
+	room    float64
+	roomSet bool
+}
+
+const (
+	// _offerTime is how long after its last request a router is given a part of the room.
+	_offerTime = time.Second
+	// _roomChange is the relative change of a router's room that is told.
+	_roomChange = 0.1
+)
+
+// SetRoom sets the rate of requests that this router takes from all others, in requests a
+// second, and tells those that have links. The room is divided between those that offload.
+func (s *Server) SetRoom(now time.Duration, rate float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.room, s.roomSet = rate, true
+	s.setRoomAt.Store(int64(now))
+	part := s.roomPart()
+	for l := range s.links {
+		l.tellRoom(part)
+	}
+}
+
+// roomPart returns the part of the room of each router that offloads. The caller holds the
+// lock.
+func (s *Server) roomPart() float64 {
+	offering := make(map[string]bool)
+	for l := range s.links {
+		if l.offered.Load() && time.Duration(s.setRoomAt.Load()-l.offeredAt.Load()) <= _offerTime {
+			offering[l.host] = true
+		}
+	}
+	return s.room / float64(max(len(offering), 1))
 }
 
 // NewServer returns a server with the given configuration.
@@ -100,7 +139,15 @@
 	server *Server
 	conn   *net.TCPConn
 	from   string
+	host   string
 	queue  *sendQueue
+	// offered is set once a request has come, and offeredAt is when the last one came, as of
+	// the last SetRoom.
+	offered   atomic.Bool
+	offeredAt atomic.Int64
+	// toldRoom is the last rate that was told, if any. The server's lock guards both.
+	toldRoom uint32
+	told     bool
 	// written is closed once nothing more is written.
 	written chan struct{}
 	// ctx ends with the link.
@@ -110,6 +157,15 @@
 	cancels map[uint32]context.CancelFunc
 }
 
+// hostOf returns the other end's address without the port, or with it if it has no other.
+func hostOf(conn *net.TCPConn) string {
+	address := conn.RemoteAddr().String()
+	if host, _, err := net.SplitHostPort(address); err == nil {
+		return host
+	}
+	return address
+}
+
 func (s *Server) serveLink(conn *net.TCPConn) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -117,6 +173,7 @@
 		server:  s,
 		conn:    conn,
 		from:    conn.RemoteAddr().String(),
+		host:    hostOf(conn),
 		written: make(chan struct{}),
 		ctx:     ctx,
 		cancels: make(map[uint32]context.CancelFunc),
@@ -127,13 +184,16 @@
 		_ = conn.Close()
 		return
 	}
-	s.mu.Lock()
-	s.links[l] = true
-	s.mu.Unlock()
 	err = setTimeouts(conn)
 	if err == nil {
 		err = l.queue.add(true, func(to []byte) []byte { return append(to, _hello) })
 	}
+	s.mu.Lock()
+	s.links[l] = true
+	if s.roomSet {
+		l.tellRoom(s.roomPart())
+	}
+	s.mu.Unlock()
 	go func() {
 		defer close(l.written)
 		if err := l.queue.run(); err != nil {
@@ -152,6 +212,19 @@
 	s.mu.Unlock()
 }
 
+// tellRoom tells the other router its room, unless that is about as it was told. The caller
+// holds the server's lock.
+func (l *serverLink) tellRoom(room float64) {
+	rate := uint32(room)
+	if l.told && (rate == 0) == (l.toldRoom == 0) && math.Abs(room-float64(l.toldRoom)) <= _roomChange*float64(l.toldRoom) {
+		return
+	}
+	if err := l.queue.addControl(frameRoom, 0, roomPayload(rate)); err == nil {
+		l.toldRoom, l.told = rate, true
+	}
+	// An error means that the link has ended, and the other router knows.
+}
+
 // receive handles a frame of the offloading router.
 func (l *serverLink) receive(kind frameKind, id uint32, payload []byte) error {
 	switch kind {
@@ -160,6 +233,8 @@
 		if err != nil {
 			return errors.Trace(err)
 		}
+		l.offeredAt.Store(l.server.setRoomAt.Load())
+		l.offered.Store(true)
 		if l.server.config.Declines(stamp) {
 			return l.queue.addControl(frameDeclined, id, nil)
 		}
@@ -171,7 +246,7 @@
 		if cancel != nil {
 			cancel()
 		}
-	case frameAnswer, frameEnd, frameDeclined, frameBroken:
+	case frameAnswer, frameEnd, frameDeclined, frameBroken, frameRoom:
 		return errors.NotValidf("frame of kind %d in a request", kind)
 	}
 	return nil
