qlowner: An owner that answers late knows what routers have placed meanwhile

Found by review. If an answer comes late, its router has decided by itself, perhaps for another engine, and has told the owner of that. The owner passed over this note, since it knew the request at the engine that it had chosen itself, and ended the request when the router released that. It then knew nothing of the active one until its first event, and admitted others in its place. Owners that answer late remain owners since, so that this is each of their answers that differs.

The router tells the owner once more after the release.

go test ./qlowner -run TestLateOwnerKnowsWhatOthersPlacedMeanwhile (modeled clock): the owner knew 2 of 8 active requests of each of 4 engines before, and knows all now.

--- a/internal/qlowner/late_test.go
+++ b/internal/qlowner/late_test.go
@@ -137,3 +137,40 @@
 		}
 	}
 }
+
+// TestLateOwnerKnowsWhatOthersPlacedMeanwhile guards against an owner that answers late and
+// then forgets the requests that their routers have placed by themselves until then, so that
+// it admits more than the engines can begin.
+func TestLateOwnerKnowsWhatOthersPlacedMeanwhile(t *testing.T) {
+	const requests = 8
+	n := newNetwork(t, 5)
+	owner := n.owner()
+	n.lag = func(router int) time.Duration {
+		if router == owner {
+			return 2 * _answerTimeout
+		}
+		return 0
+	}
+	for request := range uint64(requests) {
+		for i := range n.cores {
+			if i != owner {
+				n.ask(i, request+1)
+			}
+		}
+		n.advance(5 * time.Millisecond)
+	}
+	n.advance(10 * _answerTimeout)
+	placed := make(map[string]int)
+	for i, id := range n.ids {
+		for _, decision := range n.decisions[id] {
+			if i != owner && decision.Engine != "" {
+				placed[decision.Engine]++
+			}
+		}
+	}
+	for _, engine := range n.cores[owner].Placer().State(n.now)[0].Engines {
+		if got, want := engine.ActiveRequests, placed[engine.ID]; got != want {
+			t.Errorf("engine %s: active requests that the owner knows of: got %d, want %d", engine.ID, got, want)
+		}
+	}
+}
--- a/internal/qlowner/packet.go
+++ b/internal/qlowner/packet.go
@@ -436,7 +436,8 @@
 	if message.GetEngine() == "" {
 		return
 	}
-	if active := c.activeRequests[message.GetRequest()]; active != nil && active.engine == message.GetEngine() {
+	active := c.activeRequests[message.GetRequest()]
+	if active != nil && active.engine == message.GetEngine() {
 		return
 	}
 	queue := c.queueFor(now, from)
@@ -444,6 +445,11 @@
 		Request: message.GetRequest(),
 		Outcome: uint32(qlengine.Abandoned),
 	})
+	if active != nil && slices.Contains(active.notified, from) {
+		// An owner knows a request on one engine only: the note that it was placed on
+		// another one came while the owner had it here.
+		c.queueNote(now, from, message.GetRequest(), active, 0)
+	}
 }
 
 // receiveNote records the end of another router's active request or, if there is no
