Test of planned stops: requests begin once the stop has begun

TestRequestsDuringPlannedStopAreAnswered sent its first requests right after the signal, and wanted their answers to ask to close the connection. The requests now begin when an answer asks to close, within 1 s of the signal; all checks and times, counted from the signal, stay.

--- a/internal/qledge/process_test.go
+++ b/internal/qledge/process_test.go
@@ -264,6 +264,22 @@
 	return p
 }
 
+// stop sends the signal of a planned stop and waits until answers ask to close connections.
+func (p *routerProcess) stop(t *testing.T) {
+	t.Helper()
+	if err := p.command.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(time.Second); ; time.Sleep(time.Millisecond) {
+		if c, err := dialRouter(p.callers); err == nil && c.ask(_lookupPath, "stopping", 0).closes {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("the router did not begin its stop within 1 s")
+		}
+	}
+}
+
 // routerCaller is a caller with one kept connection.
 type routerCaller struct {
 	conn   net.Conn
--- a/internal/qledge/stop_test.go
+++ b/internal/qledge/stop_test.go
@@ -87,11 +87,9 @@
 			}
 		}
 	}
-	if err := p.command.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
-	}
-	var running sync.WaitGroup
 	began := time.Now()
+	p.stop(t)
+	var running sync.WaitGroup
 	for _, r := range requests {
 		running.Go(func() {
 			time.Sleep(time.Until(began.Add(r.at)))
