--- a/internal/qlowner/flood_test.go
+++ b/internal/qlowner/flood_test.go
@@ -172,29 +172,13 @@
 func (f *flood) run(span time.Duration, hot int) {
 	for end := f.now + span; f.now < end; {
 		if f.now%(20*time.Millisecond) == 0 {
-			for i := range f.lags {
-				least, most := f.lagRange(i)
-				f.lags[i] = least
-				if most > least {
-					f.lags[i] += time.Duration(f.random.Int64N(int64(most - least)))
-				}
-				if core := f.cores[i]; core != nil {
-					core.SetLag(f.lags[i])
-				}
-			}
+			f.drawLags()
 		}
 		for _, event := range f.events[f.now] {
 			event()
 		}
 		delete(f.events, f.now)
-		for i, core := range f.cores {
-			if core != nil && f.random.Float64() < float64(_timeStep)/float64(_floodInterval) {
-				f.send(i, false)
-			}
-		}
-		if hot >= 0 && f.random.Float64() < float64(_timeStep)/float64(_floodHotInterval) {
-			f.send(hot, true)
-		}
+		f.sendStep(hot)
 		f.advance(_timeStep)
 		f.collect()
 		if f.ownersAsked() > 1 {
@@ -203,6 +187,33 @@
 	}
 }
 
+// drawLags gives each router another lag.
+func (f *flood) drawLags() {
+	for i := range f.lags {
+		least, most := f.lagRange(i)
+		f.lags[i] = least
+		if most > least {
+			f.lags[i] += time.Duration(f.random.Int64N(int64(most - least)))
+		}
+		if core := f.cores[i]; core != nil {
+			core.SetLag(f.lags[i])
+		}
+	}
+}
+
+// sendStep sends the requests of a time step, with those of the flood to the hot router, if
+// not -1.
+func (f *flood) sendStep(hot int) {
+	for i, core := range f.cores {
+		if core != nil && f.random.Float64() < float64(_timeStep)/float64(_floodInterval) {
+			f.send(i, false)
+		}
+	}
+	if hot >= 0 && f.random.Float64() < float64(_timeStep)/float64(_floodHotInterval) {
+		f.send(hot, true)
+	}
+}
+
 // ownersAsked returns how many different routers are asked as the owner.
 func (f *flood) ownersAsked() int {
 	owners := map[string]bool{}
@@ -325,29 +336,36 @@
 func TestSilentOwnerIsReplacedWithinTwoSeconds(t *testing.T) {
 	for _, killed := range []bool{true, false} {
 		for seed := range uint64(3) {
-			f, owner := newHotOwnerFlood(t, seed)
-			hot := (owner + 1) % _floodRouters
-			f.run(time.Second, hot)
-			f.reset()
-			if killed {
-				f.cores[owner] = nil
-			} else {
-				f.isLost = func(from, to int) bool { return from == owner || to == owner }
-			}
-			f.run(_floodReplacement, hot)
-			for router, core := range f.cores {
-				if router != owner && core.Owners()[_groupKeyPrefix] == f.ids[owner] {
-					t.Errorf("killed %v, seed %d: router %d still asks the silent owner after %v", killed, seed, router, _floodReplacement)
-				}
-			}
-			f.run(2*time.Second, hot)
-			f.report(fmt.Sprintf("killed %v", killed))
-			for router, changes := range f.changes {
-				// Once, or with one trial before membership knows of the loss.
-				if router != owner && len(changes) != 1 && len(changes) != 3 {
-					t.Errorf("killed %v, seed %d: router %d turned at %v, want once, or with one trial", killed, seed, router, changes)
-				}
-			}
+			checkSilentOwnerReplaced(t, killed, seed)
+		}
+	}
+}
+
+// checkSilentOwnerReplaced checks that the routers turn away from an owner that was killed or
+// cut off, in time and without turning back.
+func checkSilentOwnerReplaced(t *testing.T, killed bool, seed uint64) {
+	t.Helper()
+	f, owner := newHotOwnerFlood(t, seed)
+	hot := (owner + 1) % _floodRouters
+	f.run(time.Second, hot)
+	f.reset()
+	if killed {
+		f.cores[owner] = nil
+	} else {
+		f.isLost = func(from, to int) bool { return from == owner || to == owner }
+	}
+	f.run(_floodReplacement, hot)
+	for router, core := range f.cores {
+		if router != owner && core.Owners()[_groupKeyPrefix] == f.ids[owner] {
+			t.Errorf("killed %v, seed %d: router %d still asks the silent owner after %v", killed, seed, router, _floodReplacement)
+		}
+	}
+	f.run(2*time.Second, hot)
+	f.report(fmt.Sprintf("killed %v", killed))
+	for router, changes := range f.changes {
+		// Once, or with one trial before membership knows of the loss.
+		if router != owner && len(changes) != 1 && len(changes) != 3 {
+			t.Errorf("killed %v, seed %d: router %d turned at %v, want once, or with one trial", killed, seed, router, changes)
 		}
 	}
 }
