The tests of broken and busy links in shorter functions

Cause: the linter refuses TestBrokenLinkHoldsNobody (cognitive complexity 37, at most 22) and TestBusyLinkKeepsNoRequestFromRouterWithRoom (24).

checkBrokenLinkHoldsNobody, runFullQueue and resetConnection are taken out of the first, acceptLinks out of the second. The tests check the same, with the same bounds and messages.

--- a/internal/qloffload/busylink_test.go
+++ b/internal/qloffload/busylink_test.go
@@ -11,6 +11,25 @@
 	"go.uber.org/zap"
 )
 
+// acceptLinks accepts links until the listener is closed, and counts them. Nobody reads from the
+// first link.
+func acceptLinks(t *testing.T, listener net.Listener, accepted *atomic.Int64) {
+	t.Helper()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		if _, err := conn.Write([]byte{_hello}); err != nil {
+			t.Errorf("hello: %v", err)
+		}
+		if accepted.Add(1) > 1 {
+			go func() { _, _ = io.Copy(io.Discard, conn) }()
+		}
+	}
+}
+
 // TestBusyLinkKeepsNoRequestFromRouterWithRoom guards against refusals while the socket buffers
 // of one link are full and the router at its other end has room.
 func TestBusyLinkKeepsNoRequestFromRouterWithRoom(t *testing.T) {
@@ -24,22 +43,7 @@
 		t.Fatal(err)
 	}
 	var accepted atomic.Int64
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { _ = conn.Close() })
-			if _, err := conn.Write([]byte{_hello}); err != nil {
-				t.Errorf("hello: %v", err)
-			}
-			// Nobody reads from the first link.
-			if accepted.Add(1) > 1 {
-				go func() { _, _ = io.Copy(io.Discard, conn) }()
-			}
-		}
-	}()
+	go acceptLinks(t, listener, &accepted)
 	started := time.Now()
 	o := New(Config{
 		Lag:      func() time.Duration { return 0 },
--- a/internal/qloffload/sendqueue_test.go
+++ b/internal/qloffload/sendqueue_test.go
@@ -162,51 +162,70 @@
 		"reset once there is room": true,
 	} {
 		t.Run(name, func(t *testing.T) {
-			sender, reader := newTestPair(t)
-			fillConnection(t, sender)
-			queue, err := newSendQueue(sender, func() {})
-			if err != nil {
-				t.Fatal(err)
-			}
-			ended := make(chan struct{})
-			go func() {
-				defer close(ended)
-				_ = queue.run()
-			}()
-			waiting := make([]byte, _maxQueueBytes)
-			if err := queue.add(true, func(to []byte) []byte { return append(to, waiting...) }); err != nil {
-				t.Fatal(err)
-			}
-			time.Sleep(10 * _batchDelay)
-			queue.mu.Lock()
-			// The goroutine that waits for room is woken, and waits for the lock.
-			for drains && readArrived(t, reader) > 0 {
-				time.Sleep(_batchDelay)
-			}
-			if err := reader.SetLinger(0); err != nil {
-				t.Fatal(err)
-			}
-			if err := reader.Close(); err != nil {
-				t.Fatal(err)
-			}
-			time.Sleep(10 * _batchDelay)
-			added := make(chan struct{})
-			go func() {
-				defer close(added)
-				defer queue.mu.Unlock()
-				_ = queue.addLocked(true, func(to []byte) []byte { return appendFrame(to, frameCancel, 1, nil) })
-			}()
-			timeout := time.After(2 * time.Second)
-			for name, done := range map[string]chan struct{}{"adds a frame": added, "waits for room": ended} {
-				select {
-				case <-done:
-				case <-timeout:
-					t.Fatalf("the goroutine that %s holds 2 s after the connection has failed", name)
-				}
-			}
-			if got, want := queue.addControl(frameCancel, 2, nil), net.ErrClosed; got != want {
-				t.Errorf("a frame on a broken link: got %v, want %v", got, want)
-			}
+			checkBrokenLinkHoldsNobody(t, drains)
 		})
 	}
 }
+
+// checkBrokenLinkHoldsNobody resets a full connection, after its reader has made room if it
+// drains.
+func checkBrokenLinkHoldsNobody(t *testing.T, drains bool) {
+	t.Helper()
+	sender, reader := newTestPair(t)
+	queue, ended := runFullQueue(t, sender)
+	time.Sleep(10 * _batchDelay)
+	queue.mu.Lock()
+	// The goroutine that waits for room is woken, and waits for the lock.
+	for drains && readArrived(t, reader) > 0 {
+		time.Sleep(_batchDelay)
+	}
+	resetConnection(t, reader)
+	time.Sleep(10 * _batchDelay)
+	added := make(chan struct{})
+	go func() {
+		defer close(added)
+		defer queue.mu.Unlock()
+		_ = queue.addLocked(true, func(to []byte) []byte { return appendFrame(to, frameCancel, 1, nil) })
+	}()
+	timeout := time.After(2 * time.Second)
+	for name, done := range map[string]chan struct{}{"adds a frame": added, "waits for room": ended} {
+		select {
+		case <-done:
+		case <-timeout:
+			t.Fatalf("the goroutine that %s holds 2 s after the connection has failed", name)
+		}
+	}
+	if got, want := queue.addControl(frameCancel, 2, nil), net.ErrClosed; got != want {
+		t.Errorf("a frame on a broken link: got %v, want %v", got, want)
+	}
+}
+
+// runFullQueue runs a queue that waits for room on a full connection.
+func runFullQueue(t *testing.T, sender *net.TCPConn) (queue *sendQueue, ended chan struct{}) {
+	t.Helper()
+	fillConnection(t, sender)
+	queue, err := newSendQueue(sender, func() {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended = make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = queue.run()
+	}()
+	waiting := make([]byte, _maxQueueBytes)
+	if err := queue.add(true, func(to []byte) []byte { return append(to, waiting...) }); err != nil {
+		t.Fatal(err)
+	}
+	return queue, ended
+}
+
+func resetConnection(t *testing.T, conn *net.TCPConn) {
+	t.Helper()
+	if err := conn.SetLinger(0); err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
