--- a/internal/qledge/kept_test.go
+++ b/internal/qledge/kept_test.go
@@ -95,14 +95,7 @@
 				_ = from.Close()
 				continue
 			}
-			time.AfterFunc(life, func() {
-				for _, conn := range []net.Conn{from, target} {
-					if tcp, ok := conn.(*net.TCPConn); ok {
-						_ = tcp.SetLinger(0)
-					}
-					_ = conn.Close()
-				}
-			})
+			time.AfterFunc(life, func() { resetConnections(from, target) })
 			go func() { _, _ = io.Copy(target, from) }()
 			go func() { _, _ = io.Copy(from, target) }()
 		}
@@ -110,6 +103,15 @@
 	return listener.Addr().String()
 }
 
+func resetConnections(conns ...net.Conn) {
+	for _, conn := range conns {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = conn.Close()
+	}
+}
+
 func newKeptFront(t *testing.T, config keptFrontConfig) *keptFront {
 	t.Helper()
 	f := &keptFront{
@@ -425,7 +427,6 @@
 // TestRequestsThatDoNotArriveWholeAreNotPassedOn guards against a request that reaches an
 // upstream although its connection is closed for what it lacks.
 func TestRequestsThatDoNotArriveWholeAreNotPassedOn(t *testing.T) {
-	const limit = 200 * time.Millisecond
 	whole := func(id string) string { return routerRequest(_orderPath, id, 0) }
 	for name, text := range map[string]func(id string) string{
 		"head in part": func(id string) string { return whole(id)[:40] },
@@ -440,36 +441,44 @@
 	} {
 		for place, offloads := range map[string]bool{"served here": false, "passed on to a router": true} {
 			t.Run(name+", "+place, func(t *testing.T) {
-				f := newKeptFront(t, keptFrontConfig{
-					offloads:      offloads,
-					descriptors:   _roomyDescriptors,
-					idleTimeout:   limit,
-					headerTimeout: limit,
-				})
-				caller, err := dialRouter(f.address)
-				if err != nil {
-					t.Fatal(err)
-				}
-				defer func() { _ = caller.conn.Close() }()
-				awaitTrue(func() bool {
-					got := caller.ask(_orderPath, "first", 0)
-					// The server has ended the request by then: the intake sees the next one.
-					time.Sleep(limit / 10)
-					return got.status == http.StatusOK && (!offloads || f.offloader.Stats().Offloaded > 0)
-				})
-				_ = caller.conn.SetDeadline(time.Now().Add(4 * limit))
-				if _, err := io.WriteString(caller.conn, text("second")); err != nil {
-					t.Fatal(err)
-				}
-				got := caller.read()
-				t.Logf("got status %d, %v", got.status, got.err)
-				if got.status != 0 && got.status < http.StatusBadRequest {
-					t.Errorf("got status %d, want none or an error", got.status)
-				}
-				if got := f.upstream.runs("second"); got != 0 {
-					t.Errorf("requests at the upstream: got %d, want none", got)
-				}
+				checkNotPassedOn(t, offloads, text("second"))
 			})
 		}
 	}
 }
+
+// checkNotPassedOn checks that a text which is not a whole request gets an error or no answer,
+// and that its request, with the id second, does not reach the upstream.
+func checkNotPassedOn(t *testing.T, offloads bool, text string) {
+	t.Helper()
+	const limit = 200 * time.Millisecond
+	f := newKeptFront(t, keptFrontConfig{
+		offloads:      offloads,
+		descriptors:   _roomyDescriptors,
+		idleTimeout:   limit,
+		headerTimeout: limit,
+	})
+	caller, err := dialRouter(f.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = caller.conn.Close() }()
+	awaitTrue(func() bool {
+		got := caller.ask(_orderPath, "first", 0)
+		// The server has ended the request by then: the intake sees the next one.
+		time.Sleep(limit / 10)
+		return got.status == http.StatusOK && (!offloads || f.offloader.Stats().Offloaded > 0)
+	})
+	_ = caller.conn.SetDeadline(time.Now().Add(4 * limit))
+	if _, err := io.WriteString(caller.conn, text); err != nil {
+		t.Fatal(err)
+	}
+	got := caller.read()
+	t.Logf("got status %d, %v", got.status, got.err)
+	if got.status != 0 && got.status < http.StatusBadRequest {
+		t.Errorf("got status %d, want none or an error", got.status)
+	}
+	if got := f.upstream.runs("second"); got != 0 {
+		t.Errorf("requests at the upstream: got %d, want none", got)
+	}
+}
--- a/internal/qledge/left_test.go
+++ b/internal/qledge/left_test.go
@@ -43,20 +43,14 @@
 	return listener.Addr().String(), gate
 }
 
-// TestRequestsOfCallersThatLeftTheAcceptQueueAreNotSent guards against work for callers that
-// have given up while their connections waited to be accepted, by a router without lag.
-func TestRequestsOfCallersThatLeftTheAcceptQueueAreNotSent(t *testing.T) {
-	const callers = 20
-	upstream, store := newWorkingUpstream(t), newFakeStore()
-	store.addRoutes(upstream.address())
-	r := startEdge(t, "r1", store, nil)
-	r.awaitState(t, "1 engines plain")
-	// No request has to wait for a connection to the upstream to be opened.
+// warmConnections opens connections to the upstream, so that no later request has to wait for
+// one to be opened.
+func warmConnections(address string, callers int) {
 	var warming sync.WaitGroup
 	for range callers {
 		for _, path := range []string{_lookupPath, _orderPath, _streamPath} {
 			warming.Go(func() {
-				if caller, err := dialRouter(r.callers); err == nil {
+				if caller, err := dialRouter(address); err == nil {
 					caller.ask(path, "first", 100*time.Millisecond)
 					_ = caller.conn.Close()
 				}
@@ -64,8 +58,11 @@
 		}
 	}
 	warming.Wait()
-	address, gate := serveGated(t, r)
-	var ids []string
+}
+
+// sendAndLeave sends requests of callers that give up at once, and returns their ids.
+func sendAndLeave(t *testing.T, address string, callers int) (ids []string) {
+	t.Helper()
 	for n := range callers {
 		for _, path := range []string{_lookupPath, _orderPath, _streamPath} {
 			caller, err := dialRouter(address)
@@ -79,9 +76,12 @@
 			_ = caller.conn.Close()
 		}
 	}
-	time.Sleep(50 * time.Millisecond)
-	close(gate)
-	// A caller that waits is served, once the flood of connections is over.
+	return ids
+}
+
+// awaitServed checks that a caller that waits is served, once the flood of connections is over.
+func awaitServed(t *testing.T, address string) {
+	t.Helper()
 	answer := routerAnswer{}
 	for end := time.Now().Add(4 * time.Second); answer.status != http.StatusOK && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		last, err := dialRouter(address)
@@ -94,6 +94,22 @@
 	if answer.status != http.StatusOK {
 		t.Fatalf("a caller that waits: got %+v, want 200", answer)
 	}
+}
+
+// TestRequestsOfCallersThatLeftTheAcceptQueueAreNotSent guards against work for callers that
+// have given up while their connections waited to be accepted, by a router without lag.
+func TestRequestsOfCallersThatLeftTheAcceptQueueAreNotSent(t *testing.T) {
+	const callers = 20
+	upstream, store := newWorkingUpstream(t), newFakeStore()
+	store.addRoutes(upstream.address())
+	r := startEdge(t, "r1", store, nil)
+	r.awaitState(t, "1 engines plain")
+	warmConnections(r.callers, callers)
+	address, gate := serveGated(t, r)
+	ids := sendAndLeave(t, address, callers)
+	time.Sleep(50 * time.Millisecond)
+	close(gate)
+	awaitServed(t, address)
 	time.Sleep(50 * time.Millisecond)
 	sent := 0
 	for _, id := range ids {
