--- a/review/standin/cutoff.go
+++ b/review/standin/cutoff.go
@@ -18,17 +18,24 @@
 	_cutoffCalls = 20
 	// _wholeAnswer is how many bytes an answer has.
 	_wholeAnswer = 3000
-	// _crashAfter is how long after the first part of an answer a replica crashes.
+	// _crashAfter is how long after the first part of an answer a replica crashes, and
+	// _downTime how long it is down.
 	_crashAfter = 300 * time.Millisecond
+	_downTime   = 3 * time.Second
 )
 
 // cutoffReplica answers a long request before it has read the body, without a length. It may
-// crash in the middle of the answer: the connection is then reset.
+// crash once in the middle of an answer: the connection is then reset, and no other one is
+// accepted until it has started again.
 type cutoffReplica struct {
-	lab     *lab
-	id      string
-	crashes bool
-	ran     atomic.Int64
+	lab      *lab
+	id       string
+	address  string
+	listener net.Listener
+	// crashes is set if the next answer breaks off.
+	crashes atomic.Bool
+	// onStart is called when it has started again.
+	onStart func()
 }
 
 func wholeAnswer(id string) string {
@@ -36,17 +43,18 @@
 	return strings.Repeat(line, _wholeAnswer/len(line))
 }
 
-func (r *cutoffReplica) listen() (string, error) {
+func (r *cutoffReplica) listen() error {
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) {
 			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, _windowBytes)
 			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, _segmentBytes)
 		})
 	}}
-	listener, err := config.Listen(context.Background(), "tcp4", "127.0.0.1:0")
+	listener, err := config.Listen(context.Background(), "tcp4", r.address)
 	if err != nil {
-		return "", err
+		return err
 	}
+	r.listener, r.address = listener, listener.Addr().String()
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -56,7 +64,18 @@
 			go r.serve(conn)
 		}
 	}()
-	return listener.Addr().String(), nil
+	return nil
+}
+
+// restart starts the replica again some time after its crash.
+func (r *cutoffReplica) restart() {
+	time.Sleep(_downTime)
+	if err := r.listen(); err != nil {
+		r.lab.note("replica %s: not started again: %v", r.id, err)
+		return
+	}
+	r.lab.note("replica %s: started again", r.id)
+	r.onStart()
 }
 
 func (r *cutoffReplica) serve(conn net.Conn) {
@@ -67,12 +86,13 @@
 		return
 	}
 	id := request.Header.Get(wire("{attempt-id}"))
-	r.ran.Add(1)
 	whole := wholeAnswer(id)
 	head := fmt.Sprintf(wire("HTTP/1.1 200 OK\r\n{attempt-id}: %s\r\n{signature}: s.%s\r\nConnection: close\r\n\r\n"), id, r.id)
 	_, _ = io.WriteString(conn, head+whole[:len(whole)/2])
-	if r.crashes {
+	if r.crashes.CompareAndSwap(true, false) {
 		time.Sleep(_crashAfter)
+		_ = r.listener.Close()
+		go r.restart()
 		r.lab.note("replica %s: has sent %d of %d bytes of the answer to %s; crashes, and its connection is reset", r.id, len(whole)/2, len(whole), id)
 		_ = conn.(*net.TCPConn).SetLinger(0)
 		return
@@ -96,16 +116,19 @@
 		l.note("not run: %v", err)
 		return exitNotRun
 	}
-	var replicas []*cutoffReplica
 	for i := range 3 {
-		replica := &cutoffReplica{lab: l, id: fmt.Sprintf("i-%d", i+1), crashes: l.trouble}
-		address, err := replica.listen()
-		if err != nil {
+		id, zone := fmt.Sprintf("i-%d", i+1), fmt.Sprintf("zone-%d", i+1)
+		replica := &cutoffReplica{lab: l, id: id, address: "127.0.0.1:0"}
+		// One replica in three crashes, once; it is that of the router's zone.
+		replica.crashes.Store(l.trouble && i == 0)
+		if err := replica.listen(); err != nil {
 			l.note("not run: %v", err)
 			return exitNotRun
 		}
-		replicas = append(replicas, replica)
-		s.put("servers/"+replica.id, entry("depot-api", address, "zone-1", 6, l.start.UnixMilli()))
+		replica.onStart = func() {
+			s.put("servers/"+id, entry("depot-api", replica.address, zone, 6, time.Now().UnixMilli()))
+		}
+		replica.onStart()
 	}
 	s.put(wire("{configuration}"), object{
 		"version": 1,
