--- a/review/standin/early.go
+++ b/review/standin/early.go
@@ -137,13 +137,14 @@
 	}
 	var foreign atomic.Int64
 	for i := range 3 {
-		replica := &earlyReplica{lab: l, id: fmt.Sprintf("i-%d", i+1), early: l.trouble, foreign: &foreign, ran: make(map[string]int)}
+		// One replica in three does so; it is that of the router's zone.
+		replica := &earlyReplica{lab: l, id: fmt.Sprintf("i-%d", i+1), early: l.trouble && i == 0, foreign: &foreign, ran: make(map[string]int)}
 		address, err := replica.listen()
 		if err != nil {
 			l.note("not run: %v", err)
 			return exitNotRun
 		}
-		s.put("servers/"+replica.id, entry("depot-api", address, "zone-1", 6, l.start.UnixMilli()))
+		s.put("servers/"+replica.id, entry("depot-api", address, fmt.Sprintf("zone-%d", i+1), 6, l.start.UnixMilli()))
 	}
 	s.put(wire("{configuration}"), object{
 		"version": 1,
