Accept again after errors that pass

Callers saw: two of three routers were killed, the third one ran out of file descriptors once, and from then on no connection to it was accepted, though it was ready and most descriptors were free again.

Cause: limitListener.run and qloffload.Server.Serve returned on any error of accept. The first one returned that error for good, so that the HTTP server's own retries could not succeed; the second one was only logged.

Change: qlaccept wraps each listener of a router (callers, offloaded requests, fetches, readiness, operations, and those of qlrouter). It tries again after errors of one connection, and after a pause of 5 to 100 ms after errors for lack of descriptors or memory, with one log line a second. A router whose server ends for good makes a planned stop and exits with an error.

--- /dev/null
+++ b/internal/qledge/descriptor_test.go
@@ -0,0 +1,96 @@
+package qledge
+
+import (
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+	"unsafe"
+)
+
+// limitDescriptors sets the number of file descriptors that a process may open, and returns
+// the limit before.
+func limitDescriptors(t *testing.T, pid int, limit uint64) (before uint64) {
+	t.Helper()
+	var old syscall.Rlimit
+	prlimit := func(next *syscall.Rlimit, previous *syscall.Rlimit) {
+		_, _, errno := syscall.RawSyscall6(syscall.SYS_PRLIMIT64, uintptr(pid), syscall.RLIMIT_NOFILE,
+			uintptr(unsafe.Pointer(next)), uintptr(unsafe.Pointer(previous)), 0, 0)
+		if errno != 0 {
+			t.Fatal(errno)
+		}
+	}
+	prlimit(nil, &old)
+	prlimit(&syscall.Rlimit{
+		Cur: limit,
+		Max: old.Max,
+	}, nil)
+	return old.Cur
+}
+
+// TestListenersAcceptAgainAfterDescriptorsRanOut guards against a router that takes no
+// connection for good, while it is ready, since one call to accept has failed.
+func TestListenersAcceptAgainAfterDescriptorsRanOut(t *testing.T) {
+	settings := stopSettings(t)
+	p := startProcess(t, settings, newWorkingUpstream(t).address())
+	before := limitDescriptors(t, p.command.Process.Pid, 0)
+	listeners := map[string]string{
+		"callers":    settings.CallerAddress,
+		"readiness":  settings.ReadyAddress,
+		"operations": settings.OperationsAddress,
+		"offload":    settings.OffloadAddress,
+		"peers":      settings.PeerAddress,
+	}
+	waiting := make(map[string]net.Conn)
+	for name, address := range listeners {
+		conn, err := net.Dial("tcp4", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+		waiting[name] = conn
+	}
+	time.Sleep(300 * time.Millisecond)
+	limitDescriptors(t, p.command.Process.Pid, before)
+	time.Sleep(time.Second)
+	caller, err := dialRouter(p.callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := caller.conn.SetDeadline(time.Now().Add(3 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if answer := caller.ask(_lookupPath, "after", 0); answer.status != http.StatusOK {
+		t.Errorf("caller: got status %d, error %v, want 200", answer.status, answer.err)
+	}
+	for _, name := range []string{"readiness", "operations"} {
+		client := http.Client{
+			Timeout: 3 * time.Second,
+		}
+		response, err := client.Get("http://" + listeners[name] + "/readyz")
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		_ = response.Body.Close()
+		if got := response.StatusCode; got != http.StatusOK {
+			t.Errorf("%s: got status %d, want 200", name, got)
+		}
+	}
+	link, err := net.Dial("tcp4", listeners["offload"])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = link.Close() }()
+	_ = link.SetReadDeadline(time.Now().Add(3 * time.Second))
+	if _, err := link.Read(make([]byte, 1)); err != nil {
+		t.Errorf("a link of another router: got %v, want its first byte", err)
+	}
+	_ = waiting["peers"].SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+	if _, err := waiting["peers"].Read(make([]byte, 1)); err == nil {
+		t.Error("a connection of another router was answered without a request")
+	} else if timeout, ok := err.(net.Error); !ok || !timeout.Timeout() {
+		t.Errorf("a connection of another router: got %v, want it open", err)
+	}
+}
--- a/internal/qledge/operations.go
+++ b/internal/qledge/operations.go
@@ -44,9 +44,7 @@
 			IdleTimeout:       _defaultIdleTimeout,
 		}
 		go func() {
-			if err := server.Serve(listener); err != nil {
-				e.log.Error("operations-not-served", zap.String("address", s.address), zap.Error(err))
-			}
+			e.fail(errors.Annotatef(server.Serve(e.acceptor(listener)), "serve %s", s.address))
 		}()
 	}
 	return nil
--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -34,6 +34,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/quetzallane/quetzallane/internal/qlaccept"
 	"github.com/quetzallane/quetzallane/internal/qladmission"
 	"github.com/quetzallane/quetzallane/internal/qlbudget"
 	"github.com/quetzallane/quetzallane/internal/qlcatalog"
@@ -126,7 +127,9 @@
 	// informed is closed once this router knows which crashes the others know.
 	informed chan struct{}
 	// callNow ends a pause between calls to the store.
-	callNow  chan struct{}
+	callNow chan struct{}
+	// failed has room for the error of the first server that has ended by itself.
+	failed   chan error
 	stopping atomic.Bool
 
 	// Only the control goroutine uses the following fields, up to lastLogged.
@@ -158,6 +161,7 @@
 		catalog:  qlcatalog.New(),
 		feed:     qlfeed.New(settings.ID, settings.Zone),
 		callNow:  make(chan struct{}, 1),
+		failed:   make(chan error, 1),
 		informed: make(chan struct{}),
 		shedder:  qlshed.New(),
 		random:   newRandom(),
@@ -332,7 +336,8 @@
 }
 
 // Run serves until the context ends, then makes a planned stop: active requests
-// are finished unless the stop's deadline passes first.
+// are finished unless the stop's deadline passes first. It does so, too, and returns an error,
+// if one of its servers fails for good.
 func (e *Edge) Run(ctx context.Context) error {
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -365,24 +370,56 @@
 	e.log.Info("started", zap.String("zone", e.settings.Zone), zap.String("callers", e.settings.CallerAddress),
 		zap.String("peers", e.settings.PeerAddress), zap.Strings("seeds", e.settings.Seeds))
 	server := e.newCallerServer(ctx)
-	callers := e.newCallerListener(listener, server)
+	callers := e.newCallerListener(e.acceptor(listener), server)
 	go func() {
 		if err := server.Serve(callers); !errors.Is(err, http.ErrServerClosed) {
-			e.log.Error("callers-not-served", zap.Error(err))
+			e.fail(errors.Annotate(err, "serve callers"))
 		}
 	}()
 	go func() {
-		if err := e.offloadServer.Serve(offloadListener); !errors.Is(err, net.ErrClosed) {
-			e.log.Error("offloads-not-served", zap.Error(err))
+		if err := e.offloadServer.Serve(e.acceptor(offloadListener)); !errors.Is(err, net.ErrClosed) {
+			e.fail(errors.Annotate(err, "serve offloaded requests"))
 		}
 	}()
-	<-ctx.Done()
+	failure := e.awaitEnd(ctx)
 	err = e.stop(server, callers, offloadListener)
 	cancel()
 	<-fleetEnded
+	if failure != nil {
+		return errors.Trace(failure)
+	}
 	return errors.Trace(err)
 }
 
+// acceptor returns a listener that accepts again after errors that pass.
+func (e *Edge) acceptor(listener net.Listener) net.Listener {
+	return qlaccept.New(qlaccept.Config{
+		Listener: listener,
+		Log:      e.log,
+	})
+}
+
+// fail makes Run stop and return the error: without one of its servers, the router can only be
+// replaced.
+func (e *Edge) fail(err error) {
+	e.log.Error("server-ended", zap.Error(err))
+	select {
+	case e.failed <- err:
+	default:
+		// Run stops already.
+	}
+}
+
+// awaitEnd waits until the context ends, or a server does, whose error it returns.
+func (e *Edge) awaitEnd(ctx context.Context) error {
+	select {
+	case err := <-e.failed:
+		return err
+	case <-ctx.Done():
+		return nil
+	}
+}
+
 // connectionKey is the key of a request's connection in the request's context.
 type connectionKey struct{}
 
--- a/internal/qlfleet/qlfleet.go
+++ b/internal/qlfleet/qlfleet.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/quetzallane/quetzallane/internal/qlaccept"
 	"github.com/quetzallane/quetzallane/internal/qlengine"
 	"github.com/quetzallane/quetzallane/internal/qlfleetwire"
 	"github.com/quetzallane/quetzallane/internal/qlowner"
@@ -110,10 +111,15 @@
 	if f.socket, err = net.ListenUDP("udp4", address); err != nil {
 		return nil, errors.Annotate(err, "listen for packets")
 	}
-	if f.listener, err = net.Listen("tcp4", config.Core.Address); err != nil {
+	listener, err := net.Listen("tcp4", config.Core.Address)
+	if err != nil {
 		_ = f.socket.Close()
 		return nil, errors.Annotate(err, "listen for fetches")
 	}
+	f.listener = qlaccept.New(qlaccept.Config{
+		Listener: listener,
+		Log:      config.Log,
+	})
 	core := config.Core
 	core.Send = f.send
 	core.OnDecision = f.deliverDecision
--- a/internal/qlrouter/qlrouter.go
+++ b/internal/qlrouter/qlrouter.go
@@ -30,6 +30,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/quetzallane/quetzallane/internal/qlaccept"
 	"github.com/quetzallane/quetzallane/internal/qlcore"
 	"github.com/quetzallane/quetzallane/internal/qlentry"
 	"github.com/quetzallane/quetzallane/internal/qlinvariant"
@@ -221,13 +222,11 @@
 	defer cancel()
 	go r.control(background)
 	go r.watchPlatform(background)
-	go func() {
-		_ = r.peers.Serve(background, listeners.peer)
-	}()
+	go r.runServer("peers", func() error { return r.peers.Serve(background, listeners.peer) })
 	operations := r.operationsServer()
-	go func() { _ = operations.Serve(listeners.operations) }()
+	go r.runServer("operations", func() error { return operations.Serve(listeners.operations) })
 	r.httpServer = r.callerServer()
-	go func() { _ = r.httpServer.Serve(listeners.caller) }()
+	go r.runServer("callers", func() error { return r.httpServer.Serve(listeners.caller) })
 	r.log.Info("started",
 		zap.String("zone", r.settings.Zone),
 		zap.String("callers", listeners.caller.Addr().String()),
@@ -240,6 +239,13 @@
 	return err
 }
 
+// runServer runs a server until it ends, and logs an end that was not asked for.
+func (r *Router) runServer(name string, serve func() error) {
+	if err := serve(); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) && !errors.Is(err, context.Canceled) {
+		r.log.Error("server-ended", zap.String("server", name), zap.Error(err))
+	}
+}
+
 type listenerSet struct {
 	caller     net.Listener
 	peer       net.Listener
@@ -260,7 +266,10 @@
 		if err != nil {
 			return nil, errors.Annotatef(err, "listen on %s", l.address)
 		}
-		*l.target = listener
+		*l.target = qlaccept.New(qlaccept.Config{
+			Listener: listener,
+			Log:      r.log,
+		})
 	}
 	return set, nil
 }
