Keep connections to callers and upstreams within the descriptors

Callers saw: with many active requests accept and connect failed for lack of file descriptors; new callers waited in the accept queue, and upstreams that could not be connected to counted as unreachable.

Cause: callers' connections could use all descriptors, and those to upstreams had no limit in sum, while each active request needs one of both. An error of connect for lack of descriptors or ports was taken for the upstream's.

Shortages are local: they do not count as the upstream's failure.

--- a/internal/qlconn/bound_test.go
+++ b/internal/qlconn/bound_test.go
@@ -2,11 +2,17 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // _endlessMegabytes is how much an upstream sends at most that never ends a head.
@@ -68,3 +74,69 @@
 		t.Errorf("got %q, %v, want ok", got, err)
 	}
 }
+
+// TestPoolKeepsConnectionsWithinLimit guards against a process that opens connections to
+// upstreams until it has no file descriptor left for its callers.
+func TestPoolKeepsConnectionsWithinLimit(t *testing.T) {
+	const limit = 3
+	release := make(chan struct{})
+	handler := http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == "/slow" {
+			<-release
+		}
+		_, _ = io.WriteString(w, "answer")
+	})
+	pool := New(Config{
+		DialTimeout: time.Second,
+		IdleTimeout: time.Minute,
+		MaxOpen:     limit,
+		Matches:     func(*http.Response, string) bool { return true },
+	})
+	ask := func(address, path string) error {
+		exchange, err := pool.Do(context.Background(), &Request{
+			Address: address,
+			Method:  http.MethodGet,
+			Target:  path,
+			Host:    "h",
+		})
+		if err != nil {
+			return err
+		}
+		defer exchange.Close()
+		_, err = io.ReadAll(exchange.Response().Body)
+		return err
+	}
+	var addresses []string
+	for range limit + 2 {
+		server := httptest.NewServer(handler)
+		defer server.Close()
+		addresses = append(addresses, strings.TrimPrefix(server.URL, "http://"))
+	}
+	for _, address := range addresses {
+		if err := ask(address, "/"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if pool.open != limit || pool.idle != limit {
+		t.Errorf("after answers of %d upstreams: got %d connections, %d idle, want %d", len(addresses), pool.open, pool.idle, limit)
+	}
+	var slow sync.WaitGroup
+	for _, address := range addresses[:limit] {
+		slow.Go(func() {
+			if err := ask(address, "/slow"); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	for end := time.Now().Add(2 * time.Second); !pool.Full() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if err := ask(addresses[limit], "/"); !errors.Is(err, ErrTooManyConnections) || !errors.Is(err, ErrNotSent) {
+		t.Errorf("with all connections in use: got %v, want %v, %v", err, ErrTooManyConnections, ErrNotSent)
+	}
+	close(release)
+	slow.Wait()
+	if err := ask(addresses[limit], "/"); err != nil || pool.Full() {
+		t.Errorf("with idle connections again: got %v", err)
+	}
+}
--- a/internal/qlconn/qlconn.go
+++ b/internal/qlconn/qlconn.go
@@ -31,6 +31,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/quetzallane/quetzallane/internal/qlaccept"
 )
 
 const (
@@ -64,7 +65,7 @@
 const ErrNotSent = errors.ConstError("not sent")
 
 // ErrTooManyConnections is the cause of the error if all connections to the
-// upstream are in use and no more may be opened.
+// upstream, or all that this process may have, are in use and no more may be opened.
 const ErrTooManyConnections = errors.ConstError("too many connections")
 
 // Config configures a Pool.
@@ -73,6 +74,9 @@
 	DialTimeout time.Duration
 	// IdleTimeout limits how long an idle connection is kept; 0 keeps none.
 	IdleTimeout time.Duration
+	// MaxOpen limits the open connections to all upstreams together; 0 for no limit. An idle
+	// one is closed for a new one.
+	MaxOpen int
 	// Matches reports whether a response answers the request with the id.
 	Matches func(response *http.Response, id string) bool
 }
@@ -107,7 +111,10 @@
 	// mu guards the fields below.
 	mu sync.Mutex
 	// hosts holds the connections by address.
-	hosts  map[string]*hostPool
+	hosts map[string]*hostPool
+	// open counts all connections, idle those of them that are idle.
+	open   int
+	idle   int
 	dials  uint64
 	reuses uint64
 }
@@ -184,15 +191,57 @@
 	if last := len(h.idle) - 1; last >= 0 {
 		c := h.idle[last]
 		h.idle = h.idle[:last]
+		p.idle--
 		p.reuses++
 		return c, nil
 	}
-	if request.MaxConnections > 0 && h.open >= request.MaxConnections {
+	if request.MaxConnections > 0 && h.open >= request.MaxConnections || !p.reserve(h) {
 		return nil, errors.WithType(ErrTooManyConnections, ErrNotSent)
 	}
+	return nil, nil
+}
+
+// reserve counts a new connection to the host as open, and reports false if none may be opened.
+// The caller holds mu.
+func (p *Pool) reserve(h *hostPool) bool {
+	if p.isFull() {
+		return false
+	}
+	if p.config.MaxOpen > 0 && p.open >= p.config.MaxOpen {
+		p.closeAnyIdle()
+	}
 	h.open++
+	p.open++
 	p.dials++
-	return nil, nil
+	return true
+}
+
+// closeAnyIdle closes one of the idle connections. The caller holds mu.
+func (p *Pool) closeAnyIdle() {
+	for _, h := range p.hosts {
+		if len(h.idle) == 0 {
+			continue
+		}
+		// The first one was idle for longest.
+		_ = h.idle[0].Close()
+		h.idle = h.idle[1:]
+		h.open--
+		p.idle--
+		p.open--
+		return
+	}
+}
+
+// isFull reports whether all connections are in use and none may be opened. The caller holds mu.
+func (p *Pool) isFull() bool {
+	return p.config.MaxOpen > 0 && p.open-p.idle >= p.config.MaxOpen
+}
+
+// Full reports whether as many connections are in use as this process may have.
+func (p *Pool) Full() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.isFull()
 }
 
 // dial opens a connection that popIdle has counted.
@@ -210,6 +259,10 @@
 	if err != nil {
 		p.releaseSlot(address)
 		p.recordRefusal(address, err)
+		if qlaccept.IsShortage(err) {
+			// This process has no descriptor or port left, which is no fault of the upstream.
+			err = errors.WithType(err, ErrTooManyConnections)
+		}
 		return nil, errors.WithType(err, ErrNotSent)
 	}
 	limit := &limitedReader{
@@ -229,6 +282,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.hostPool(address).open--
+	p.open--
 }
 
 // discard closes a connection.
@@ -244,6 +298,7 @@
 	defer p.mu.Unlock()
 	h := p.hostPool(c.address)
 	h.idle = append(h.idle, c)
+	p.idle++
 }
 
 // Prune closes the connections that have been idle for too long, and all idle
@@ -261,6 +316,8 @@
 			}
 			_ = c.Close()
 			h.open--
+			p.open--
+			p.idle--
 		}
 		h.idle = kept
 		if h.open == 0 && len(h.idle) == 0 {
--- a/internal/qlconn/refusal.go
+++ b/internal/qlconn/refusal.go
@@ -22,7 +22,8 @@
 const _refusalTimeout = time.Second
 
 // Refuses reports whether the upstream at the address refuses connections, as one does
-// whose process has ended. It doesn't ask if the upstream has refused one since that time.
+// whose process has ended. It doesn't ask if the upstream has refused one since that time, or
+// if this process may open no connection.
 // A connection that it accepts instead is kept for the next request.
 func (p *Pool) Refuses(ctx context.Context, address string, since time.Time) bool {
 	p.mu.Lock()
@@ -31,9 +32,11 @@
 		p.mu.Unlock()
 		return true
 	}
-	host.open++
-	p.dials++
+	reserved := p.reserve(host)
 	p.mu.Unlock()
+	if !reserved {
+		return false
+	}
 	c, err := p.dial(ctx, address, _refusalTimeout)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
--- a/internal/qledge/connection.go
+++ b/internal/qledge/connection.go
@@ -58,6 +58,34 @@
 	return errors.Trace(listenErr)
 }
 
+const (
+	// _fileDescriptors are those that the platform keeps for files.
+	_fileDescriptors = 200
+	// _ownDescriptorFraction is the fraction of the descriptors for links and fetches between
+	// routers, the store, status checks and operators.
+	_ownDescriptorFraction = 1.0 / 16
+	// _waitingFraction is the fraction for connections above the limit that wait for their
+	// request.
+	_waitingFraction = 1.0 / 32
+	// _maxReservedFraction bounds all of these on a VM with few descriptors.
+	_maxReservedFraction = 0.3
+)
+
+// splitDescriptors returns how many of a process's file descriptors its connections to callers
+// and those to upstreams may use. An active request needs one of each.
+func splitDescriptors(descriptors int) (callers, upstreams int) {
+	total := float64(descriptors)
+	reserved := _fileDescriptors + (_ownDescriptorFraction+_waitingFraction)*total
+	usable := int(total - min(reserved, _maxReservedFraction*total))
+	return usable / 2, usable - usable/2
+}
+
+// maxWaitingConnections returns how many connections above the limit may wait for their request.
+// Further ones are rejected at once.
+func maxWaitingConnections(descriptors int) int {
+	return max(int(_waitingFraction*float64(descriptors)), 1)
+}
+
 // callerConnections keeps callers' connections within the process's file
 // descriptors and memory. Without it, a retry storm would exhaust them: each
 // retry comes on a connection of its own and leaves it idle.
@@ -93,7 +121,8 @@
 // newCallerConnections returns the limits for a process with the given number
 // of file descriptors and megabytes of memory.
 func newCallerConnections(descriptors, megabytes int) *callerConnections {
-	limit := min(float64(descriptors), _connectionMemoryFraction*float64(megabytes)*_megabyte/_connectionBytes)
+	forCallers, _ := splitDescriptors(descriptors)
+	limit := min(float64(forCallers), _connectionMemoryFraction*float64(megabytes)*_megabyte/_connectionBytes)
 	return &callerConnections{
 		crowdedThreshold: int(_crowdedFraction * float64(descriptors)),
 		evictThreshold:   int(_evictFraction * limit),
--- a/internal/qledge/connection_test.go
+++ b/internal/qledge/connection_test.go
@@ -28,7 +28,8 @@
 	}
 	defer func() { _ = listener.Close() }()
 	limited := newLimitListener(listenerConfig{
-		Listener: listener,
+		MaxWaiting: 128,
+		Listener:   listener,
 		Intake: qlintake.New(qlintake.Config{
 			Customer: func(qlintake.Head) (service, customer string) { return "", "" },
 			Decide:   func(string, string, bool) qladmission.Action { return qladmission.Handle },
@@ -87,6 +88,7 @@
 	time.Sleep(20 * time.Millisecond)
 	const refusal = "HTTP/1.1 503 Service Unavailable\r\n\r\n"
 	limited := newLimitListener(listenerConfig{
+		MaxWaiting:   128,
 		Listener:     listener,
 		Intake:       qlintake.New(qlintake.Config{}),
 		Delay:        func() time.Duration { return 0 },
--- a/internal/qledge/descriptor_test.go
+++ b/internal/qledge/descriptor_test.go
@@ -1,8 +1,11 @@
 package qledge
 
 import (
+	"fmt"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -94,3 +97,75 @@
 		t.Errorf("a connection of another router: got %v, want it open", err)
 	}
 }
+
+// TestDescriptorsAreSplit guards against limits whose sum exceeds the descriptors of a VM.
+func TestDescriptorsAreSplit(t *testing.T) {
+	for _, descriptors := range []int{8, 400, 1024, 4100, 8192} {
+		for _, megabytes := range []int{112, 134, 284, 1 << 20} {
+			_, upstreams := splitDescriptors(descriptors)
+			callers := newCallerConnections(descriptors, megabytes)
+			inUse := callers.maxOpenLight + maxWaitingConnections(descriptors) + upstreams
+			if descriptors >= 1024 {
+				inUse += _fileDescriptors
+			}
+			if inUse >= descriptors {
+				t.Errorf("%d descriptors, %d MB: got %d in use, want fewer", descriptors, megabytes, inUse)
+			}
+			if callers.maxOpenLight > upstreams {
+				t.Errorf("%d descriptors, %d MB: got %d callers and %d connections to upstreams, want one for each", descriptors, megabytes,
+					callers.maxOpenLight, upstreams)
+			}
+		}
+	}
+}
+
+// TestRequestsBeyondDescriptorsAreRefused guards against a router that takes more callers than
+// it has descriptors for, so that accept fails and those that come then wait in vain.
+func TestRequestsBeyondDescriptorsAreRefused(t *testing.T) {
+	const (
+		descriptors = 400
+		callers     = 350
+		work        = 2 * time.Second
+	)
+	settings := stopSettings(t)
+	settings.Descriptors = descriptors
+	p := startProcess(t, settings, newWorkingUpstream(t).address())
+	limitDescriptors(t, p.command.Process.Pid, descriptors)
+	var running sync.WaitGroup
+	var mu sync.Mutex
+	statuses := make(map[int]int)
+	slowest := time.Duration(0)
+	for n := range callers {
+		running.Go(func() {
+			caller, err := dialRouter(p.callers)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer func() { _ = caller.conn.Close() }()
+			began := time.Now()
+			answer := caller.ask(_orderPath, fmt.Sprint(n), work)
+			mu.Lock()
+			defer mu.Unlock()
+			statuses[answer.status]++
+			if answer.status == http.StatusServiceUnavailable {
+				slowest = max(slowest, time.Since(began))
+			}
+		})
+		time.Sleep(time.Millisecond)
+	}
+	running.Wait()
+	t.Logf("answers by status: %v, the slowest refusal took %v", statuses, slowest)
+	if got := statuses[http.StatusOK] + statuses[http.StatusServiceUnavailable]; got != callers {
+		t.Errorf("got %v, want an answer to each of %d", statuses, callers)
+	}
+	if got, want := statuses[http.StatusOK], descriptors/4; got < want {
+		t.Errorf("got %d served, want %d or more", got, want)
+	}
+	if slowest >= work/2 {
+		t.Errorf("refused after %v, want at once", slowest)
+	}
+	if strings.Contains(p.output.String(), "too many open files") {
+		t.Error("the router ran out of descriptors")
+	}
+}
--- a/internal/qledge/kept_test.go
+++ b/internal/qledge/kept_test.go
@@ -176,10 +176,11 @@
 // listener returns the front's listener for callers.
 func (f *keptFront) listener(inner net.Listener, router *runningEdge) net.Listener {
 	return newLimitListener(listenerConfig{
-		Listener: inner,
-		Delay:    func() time.Duration { return 0 },
-		Paced:    func() bool { return false },
-		Admit:    f.callers.admit,
+		MaxWaiting: 128,
+		Listener:   inner,
+		Delay:      func() time.Duration { return 0 },
+		Paced:      func() bool { return false },
+		Admit:      f.callers.admit,
 		Intake: qlintake.New(qlintake.Config{
 			Customer:       func(head qlintake.Head) (service, customer string) { return "", head.Get(_refuseHeader) },
 			Decide:         f.decide,
--- a/internal/qledge/listener.go
+++ b/internal/qledge/listener.go
@@ -17,9 +17,6 @@
 	// _firstRequestWait is how long to wait for the request on a connection above the
 	// limit: some round trips to a caller.
 	_firstRequestWait = 20 * time.Millisecond
-	// _maxWaitingConnections bounds the connections above the limit that wait for their
-	// request. Further ones are rejected at once.
-	_maxWaitingConnections = 128
 	// _drainedWait is for how long no connection comes once all that waited were accepted.
 	_drainedWait = 20 * time.Millisecond
 )
@@ -39,6 +36,9 @@
 	// AdmitRequest reports whether a connection above the limit is kept for the customer
 	// of its request, of which this is the first part.
 	AdmitRequest func(request []byte) bool
+	// MaxWaiting bounds the connections above the limit that wait for their request. Further
+	// ones are rejected at once.
+	MaxWaiting int
 	// Refusal returns the answer to a request whose connection is rejected.
 	Refusal func() []byte
 	// OnState is called when a connection is accepted, and when it ends before Accept has
@@ -81,7 +81,7 @@
 		accepted: make(chan net.Conn),
 		failed:   make(chan error, 1),
 		closed:   make(chan struct{}),
-		waiting:  make(chan struct{}, _maxWaitingConnections),
+		waiting:  make(chan struct{}, config.MaxWaiting),
 		drained:  make(chan struct{}),
 
 		unreturned: make(map[*qlintake.Conn]struct{}),
--- a/internal/qledge/offload.go
+++ b/internal/qledge/offload.go
@@ -40,6 +40,7 @@
 			OnState: e.callers.onStateChange,
 		}),
 		AdmitRequest: e.admitRequest,
+		MaxWaiting:   maxWaitingConnections(e.settings.Descriptors),
 		Refusal:      e.forwarder.RawRefusal,
 		OnState:      e.callers.onStateChange,
 
--- a/internal/qledge/process_test.go
+++ b/internal/qledge/process_test.go
@@ -217,6 +217,26 @@
 	command *exec.Cmd
 	// exited is closed once the process has ended.
 	exited chan struct{}
+	output processOutput
+}
+
+// processOutput holds what a process has written.
+type processOutput struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write implements io.Writer.
+func (o *processOutput) Write(data []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(data)
+}
+
+func (o *processOutput) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.String()
 }
 
 // startProcess starts a router and waits until it serves requests.
@@ -234,8 +254,7 @@
 		command: exec.Command(os.Args[0], "-test.run=^TestRouterProcess$"),
 		exited:  make(chan struct{}),
 	}
-	var output strings.Builder
-	p.command.Stdout, p.command.Stderr = &output, &output
+	p.command.Stdout, p.command.Stderr = &p.output, &p.output
 	p.command.Env = append(os.Environ(), _processVariable+"="+string(text))
 	if err := p.command.Start(); err != nil {
 		t.Fatal(err)
@@ -248,7 +267,7 @@
 		_ = p.command.Process.Kill()
 		<-p.exited
 		if t.Failed() {
-			t.Logf("output of the router:\n%s", &output)
+			t.Logf("output of the router:\n%s", p.output.String())
 		}
 	})
 	for _, path := range []string{_orderPath, _streamPath} {
--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -227,6 +227,7 @@
 		return nil, errors.Trace(err)
 	}
 	e.fleet = fleet
+	_, upstreamConnections := splitDescriptors(settings.Descriptors)
 	e.forwarder = qlforward.New(qlforward.Config{
 		Dialect: config.Dialect,
 		Placement: qlforward.Placement{
@@ -256,6 +257,7 @@
 		Lagging:          fleet.Lagging,
 		Outcomes:         e.outcomes,
 		CallerLeft:       e.callerLeft,
+		MaxConnections:   upstreamConnections,
 		MaxMemoryBytes:   int64(_requestMemoryFraction * float64(settings.MemoryMB) * _megabyte),
 		Clock:            e.clock,
 		Random:           newRandom(),
--- a/internal/qlforward/qlforward.go
+++ b/internal/qlforward/qlforward.go
@@ -108,6 +108,8 @@
 	Lagging func() bool
 	// Outcomes counts how requests end; it may be nil.
 	Outcomes *qloutcome.Counter
+	// MaxConnections limits the open connections to upstreams; 0 for no limit.
+	MaxConnections int
 	// MaxMemoryBytes limits the memory of all active requests.
 	MaxMemoryBytes int64
 	// Clock returns the time on a monotonic clock.
@@ -155,6 +157,7 @@
 	f.pool = qlconn.New(qlconn.Config{
 		DialTimeout: _dialTimeout,
 		IdleTimeout: _upstreamIdleTimeout,
+		MaxOpen:     config.MaxConnections,
 		Matches: func(response *http.Response, id string) bool {
 			return config.Dialect.ReadCaller(response.Header).ID == id
 		},
@@ -279,8 +282,8 @@
 }
 
 // admit looks up the customer by the key and refuses the request before its
-// body is read if this VM has no processor time for it. It reports whether the
-// request is admitted.
+// body is read if this VM has no processor time or connection for it. It reports
+// whether the request is admitted.
 func (f *Forwarder) admit(x *exchange) bool {
 	view := f.view.Load()
 	if view == nil {
@@ -288,14 +291,18 @@
 		return false
 	}
 	x.setCustomer(view)
-	if f.config.Admit(x.request.Context(), x.customer) {
+	cause := _overloadedCause
+	switch {
+	case f.pool.Full():
+		cause = "all connections to upstreams are in use"
+	case f.config.Admit(x.request.Context(), x.customer):
 		return true
 	}
 	retryAfter, closes := f.config.Backoff()
 	if closes {
 		x.w.Header().Set("Connection", "close")
 	}
-	f.refuse(x, qlcode.RouterOverloaded, retryAfter, _overloadedCause)
+	f.refuse(x, qlcode.RouterOverloaded, retryAfter, cause)
 	return false
 }
 
