Don't take a reset answer without a length for a whole one

Cause: the kernel reports the reset of a connection once. The write of the rest of the request got it; the reads after that returned what had arrived and then a plain end.

Change: the exchange keeps the error of a failed write. A body that only the end of its connection ends is complete only if there was none; one place, qlconn.eofReader, decides this for plain answers and streams. Answers with a length or in chunks that have arrived whole are still delivered.

--- a/internal/qlconn/qlconn.go
+++ b/internal/qlconn/qlconn.go
@@ -25,6 +25,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -374,6 +375,9 @@
 	stopCancel func() bool
 	response   *http.Response
 	body       *eofReader
+	// writeErr is the error of the connection that ended the writing of the request, if any.
+	// The kernel reports it once: later reads may return a plain end.
+	writeErr error
 }
 
 // Response returns the response. Its body returns io.EOF only after the
@@ -413,7 +417,13 @@
 		return errors.Trace(err)
 	}
 	_, err := e.conn.Write(buffer.Bytes())
-	if err != nil && e.hasEarlyResponse() {
+	if err == nil {
+		return nil
+	}
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		e.writeErr = err
+	}
+	if e.hasEarlyResponse() {
 		return nil
 	}
 	return errors.Trace(err)
@@ -478,6 +488,9 @@
 	e.body = &eofReader{
 		ReadCloser: response.Body,
 	}
+	if EndsWithConnection(response) {
+		e.body.connErr = e.writeErr
+	}
 	response.Body = e.body
 	e.conn.idleTimeout = e.pool.config.IdleTimeout
 	if stated, ok := keepAliveTimeout(response.Header); ok {
@@ -518,15 +531,27 @@
 	e.pool.discard(c)
 }
 
+// EndsWithConnection reports whether only the end of its connection shows that a response
+// has ended.
+func EndsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Request.Method != http.MethodHead
+}
+
 // eofReader records whether a body was read completely.
 type eofReader struct {
 	io.ReadCloser
+	// connErr is an earlier error of the connection whose end is that of the body, if any. The
+	// body is then not complete.
+	connErr    error
 	reachedEOF bool
 }
 
 // Read implements io.Reader.
 func (r *eofReader) Read(p []byte) (int, error) {
 	n, err := r.ReadCloser.Read(p)
+	if err == io.EOF && r.connErr != nil {
+		return n, errors.Annotate(r.connErr, "the connection that ends the answer has failed")
+	}
 	if err == io.EOF {
 		r.reachedEOF = true
 	}
--- a/internal/qlforward/engine.go
+++ b/internal/qlforward/engine.go
@@ -395,18 +395,12 @@
 // event, or before the first one if only the connection's end shows its own.
 func (x *exchange) brokenOff(response *http.Response, events, rest []byte) bool {
 	if !isEventStream(response) {
-		return endsWithConnection(response) && x.progress < progressPart
+		return qlconn.EndsWithConnection(response) && x.progress < progressPart
 	}
 	if len(bytes.TrimSpace(rest)) > 0 {
 		return true
 	}
-	return endsWithConnection(response) && len(events) == 0 && x.progress < progressEvents
-}
-
-// endsWithConnection reports whether only the end of its connection shows that a response
-// has ended.
-func endsWithConnection(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Request.Method != http.MethodHead
+	return qlconn.EndsWithConnection(response) && len(events) == 0 && x.progress < progressEvents
 }
 
 func isEventStream(response *http.Response) bool {
--- a/internal/qlforward/plain.go
+++ b/internal/qlforward/plain.go
@@ -308,7 +308,7 @@
 	if !reply.answer.Signed && !reply.answer.NotRun {
 		return nil, errors.Errorf("answer without signature, status %d", response.StatusCode)
 	}
-	if len(body) == 0 && endsWithConnection(response) && !reply.answer.NotRun {
+	if len(body) == 0 && qlconn.EndsWithConnection(response) && !reply.answer.NotRun {
 		return nil, errEndsAfterHead
 	}
 	reply.body = body
