Keep the time limit of requests that another router has taken

Cause: only the router that handles a request kept its time limit. The one with the caller's connection waited for a frame, the end of the link or the caller's leaving, and none of them comes from a frozen process: its kernel goes on to acknowledge what it gets.

Change: an exchange has a deadline, the caller's time limit or its route's, whichever is less, and 200 ms for the other router's own answer. At the deadline the caller gets 504 (301, outcome unknown), or a reset if an answer has begun; the other router is told to cancel, and its late frames are dropped. A request whose deadline has passed is not passed on.

--- a/internal/qledge/offload.go
+++ b/internal/qledge/offload.go
@@ -30,6 +30,9 @@
 			Refusal:        e.refusal,
 			IdleTimeout:    func() time.Duration { return server.IdleTimeout },
 			Offloader:      e.offloader,
+			TimeLimit: func(head qlintake.Head) time.Duration {
+				return e.forwarder.OffloadTimeLimit(head.Target(), head.Get)
+			},
 			Stamp: func() qloffload.Stamp {
 				return qloffload.Stamp{
 					Revision:   e.revision.Load(),
--- a/internal/qledge/operations.go
+++ b/internal/qledge/operations.go
@@ -86,6 +86,7 @@
 		{name: "offloads-taken", value: int64(e.offloadServer.Taken())},
 		{name: "offloads-declined", value: int64(offloads.Declined)},
 		{name: "offloads-broken", value: int64(offloads.Broken)},
+		{name: "offloads-timed-out", value: int64(offloads.TimedOut)},
 		{name: "offloads-unreachable", value: int64(offloads.Unreachable)},
 		{name: "quarantines", value: int64(len(e.quarantines.Load().Quarantines()))},
 		{name: "quarantines-started", value: e.quarantinesStarted.Load()},
--- a/internal/qledge/process_test.go
+++ b/internal/qledge/process_test.go
@@ -72,6 +72,7 @@
 			return caller
 		},
 		ReadHead:    func(get func(name string) string) (id, key string) { return get(_idHeader), get(_keyHeader) },
+		ReadTimeout: func(func(name string) string) time.Duration { return 0 },
 		SetOutgoing: func(http.Header, qlforward.Outgoing) {},
 		ReadAnswer: func(response *http.Response) qlforward.Answer {
 			return qlforward.Answer{
--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -176,6 +176,7 @@
 		Lag:            func() time.Duration { return e.fleet.Lag() },
 		MemoryMB:       settings.MemoryMB,
 		UnknownOutcome: func() []byte { return e.forwarder.RawUnknownOutcome() },
+		TimedOut:       func() []byte { return e.forwarder.RawTimedOut() },
 		Clock:          e.clock,
 		Log:            e.log,
 
--- a/internal/qlforward/answer.go
+++ b/internal/qlforward/answer.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/quetzallane/quetzallane/internal/qloffload"
 	"github.com/quetzallane/quetzallane/internal/qloutcome"
+	"github.com/quetzallane/quetzallane/internal/qlroute"
 	"github.com/quetzallane/quetzallane/pkg/qlcode"
 	"go.uber.org/zap"
 )
@@ -123,6 +124,25 @@
 	return rawResult(code, status, "", f.closesConnections())
 }
 
+// RawTimedOut returns the bytes of the response to a request that another router has taken and
+// not answered within its time limit.
+func (f *Forwarder) RawTimedOut() []byte {
+	return rawResult(qlcode.UpstreamTimeout, qlcode.UpstreamTimeout.HTTPStatus(), "", f.closesConnections())
+}
+
+// OffloadTimeLimit returns for how long to wait for another router's answer to a request with
+// this head, of which the target is that of the request line. It is longer than that router
+// itself waits for an upstream.
+func (f *Forwarder) OffloadTimeLimit(target string, get func(name string) string) time.Duration {
+	var route *qlroute.Route
+	if view := f.view.Load(); view != nil {
+		path, _, _ := strings.Cut(target, "?")
+		route = view.table.Match(get("Host"), path)
+	}
+	limit := timeLimit(f.config.Dialect.ReadTimeout(get), route)
+	return max(limit+_offloadGrace-f.config.ReadDelay(), time.Millisecond)
+}
+
 // rawResult returns the bytes of a response with a result code and further header lines.
 func rawResult(code qlcode.Code, status int, header string, closeConnection bool) []byte {
 	body := code.Title() + "\n"
--- a/internal/qlforward/qlforward.go
+++ b/internal/qlforward/qlforward.go
@@ -47,6 +47,9 @@
 	// time limit that it sends to the upstream, so that the upstream's own
 	// timeout answer arrives first.
 	_timeoutGrace = 100 * time.Millisecond
+	// _offloadGrace is how much longer than its time limit a request that another router has
+	// taken is waited for, so that the other router's own answer arrives first.
+	_offloadGrace = 2 * _timeoutGrace
 	// _defaultTimeout is the time limit of a request if neither the caller nor
 	// the route sets one.
 	_defaultTimeout = 30 * time.Second
--- a/internal/qlforward/standin_test.go
+++ b/internal/qlforward/standin_test.go
@@ -44,6 +44,13 @@
 			return caller
 		},
 		ReadHead: func(get func(name string) string) (id, key string) { return get("Id"), get("Key") },
+		ReadTimeout: func(get func(name string) string) time.Duration {
+			ms, err := strconv.Atoi(get("Timeout"))
+			if err != nil {
+				return 0
+			}
+			return time.Duration(ms) * time.Millisecond
+		},
 		SetOutgoing: func(header http.Header, outgoing Outgoing) {
 			header.Del("Customer")
 			header.Set("Remaining-Timeout", strconv.FormatInt(outgoing.Timeout.Milliseconds(), 10))
--- a/internal/qlforward/stop.go
+++ b/internal/qlforward/stop.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/quetzallane/quetzallane/internal/qlroute"
 	"github.com/quetzallane/quetzallane/pkg/qlcode"
 )
 
@@ -86,13 +87,7 @@
 // setDeadline sets the deadline of the request to the earliest of the caller's, the
 // route's and the router's own. The request's context ends _timeoutGrace later.
 func (f *Forwarder) setDeadline(x *exchange) context.CancelFunc {
-	wait := x.caller.Timeout
-	if timeout := x.route.Timeout(); timeout > 0 && (wait == 0 || timeout < wait) {
-		wait = timeout
-	}
-	if wait == 0 {
-		wait = _defaultTimeout
-	}
+	wait := timeLimit(x.caller.Timeout, x.route)
 	// The caller's time limit starts when it sends the request.
 	x.deadline = x.start.Add(wait - f.config.ReadDelay())
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline.Add(_timeoutGrace))
@@ -110,6 +105,19 @@
 	}
 }
 
+// timeLimit returns the time limit of a request: the caller's or the route's, whichever is less,
+// or the default if there is none. The route may be nil.
+func timeLimit(callers time.Duration, route *qlroute.Route) time.Duration {
+	limit := callers
+	if route != nil && route.Timeout() > 0 && (limit == 0 || route.Timeout() < limit) {
+		limit = route.Timeout()
+	}
+	if limit == 0 {
+		return _defaultTimeout
+	}
+	return limit
+}
+
 var errStopsTooSoon = errors.New("the router stops too soon")
 
 // failUnknownOutcome answers a request that may have run and for which no
--- a/internal/qlforward/types.go
+++ b/internal/qlforward/types.go
@@ -110,6 +110,9 @@
 	// its headers are parsed completely; get returns the value of a header
 	// field.
 	ReadHead func(get func(name string) string) (id, key string)
+	// ReadTimeout returns how long the caller of such a request waits for the answer, or 0 if it
+	// states no time.
+	ReadTimeout func(get func(name string) string) time.Duration
 	// SetOutgoing sets the headers of a request to an upstream.
 	SetOutgoing func(header http.Header, outgoing Outgoing)
 	// UpstreamOnly are the header fields of responses that callers do not get.
--- a/internal/qlintake/offload.go
+++ b/internal/qlintake/offload.go
@@ -25,7 +25,8 @@
 // offload passes the current request on to another router, and waits for the end of the
 // answer and for the caller's next request. It reports false if the request is to be
 // served here; it is then unchanged.
-func (c *Conn) offload(service, customer string) (served bool, err error) {
+func (c *Conn) offload(head Head, service, customer string) (served bool, err error) {
+	deadline := c.deadline(head)
 	if err := c.readWhole(); err != nil {
 		c.intake.config.recordLeft(service, customer)
 		return false, err
@@ -57,6 +58,7 @@
 		Write:     w.write,
 		Finish:    w.finish,
 		OverShare: func() { c.intake.config.OnOverShare(service, customer) },
+		Deadline:  deadline,
 	})
 	if exchange == nil {
 		c.buffer, c.buffered = request, buffered
@@ -67,6 +69,18 @@
 	return c.awaitExchange(exchange, w, buffered)
 }
 
+// deadline returns until when the answer to a request is waited for, or zero.
+func (c *Conn) deadline(head Head) time.Time {
+	if c.intake.config.TimeLimit == nil {
+		return time.Time{}
+	}
+	limit := c.intake.config.TimeLimit(head)
+	if limit == 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(limit)
+}
+
 // canOffload reports whether a request of the length can be passed on at all. The answer to a
 // HEAD request states a length, but has no body.
 func (c *Conn) canOffload(head Head, length int) bool {
--- a/internal/qlintake/offload_test.go
+++ b/internal/qlintake/offload_test.go
@@ -29,6 +29,9 @@
 	// the next offloaded answer pauses; both are in nanoseconds.
 	idleTimeout atomic.Int64
 	lateEnd     atomic.Int64
+	// timeLimit is for how long answers of the other router are waited for, in nanoseconds; 0
+	// for no limit.
+	timeLimit atomic.Int64
 	// asksToClose makes offloaded answers the last ones of their connections.
 	asksToClose atomic.Bool
 	// begun counts the requests that the server has begun to handle.
@@ -68,6 +71,7 @@
 	s.offloader = qloffload.New(qloffload.Config{
 		Lag:      func() time.Duration { return 0 },
 		MemoryMB: 100,
+		TimedOut: func() []byte { return []byte(_timedOutAnswer) },
 		Clock:    func() time.Duration { return time.Since(started) },
 		Log:      zap.NewNop(),
 	})
@@ -104,6 +108,7 @@
 			return time.Duration(s.idleTimeout.Load())
 		},
 		Offloader: s.offloader,
+		TimeLimit: func(Head) time.Duration { return time.Duration(s.timeLimit.Load()) },
 		Stamp: func() qloffload.Stamp {
 			return qloffload.Stamp{
 				AskToClose: s.asksToClose.Load(),
@@ -146,6 +151,11 @@
 // _largeBytes is more than the connection of a caller of dialSlow holds, if it does not read.
 const _largeBytes = 16 * (32 << 10)
 
+const (
+	_timedOutBody   = "timed out"
+	_timedOutAnswer = "HTTP/1.1 504 Gateway Timeout\r\nContent-Length: 9\r\n\r\n" + _timedOutBody
+)
+
 // _work is how long a request to /work takes.
 const _work = 600 * time.Millisecond
 
--- a/internal/qlintake/qlintake.go
+++ b/internal/qlintake/qlintake.go
@@ -70,6 +70,9 @@
 	IdleTimeout func() time.Duration
 	// Offloader passes requests on to other routers; it may be nil.
 	Offloader *qloffload.Offloader
+	// TimeLimit returns for how long to wait for an answer of another router; 0 for no limit.
+	// It may be nil.
+	TimeLimit func(head Head) time.Duration
 	// Stamp returns what other routers are told about a request.
 	Stamp func() qloffload.Stamp
 	// OnState is called when a connection becomes active or idle by a request of which the
@@ -270,7 +273,7 @@
 		action = c.intake.config.Decide(service, customer, c.canOffload(head, c.remaining))
 	}
 	if action == qladmission.Offload {
-		if served, err := c.offload(service, customer); err != nil || served {
+		if served, err := c.offload(head, service, customer); err != nil || served {
 			return false, err
 		}
 		// Waiting for the rest of the request may have moved it.
--- a/internal/qloffload/link.go
+++ b/internal/qloffload/link.go
@@ -128,6 +128,9 @@
 	l.exchanges[exchange.id] = exchange
 	l.unsent = append(l.unsent, exchange)
 	l.usedAt = l.offloader.config.Clock()
+	if deadline := exchange.caller.Deadline; !deadline.IsZero() {
+		exchange.timer = time.AfterFunc(time.Until(deadline), exchange.timeOut)
+	}
 	l.mu.Unlock()
 	err := l.queue.add(true, func(to []byte) []byte { return appendRequest(to, exchange.id, stamp, request) })
 	if err == nil {
@@ -159,6 +162,9 @@
 	defer l.mu.Unlock()
 	exchange := l.exchanges[id]
 	delete(l.exchanges, id)
+	if exchange != nil {
+		exchange.stopTimer()
+	}
 	return exchange
 }
 
@@ -269,6 +275,7 @@
 	l.broken = true
 	outcomes := make(map[*Exchange]Outcome, len(l.exchanges))
 	for _, exchange := range l.exchanges {
+		exchange.stopTimer()
 		outcomes[exchange] = NotTaken
 		if exchange.sent {
 			outcomes[exchange] = Broken
@@ -297,6 +304,7 @@
 	l.mu.Lock()
 	exchanges := make([]*Exchange, 0, len(l.exchanges))
 	for _, exchange := range l.exchanges {
+		exchange.stopTimer()
 		exchanges = append(exchanges, exchange)
 	}
 	clear(l.exchanges)
@@ -347,6 +355,8 @@
 	// began is set once a part of the answer has come. The link's lock guards it until the
 	// link's part in the exchange has ended.
 	began bool
+	// timer calls timeOut at the deadline; nil without one. The link's lock guards it.
+	timer *time.Timer
 }
 
 // Done is closed when the exchange has ended.
@@ -370,6 +380,25 @@
 	x.finishBroken()
 }
 
+// stopTimer ends the wait for the deadline. The caller holds the link's lock.
+func (x *Exchange) stopTimer() {
+	if x.timer != nil {
+		x.timer.Stop()
+	}
+}
+
+// timeOut ends the exchange because its time limit has passed. Its caller is told that the
+// outcome is unknown.
+func (x *Exchange) timeOut() {
+	if x.link.remove(x.id) == nil {
+		return
+	}
+	x.offloader.timedOut.Add(1)
+	x.count(qloutcome.OffloadTimedOut)
+	x.sendCancel()
+	x.finishUnknown(x.offloader.config.TimedOut)
+}
+
 // sendCancel tells the other router that nobody waits for the answer.
 func (x *Exchange) sendCancel() {
 	if err := x.link.queue.addControl(frameCancel, x.id, nil); err != nil {
@@ -381,7 +410,11 @@
 
 // finishBroken ends an exchange of which the other router has sent no whole answer.
 func (x *Exchange) finishBroken() {
-	answer := x.offloader.config.UnknownOutcome
+	x.finishUnknown(x.offloader.config.UnknownOutcome)
+}
+
+// finishUnknown ends an exchange with the answer, or by a reset if another one has begun.
+func (x *Exchange) finishUnknown(answer func() []byte) {
 	if x.began || answer == nil {
 		x.finish(Broken)
 		return
--- a/internal/qloffload/qloffload.go
+++ b/internal/qloffload/qloffload.go
@@ -20,6 +20,10 @@
 // not look complete. Offloaded requests are not offloaded again. If the caller disconnects,
 // the other router is told to cancel.
 //
+// The router with the caller's connection keeps the request's time limit, too: the other one
+// may be frozen or cut off, and its link need not break then. At the limit the caller is told
+// that the outcome is unknown, and what the other router sends later is dropped.
+//
 // # Usage
 //
 //	offloader := qloffload.New(qloffload.Config{Lag: lag, MemoryMB: 112, Clock: clock, Log: log})
@@ -65,6 +69,9 @@
 	// UnknownOutcome returns the answer to a request that was sent to another router and
 	// got none. If it is nil, the callers' connections are reset.
 	UnknownOutcome func() []byte
+	// TimedOut returns the answer to a request that was sent to another router and got none
+	// within its time limit. If it is nil, the callers' connections are reset.
+	TimedOut func() []byte
 	// Clock returns the time on a monotonic clock.
 	Clock func() time.Duration
 	// CustomerOf returns the customer of a request, or "". It may be nil if there is no
@@ -89,6 +96,7 @@
 	offloaded   atomic.Uint64
 	declined    atomic.Uint64
 	broken      atomic.Uint64
+	timedOut    atomic.Uint64
 	unreachable atomic.Uint64
 	kept        keptCounter
 
@@ -162,6 +170,8 @@
 	Declined uint64 `json:"declined"`
 	// Broken counts those of which the outcome is unknown to this router.
 	Broken uint64 `json:"broken"`
+	// TimedOut counts those that ended here at their time limit.
+	TimedOut uint64 `json:"timed-out"`
 	// Unreachable counts failed attempts to reach a router.
 	Unreachable uint64 `json:"unreachable"`
 	// Kept counts those beyond the budget that were not passed on, by reason.
@@ -174,6 +184,7 @@
 		Offloaded:   o.offloaded.Load(),
 		Declined:    o.declined.Load(),
 		Broken:      o.broken.Load(),
+		TimedOut:    o.timedOut.Load(),
 		Unreachable: o.unreachable.Load(),
 		Kept:        o.kept.counts(),
 	}
@@ -204,6 +215,8 @@
 	// OverShare is called before that if the other router has refused the request since
 	// its customer is above its share.
 	OverShare func()
+	// Deadline is until when the request is waited for; if it is zero, there is no limit.
+	Deadline time.Time
 }
 
 // Start sends a whole request to another router. It returns nil if none has received it.
@@ -224,6 +237,10 @@
 		o.CountKept(Closing)
 		return nil
 	}
+	if !caller.Deadline.IsZero() && !time.Now().Before(caller.Deadline) {
+		o.CountKept(OutOfTime)
+		return nil
+	}
 	l, reason := o.chooseLink()
 	if l == nil {
 		o.CountKept(reason)
--- a/internal/qloffload/reason.go
+++ b/internal/qloffload/reason.go
@@ -34,6 +34,8 @@
 	NotOffloadable
 	// Pipelined means that the caller has sent another request behind it.
 	Pipelined
+	// OutOfTime means that the request's time limit has passed.
+	OutOfTime
 
 	_reasonCount
 )
@@ -52,6 +54,7 @@
 	LinkBroken:     "link-broken",
 	NotOffloadable: "not-offloadable",
 	Pipelined:      "pipelined",
+	OutOfTime:      "out-of-time",
 }
 
 // String returns the name of the reason in logs.
--- a/internal/qloutcome/qloutcome.go
+++ b/internal/qloutcome/qloutcome.go
@@ -39,6 +39,8 @@
 	OffloadBroken
 	// OffloadLeft counts those of them whose caller disconnected before the end.
 	OffloadLeft
+	// OffloadTimedOut counts those of them that ended here at their time limit.
+	OffloadTimedOut
 	// OffloadUnwritten counts parts of their answers that could not be written to the caller.
 	OffloadUnwritten
 	// Accepted counts connections.
@@ -60,6 +62,7 @@
 	OffloadDeclined:  "offload-declined",
 	OffloadBroken:    "offload-broken",
 	OffloadLeft:      "offload-left",
+	OffloadTimedOut:  "offload-timed-out",
 	OffloadUnwritten: "offload-unwritten",
 	Accepted:         "accepted",
 	Rejected:         "rejected",
