Don't pass requests on to a router that has fallen silent

Cause: an entry learned that a router was frozen from the fleet, or from its link after 3 s. Nothing on the link told it.

Routers of earlier versions ignore pings and are not judged.

--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -321,6 +321,7 @@
 	e.shedder.RecordLag(now, lag)
 	e.budget.RecordLag(lag)
 	e.offloadServer.SetRoom(now, e.offloadRoom(lag))
+	e.offloader.CheckLinks()
 	e.checkStoreLoss(now)
 	e.publishIfChanged(now)
 	if e.liveChanged {
--- a/internal/qlintake/frozen_test.go
+++ b/internal/qlintake/frozen_test.go
@@ -81,6 +81,9 @@
 	_, _ = to.Close(), from.Close()
 }
 
+// _checkInterval is the time between checks for silent routers.
+const _checkInterval = 50 * time.Millisecond
+
 // newFrozenServer returns a server that offloads through a proxy, with a time limit for answers.
 func newFrozenServer(t *testing.T, limit time.Duration) (*offloadingServer, *freezingProxy) {
 	t.Helper()
@@ -89,6 +92,22 @@
 	s.offloader.Peers().Set(0, []qloffload.Peer{qloffload.NewPeer(p.listener.Addr().String(), 1)})
 	s.dial().awaitOffloading()
 	s.timeLimit.Store(int64(limit))
+	ticker := time.NewTicker(_checkInterval)
+	ended := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-ticker.C:
+				s.offloader.CheckLinks()
+			case <-ended:
+				return
+			}
+		}
+	}()
+	t.Cleanup(func() {
+		ticker.Stop()
+		close(ended)
+	})
 	return s, p
 }
 
@@ -150,3 +169,30 @@
 	close(s.held)
 	p.thaw()
 }
+
+// TestSilentRouterIsNotAsked guards against requests that are passed on to a router from which
+// nothing comes, long before the fleet takes it for dead, and against a router that is not asked
+// once it runs again.
+func TestSilentRouterIsNotAsked(t *testing.T) {
+	s, p := newFrozenServer(t, time.Second)
+	p.freeze()
+	waiting := s.dial()
+	answered := make(chan string)
+	go func() { answered <- waiting.ask(post("/", "", 1)) }()
+	time.Sleep(500 * time.Millisecond)
+	for range 3 {
+		began := time.Now()
+		if got := s.dial().ask(post("/", "", 1)); got != "here 1" {
+			t.Errorf("while the other router is silent: got %q, want %q", got, "here 1")
+		}
+		if took := time.Since(began); took > 200*time.Millisecond {
+			t.Errorf("the answer took %v", took)
+		}
+	}
+	p.thaw()
+	if got := <-answered; got != "there 1" {
+		t.Errorf("the request that waited: got %q, want %q", got, "there 1")
+	}
+	time.Sleep(2 * _checkInterval)
+	s.dial().awaitOffloading()
+}
--- a/internal/qloffload/frame.go
+++ b/internal/qloffload/frame.go
@@ -26,6 +26,12 @@
 	// frameRoom: the payload is the rate of requests that the router takes from the other one,
 	// in requests a second. It belongs to no request.
 	frameRoom
+	// framePing asks for a framePong. They belong to no request, and a router of an earlier
+	// version ignores them.
+	framePing
+	// framePong answers a framePing. The router that takes requests sends one at the beginning,
+	// too, by which the other one learns that it answers pings.
+	framePong
 )
 
 const (
--- a/internal/qloffload/link.go
+++ b/internal/qloffload/link.go
@@ -66,6 +66,10 @@
 	broken bool
 	// usedAt is when the last request was sent.
 	usedAt time.Duration
+
+	silence silenceDetector
+	// silent is what CheckLinks has found last.
+	silent bool
 }
 
 // dial opens a link and waits until the other router has accepted it.
@@ -204,6 +208,7 @@
 // receive handles a frame of the other router. One of an unknown request is late: the
 // caller has disconnected.
 func (l *link) receive(kind frameKind, id uint32, payload []byte) error {
+	l.silence.heard.Add(1)
 	switch kind {
 	case frameAnswer:
 		l.mu.Lock()
@@ -239,7 +244,9 @@
 			return errors.Trace(err)
 		}
 		l.offloader.peers.SetRoom(l.offloader.config.Clock(), l.address, float64(rate))
-	case frameRequest, frameCancel:
+	case framePong:
+		l.silence.answersPings.Store(true)
+	case frameRequest, frameCancel, framePing:
 		return errors.NotValidf("frame of kind %d in an answer", kind)
 	}
 	return nil
@@ -317,6 +324,13 @@
 	return int64(len(exchanges))
 }
 
+// activeCount returns the number of requests that wait for their answers.
+func (l *link) activeCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.exchanges)
+}
+
 // idleFor returns how long the link has had no request.
 func (l *link) idleFor(now time.Duration) time.Duration {
 	l.mu.Lock()
--- a/internal/qloffload/peers.go
+++ b/internal/qloffload/peers.go
@@ -182,6 +182,14 @@
 	})
 }
 
+// Silent records that a peer sends nothing, though it owes answers.
+func (p *Peers) Silent(now time.Duration, address string) {
+	p.avoid(address, pause{
+		until:       now + _silentPause,
+		unreachable: true,
+	})
+}
+
 func (p *Peers) avoid(address string, next pause) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/qloffload/qloffload.go
+++ b/internal/qloffload/qloffload.go
@@ -376,14 +376,8 @@
 // Cut ends all requests that are offloaded, as if their links had broken, and returns how
 // many there were.
 func (o *Offloader) Cut() int64 {
-	o.mu.Lock()
-	links := make([]*link, 0, len(o.links))
-	for _, peer := range o.links {
-		links = append(links, peer.open...)
-	}
-	o.mu.Unlock()
 	cut := int64(0)
-	for _, l := range links {
+	for _, l := range o.openLinks() {
 		cut += l.cut()
 	}
 	return cut
--- a/internal/qloffload/server.go
+++ b/internal/qloffload/server.go
@@ -186,7 +186,7 @@
 	}
 	err = setTimeouts(conn)
 	if err == nil {
-		err = l.queue.add(true, func(to []byte) []byte { return append(to, _hello) })
+		err = l.queue.add(true, func(to []byte) []byte { return appendFrame(append(to, _hello), framePong, 0, nil) })
 	}
 	s.mu.Lock()
 	s.links[l] = true
@@ -246,7 +246,9 @@
 		if cancel != nil {
 			cancel()
 		}
-	case frameAnswer, frameEnd, frameDeclined, frameBroken, frameRoom:
+	case framePing:
+		return l.queue.addControl(framePong, 0, nil)
+	case frameAnswer, frameEnd, frameDeclined, frameBroken, frameRoom, framePong:
 		return errors.NotValidf("frame of kind %d in a request", kind)
 	}
 	return nil
