Count the time on the link as waited by an offloaded request

Cause: a request's stamp says how long it has waited at the entry until it is queued. The time in the queue, the sockets and a process that does not run was known to nobody.

Change: each request is preceded by the sender's monotonic clock.

--- a/internal/qlintake/frozen_test.go
+++ b/internal/qlintake/frozen_test.go
@@ -196,3 +196,18 @@
 	time.Sleep(2 * _checkInterval)
 	s.dial().awaitOffloading()
 }
+
+// TestTimeOnLinkCountsAsWaited guards against a router that was frozen and sends requests to
+// upstreams whose callers have given up meanwhile.
+func TestTimeOnLinkCountsAsWaited(t *testing.T) {
+	const frozen = 400 * time.Millisecond
+	s, p := newFrozenServer(t, 2*time.Second)
+	p.freeze()
+	time.AfterFunc(frozen, p.thaw)
+	if got := s.dial().ask(post("/", "", 1)); got != "there 1" {
+		t.Errorf("got %q, want %q", got, "there 1")
+	}
+	if got := time.Duration(s.waited.Load()); got < frozen-100*time.Millisecond || got > 2*frozen {
+		t.Errorf("got %v waited, want %v", got, frozen)
+	}
+}
--- a/internal/qlintake/offload_test.go
+++ b/internal/qlintake/offload_test.go
@@ -29,6 +29,9 @@
 	// the next offloaded answer pauses; both are in nanoseconds.
 	idleTimeout atomic.Int64
 	lateEnd     atomic.Int64
+	// waited is how long the last request had waited when the other router began to handle it,
+	// in nanoseconds.
+	waited atomic.Int64
 	// timeLimit is for how long answers of the other router are waited for, in nanoseconds; 0
 	// for no limit.
 	timeLimit atomic.Int64
@@ -161,6 +164,9 @@
 
 func (s *offloadingServer) serveOther(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
+	if origin, ok := qloffload.OriginOf(r.Context()); ok {
+		s.waited.Store(int64(origin.Waited()))
+	}
 	_, _ = fmt.Fprintf(w, "there %d", len(body))
 	controller := http.NewResponseController(w)
 	switch r.URL.Path {
--- a/internal/qloffload/frame.go
+++ b/internal/qloffload/frame.go
@@ -32,6 +32,8 @@
 	// framePong answers a framePing. The router that takes requests sends one at the beginning,
 	// too, by which the other one learns that it answers pings.
 	framePong
+	// frameClock is sent before a request: the payload is the sender's clock.
+	frameClock
 )
 
 const (
@@ -40,6 +42,7 @@
 	_frameHeadBytes  = 1 + 4 + 4
 	_stampBytes      = 1 + 8 + 4
 	_roomBytes       = 4
+	_clockBytes      = 8
 	_maxPayloadBytes = 256 << 10
 	// _flagAskToClose is set in a stamp if the caller is to close its connection.
 	_flagAskToClose = 1
@@ -70,6 +73,12 @@
 	return binary.BigEndian.AppendUint32(to, uint32(length))
 }
 
+// appendClock appends the frame that tells this router's clock.
+func appendClock(to []byte, now time.Duration) []byte {
+	to = appendFrameHead(to, frameClock, 0, _clockBytes)
+	return binary.BigEndian.AppendUint64(to, uint64(now.Microseconds()))
+}
+
 // appendRequest appends the frame of a request.
 func appendRequest(to []byte, id uint32, stamp Stamp, request []byte) []byte {
 	to = appendFrameHead(to, frameRequest, id, _stampBytes+len(request))
@@ -83,6 +92,14 @@
 	return append(to, request...)
 }
 
+// splitClock returns the sender's clock of a frame's payload. Further bytes are of later versions.
+func splitClock(payload []byte) (sentAt time.Duration, err error) {
+	if len(payload) < _clockBytes {
+		return 0, errors.NotValidf("clock of %d bytes", len(payload))
+	}
+	return time.Duration(binary.BigEndian.Uint64(payload)) * time.Microsecond, nil
+}
+
 // roomPayload returns the payload of a frame that tells a rate.
 func roomPayload(rate uint32) []byte {
 	return binary.BigEndian.AppendUint32(nil, rate)
--- a/internal/qloffload/link.go
+++ b/internal/qloffload/link.go
@@ -136,7 +136,10 @@
 		exchange.timer = time.AfterFunc(time.Until(deadline), exchange.timeOut)
 	}
 	l.mu.Unlock()
-	err := l.queue.add(true, func(to []byte) []byte { return appendRequest(to, exchange.id, stamp, request) })
+	sentAt := l.offloader.config.Clock()
+	err := l.queue.add(true, func(to []byte) []byte {
+		return appendRequest(appendClock(to, sentAt), exchange.id, stamp, request)
+	})
 	if err == nil {
 		return true, 0
 	}
@@ -246,7 +249,7 @@
 		l.offloader.peers.SetRoom(l.offloader.config.Clock(), l.address, float64(rate))
 	case framePong:
 		l.silence.answersPings.Store(true)
-	case frameRequest, frameCancel, framePing:
+	case frameRequest, frameCancel, framePing, frameClock:
 		return errors.NotValidf("frame of kind %d in an answer", kind)
 	}
 	return nil
--- a/internal/qloffload/server.go
+++ b/internal/qloffload/server.go
@@ -28,6 +28,7 @@
 // Server takes requests that other routers offload.
 type Server struct {
 	config  ServerConfig
+	started time.Time
 	buffers *qlbuffer.Pool
 	readers sync.Pool
 	active  atomic.Int64
@@ -79,6 +80,7 @@
 func NewServer(config ServerConfig) *Server {
 	return &Server{
 		config:  config,
+		started: time.Now(),
 		buffers: qlbuffer.NewPool(_bufferSize),
 		readers: sync.Pool{
 			New: func() any { return bufio.NewReader(nil) },
@@ -153,6 +155,11 @@
 	// ctx ends with the link.
 	ctx context.Context
 
+	// delays and waited are about the requests of the other router; only the reader uses them.
+	delays delayMeter
+	// waited is how long the request that comes next has waited on the link.
+	waited time.Duration
+
 	mu      sync.Mutex
 	cancels map[uint32]context.CancelFunc
 }
@@ -233,6 +240,8 @@
 		if err != nil {
 			return errors.Trace(err)
 		}
+		stamp.Waited += l.waited
+		l.waited = 0
 		l.offeredAt.Store(l.server.setRoomAt.Load())
 		l.offered.Store(true)
 		if l.server.config.Declines(stamp) {
@@ -246,6 +255,12 @@
 		if cancel != nil {
 			cancel()
 		}
+	case frameClock:
+		sentAt, err := splitClock(payload)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		l.waited = l.delays.observe(time.Since(l.server.started), sentAt)
 	case framePing:
 		return l.queue.addControl(framePong, 0, nil)
 	case frameAnswer, frameEnd, frameDeclined, frameBroken, frameRoom, framePong:
--- a/internal/qloffload/silence_test.go
+++ b/internal/qloffload/silence_test.go
@@ -73,3 +73,23 @@
 		}
 	}
 }
+
+// TestDelayOnLinkIsMeasured guards against requests that have waited in a socket and count as
+// new.
+func TestDelayOnLinkIsMeasured(t *testing.T) {
+	const path = 4 * time.Millisecond
+	for _, offset := range []time.Duration{-time.Hour, 0, time.Hour} {
+		var m delayMeter
+		// The clocks drift by 100 parts in a million.
+		for sent := time.Duration(0); sent < 5*time.Minute; sent += 100 * time.Millisecond {
+			wait := time.Duration(0)
+			if sent%(7*time.Second) == 0 && sent > 0 {
+				wait = 4 * time.Second
+			}
+			got := m.observe(sent+sent/10000+offset+path+wait, sent)
+			if got < wait-time.Millisecond || got > wait+10*time.Millisecond {
+				t.Fatalf("offset %v, sent at %v: got %v, want %v", offset, sent, got, wait)
+			}
+		}
+	}
+}
