Don't keep a room that was told on a closed link

Callers saw: a router that had room was not asked any more, so that a hot one refused what it could have passed on.

Change: a room counts only if its link is still open, checked under the lock that closes links.

--- a/internal/qloffload/link.go
+++ b/internal/qloffload/link.go
@@ -246,7 +246,7 @@
 		if err != nil {
 			return errors.Trace(err)
 		}
-		l.offloader.peers.SetRoom(l.offloader.config.Clock(), l.address, float64(rate))
+		l.offloader.setRoom(l, float64(rate))
 	case framePong:
 		l.silence.answersPings.Store(true)
 	case frameRequest, frameCancel, framePing, frameClock:
--- a/internal/qloffload/qloffload.go
+++ b/internal/qloffload/qloffload.go
@@ -345,6 +345,16 @@
 	}
 }
 
+// setRoom records the room that a router has told on a link. One that is closed already tells
+// nothing: no later word would correct it.
+func (o *Offloader) setRoom(l *link, rate float64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if links := o.links[l.address]; links != nil && slices.Contains(links.open, l) {
+		o.peers.SetRoom(o.config.Clock(), l.address, rate)
+	}
+}
+
 // removeLink removes a link that has ended.
 func (o *Offloader) removeLink(ended *link) {
 	o.mu.Lock()
--- a/internal/qloffload/room_test.go
+++ b/internal/qloffload/room_test.go
@@ -176,3 +176,21 @@
 		t.Errorf("got host %q, want an address without a port", got)
 	}
 }
+
+// TestRoomOfClosedLinkIsNotKept guards against a router that is not asked again, since its last
+// word on a link came after that was closed, and no other link is left to correct it.
+func TestRoomOfClosedLinkIsNotKept(t *testing.T) {
+	f := newTestFleet(t)
+	f.start(get("/plain"))
+	links := f.offloader.openLinks()
+	if got, want := len(links), 1; got != want {
+		t.Fatalf("got %d links, want %d", got, want)
+	}
+	f.offloader.Close()
+	if err := links[0].receive(frameRoom, 0, roomPayload(0)); err != nil {
+		t.Fatal(err)
+	}
+	if ready, reason := f.offloader.Ready(); !ready {
+		t.Errorf("got not ready, %s, want ready", reason)
+	}
+}
