Don't reset a connection after a whole answer whose end was lost

Cause: a link between routers broke after the last bytes of an answer and before the frame that tells its end; the answer counted as broken off.

Change: an answer with a length is whole once all of its bytes were passed on. Answers in chunks still need their end. A router that declines after it has begun an answer breaks it off instead of ending the connection without a word. Each connection that ends without an answer, or without the rest of one, after its request was passed on has a log line with the cause, offloaded-request-cut.

--- a/internal/qloffload/link.go
+++ b/internal/qloffload/link.go
@@ -227,19 +227,21 @@
 			exchange.count(qloutcome.OffloadUnwritten)
 			// Parts after a missing one would make the answer look whole.
 			l.offloader.config.Log.Debug("offload-answer-not-written", zap.Error(err))
-			exchange.Cancel()
+			exchange.cancel("a part that was not written")
+			return nil
 		}
+		l.recordWritten(exchange, payload)
 	case frameEnd:
 		l.end(id, payload)
 	case frameDeclined:
 		l.offloader.declined.Add(1)
 		l.offloader.peers.Declined(l.offloader.config.Clock(), l.address)
-		l.finish(id, NotTaken)
+		l.decline(id)
 	case frameBroken:
 		if exchange := l.remove(id); exchange != nil {
 			l.offloader.broken.Add(1)
 			exchange.countEnd(Broken)
-			exchange.finishBroken()
+			exchange.finishBroken("the other router")
 		}
 	case frameRoom:
 		rate, err := splitRoom(payload)
@@ -255,6 +257,15 @@
 	return nil
 }
 
+// recordWritten records that a part of an answer was passed on, unless the exchange has ended.
+func (l *link) recordWritten(exchange *Exchange, part []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.exchanges[exchange.id] == exchange {
+		exchange.answer.add(part)
+	}
+}
+
 // end ends an exchange whose answer is whole.
 func (l *link) end(id uint32, payload []byte) {
 	exchange := l.remove(id)
@@ -267,11 +278,19 @@
 	exchange.finish(Answered)
 }
 
-func (l *link) finish(id uint32, outcome Outcome) {
-	if exchange := l.remove(id); exchange != nil {
-		exchange.countEnd(outcome)
-		exchange.finish(outcome)
+// decline ends an exchange that the other router has not taken. One whose answer it has begun all
+// the same is broken.
+func (l *link) decline(id uint32) {
+	exchange := l.remove(id)
+	if exchange == nil {
+		return
 	}
+	exchange.countEnd(NotTaken)
+	if exchange.began {
+		exchange.finishBroken("declined after it had begun")
+		return
+	}
+	exchange.finish(NotTaken)
 }
 
 // fail closes the link. Requests that were not written have not been received, the outcome
@@ -301,7 +320,7 @@
 	for exchange, outcome := range outcomes {
 		exchange.countEnd(outcome)
 		if outcome == Broken {
-			exchange.finishBroken()
+			exchange.finishBroken("the link")
 			continue
 		}
 		exchange.finish(outcome)
@@ -322,7 +341,7 @@
 	l.offloader.broken.Add(uint64(len(exchanges)))
 	for _, exchange := range exchanges {
 		exchange.sendCancel()
-		exchange.finishBroken()
+		exchange.finishBroken("the end of a planned stop")
 	}
 	return int64(len(exchanges))
 }
@@ -372,6 +391,8 @@
 	// began is set once a part of the answer has come. The link's lock guards it until the
 	// link's part in the exchange has ended.
 	began bool
+	// answer is what was passed on of the answer. It is guarded like began.
+	answer answerTracker
 	// timer calls timeOut at the deadline; nil without one. The link's lock guards it.
 	timer *time.Timer
 }
@@ -389,12 +410,16 @@
 // Cancel ends the exchange because its caller has disconnected. One that has only ended its
 // side of the connection is told that the outcome is unknown.
 func (x *Exchange) Cancel() {
+	x.cancel("the caller")
+}
+
+func (x *Exchange) cancel(cause string) {
 	if x.link.remove(x.id) == nil {
 		return
 	}
 	x.sendCancel()
 	x.count(qloutcome.OffloadLeft)
-	x.finishBroken()
+	x.finishBroken(cause)
 }
 
 // stopTimer ends the wait for the deadline. The caller holds the link's lock.
@@ -413,7 +438,7 @@
 	x.offloader.timedOut.Add(1)
 	x.count(qloutcome.OffloadTimedOut)
 	x.sendCancel()
-	x.finishUnknown(x.offloader.config.TimedOut)
+	x.finishUnknown(x.offloader.config.TimedOut, "the time limit")
 }
 
 // sendCancel tells the other router that nobody waits for the answer.
@@ -425,23 +450,30 @@
 	}
 }
 
-// finishBroken ends an exchange of which the other router has sent no whole answer.
-func (x *Exchange) finishBroken() {
-	x.finishUnknown(x.offloader.config.UnknownOutcome)
+// finishBroken ends an exchange of which the other router has told no end. The cause says by
+// what it ended.
+func (x *Exchange) finishBroken(cause string) {
+	x.finishUnknown(x.offloader.config.UnknownOutcome, cause)
 }
 
-// finishUnknown ends an exchange with the answer, or by a reset if another one has begun.
-func (x *Exchange) finishUnknown(answer func() []byte) {
-	if x.began || answer == nil {
-		x.finish(Broken)
-		return
-	}
-	if err := x.caller.Write(answer()); err != nil {
-		x.offloader.config.Log.Debug("offload-answer-not-written", zap.Error(err))
-		x.finish(Broken)
+// finishUnknown ends an exchange with the answer, or by a reset if another one has begun that
+// is not whole.
+func (x *Exchange) finishUnknown(answer func() []byte, cause string) {
+	var err error
+	switch {
+	case x.answer.isWhole():
+		x.finish(Answered)
 		return
+	case !x.began && answer != nil:
+		if err = x.caller.Write(answer()); err == nil {
+			x.finish(Answered)
+			return
+		}
 	}
-	x.finish(Answered)
+	// The caller's connection ends without an answer, or without the rest of one.
+	x.offloader.config.Log.Info("offloaded-request-cut", zap.String("cause", cause), zap.String("address", x.link.address),
+		zap.String("customer", x.customer), zap.Bool("begun", x.began), zap.Error(err))
+	x.finish(Broken)
 }
 
 func (x *Exchange) count(outcome qloutcome.Outcome) {
