Don't reuse a connection with an unsent part of a body

Cause: a failed write set the connection's idle timeout to 0, so that it would not be kept; the early answer, read after that, set it again.

Change: the exchange remembers that a part was not sent, and closes its connection at the end whatever the answer says.

Measured: TestConnectionWithUnsentBodyIsNotReused failed before (88 foreign bytes in a body, no answer to the next request), passes with the race detector.

--- a/internal/qlconn/early_test.go
+++ b/internal/qlconn/early_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -71,3 +73,42 @@
 		}
 	}
 }
+
+// TestConnectionWithUnsentBodyIsNotReused guards against an upstream that reads other requests
+// where the rest of a long body is due: it has answered before it had read the body, keeps the
+// connection and reads on later.
+func TestConnectionWithUnsentBodyIsNotReused(t *testing.T) {
+	var foreign atomic.Int64
+	u := newFakeUpstream(t, func(conn net.Conn, reader *bufio.Reader, n int64) {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, response(request.Header.Get(_idHeader), "early"))
+		if n > 1 {
+			return
+		}
+		// The writer gives up after _writeTimeout.
+		time.Sleep(_writeTimeout + 500*time.Millisecond)
+		body, _ := io.ReadAll(request.Body)
+		foreign.Add(int64(len(body) - bytes.Count(body, []byte{0})))
+	})
+	p := newPool()
+	request := u.request("1")
+	request.Body = make([]byte, _longBodyBytes)
+	if got, err := sendAndRead(t, p, request); got != "early" || err != nil {
+		t.Fatalf("got %q, %v, want the early answer", got, err)
+	}
+	next := u.request("2")
+	next.HeadTimeout = 2 * time.Second
+	if got, err := sendAndRead(t, p, next); got != "early" || err != nil {
+		t.Errorf("the next request: got %q, %v, want its answer", got, err)
+	}
+	time.Sleep(700 * time.Millisecond)
+	if got := foreign.Load(); got != 0 {
+		t.Errorf("got %d foreign bytes in a body, want none", got)
+	}
+	if got, want := u.connections.Load(), int64(2); got != want {
+		t.Errorf("connections: got %d, want %d", got, want)
+	}
+}
--- a/internal/qlconn/qlconn.go
+++ b/internal/qlconn/qlconn.go
@@ -375,6 +375,9 @@
 	stopCancel func() bool
 	response   *http.Response
 	body       *eofReader
+	// unsent is set if a part of the request was not written. The upstream may still read it, so
+	// that no other request may follow on the connection.
+	unsent bool
 	// writeErr is the error of the connection that ended the writing of the request, if any.
 	// The kernel reports it once: later reads may return a plain end.
 	writeErr error
@@ -420,6 +423,7 @@
 	if err == nil {
 		return nil
 	}
+	e.unsent = true
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		e.writeErr = err
 	}
@@ -437,7 +441,6 @@
 		return false
 	}
 	_, err := e.conn.reader.Peek(1)
-	e.conn.idleTimeout = 0
 	_ = e.conn.SetReadDeadline(time.Time{})
 	return err == nil
 }
@@ -524,7 +527,7 @@
 	c := e.conn
 	e.conn = nil
 	notCanceled := e.stopCancel()
-	if notCanceled && e.body != nil && e.body.reachedEOF && c.idleTimeout > 0 && c.reader.Buffered() == 0 {
+	if notCanceled && !e.unsent && e.body != nil && e.body.reachedEOF && c.idleTimeout > 0 && c.reader.Buffered() == 0 {
 		e.pool.putIdle(c)
 		return
 	}
