Bound the sum of the bytes that are held of answers

Callers saw (other operators, shown here by a test): faulty upstreams send bytes without end; the router that had called them keeps them and runs out of memory, and other callers' requests end with it.

Cause: a head, an answer and an event had limits of 256 KiB each, on each connection. The sum had none: 300 connections, each just below its limit, held 80 to 88 MB more of heap, on VMs of 112 MB.

Change: qlmemory accounts for what all exchanges hold: heads, answers that are read whole, events that are not complete. Beyond 16 KiB of each, an eighth of the VM's memory holds them all; an answer for which there is no room is given up like one above its own limit (502, outcome unknown, or another attempt). The metric answer-memory-held shows it.

Trailers and chunk extensions were bounded before, by net/http.

--- a/internal/qlconn/limit.go
+++ b/internal/qlconn/limit.go
@@ -4,6 +4,7 @@
 	"io"
 
 	"github.com/juju/errors"
+	"github.com/quetzallane/quetzallane/internal/qlmemory"
 )
 
 // limitedReader bounds the bytes that are read while a limit is set. net/http reads a
@@ -12,14 +13,19 @@
 	reader    io.Reader
 	limited   bool
 	remaining int
+	// read counts the bytes since the limit was set, which are added to the holding.
+	read    int
+	holding *qlmemory.Holding
 }
 
-func (r *limitedReader) set(limit int) {
-	r.limited, r.remaining = true, limit
+func (r *limitedReader) set(limit int, holding *qlmemory.Holding) {
+	r.limited, r.remaining, r.read, r.holding = true, limit, 0, holding
 }
 
-func (r *limitedReader) remove() {
-	r.limited = false
+// remove removes the limit and returns how many bytes were read since it was set.
+func (r *limitedReader) remove() int {
+	r.limited, r.holding = false, nil
+	return r.read
 }
 
 // Read implements io.Reader.
@@ -32,5 +38,9 @@
 	}
 	n, err := r.reader.Read(p[:min(len(p), r.remaining)])
 	r.remaining -= n
+	r.read += n
+	if holdErr := r.holding.Add(n); holdErr != nil {
+		return 0, errors.Annotate(holdErr, "head of a response")
+	}
 	return n, err
 }
--- a/internal/qlconn/qlconn.go
+++ b/internal/qlconn/qlconn.go
@@ -33,6 +33,7 @@
 
 	"github.com/juju/errors"
 	"github.com/quetzallane/quetzallane/internal/qlaccept"
+	"github.com/quetzallane/quetzallane/internal/qlmemory"
 )
 
 const (
@@ -57,6 +58,8 @@
 	// 1xx.
 	_maxSkippedResponses       = 2
 	_maxInformationalResponses = 5
+	// _allowanceBytes is what a response may hold without an account.
+	_allowanceBytes = 16 << 10
 	// _maxHeadBytes limits the bytes that are read for the head of a response,
 	// skipped responses included.
 	_maxHeadBytes = 256 << 10
@@ -78,6 +81,9 @@
 	// MaxOpen limits the open connections to all upstreams together; 0 for no limit. An idle
 	// one is closed for a new one.
 	MaxOpen int
+	// Memory bounds what is held of all responses, beyond _allowanceBytes of each; nil for no
+	// limit.
+	Memory *qlmemory.Account
 	// Matches reports whether a response answers the request with the id.
 	Matches func(response *http.Response, id string) bool
 }
@@ -143,6 +149,9 @@
 
 // New returns a pool without connections.
 func New(config Config) *Pool {
+	if config.Memory == nil {
+		config.Memory = qlmemory.NewAccount(0)
+	}
 	return &Pool{
 		config: config,
 		hosts:  make(map[string]*hostPool),
@@ -349,8 +358,9 @@
 		return nil, errors.WithType(errors.New("abandoned before it was sent"), ErrNotSent)
 	}
 	exchange := &Exchange{
-		pool: p,
-		conn: c,
+		pool:    p,
+		conn:    c,
+		holding: p.config.Memory.NewHolding(_allowanceBytes),
 	}
 	// The closed connection signals to the upstream that the request was
 	// canceled.
@@ -375,6 +385,9 @@
 	stopCancel func() bool
 	response   *http.Response
 	body       *eofReader
+	// holding is what is held of the response, and headBytes the part of its head.
+	holding   *qlmemory.Holding
+	headBytes int
 	// unsent is set if a part of the request was not written. The upstream may still read it, so
 	// that no other request may follow on the connection.
 	unsent bool
@@ -389,6 +402,12 @@
 	return e.response
 }
 
+// Hold accounts for bytes of the body that the caller holds at present. It returns
+// qlmemory.ErrUsedUp if all responses together hold too much: this one has to be given up then.
+func (e *Exchange) Hold(bytes int) error {
+	return errors.Trace(e.holding.Set(e.headBytes + bytes))
+}
+
 // SetReadTimeout limits the time until further data is read, counted from now;
 // 0 removes the limit.
 func (e *Exchange) SetReadTimeout(wait time.Duration) {
@@ -458,8 +477,8 @@
 	// exchange.
 	e.SetReadTimeout(request.HeadTimeout)
 	defer e.SetReadTimeout(0)
-	e.conn.limit.set(_maxHeadBytes)
-	defer e.conn.limit.remove()
+	e.conn.limit.set(_maxHeadBytes, e.holding)
+	defer func() { e.headBytes = e.conn.limit.remove() }()
 	informational := 0
 	for skipped := 0; skipped <= _maxSkippedResponses; {
 		response, err := http.ReadResponse(e.conn.reader, methodOnly)
@@ -526,6 +545,7 @@
 	}
 	c := e.conn
 	e.conn = nil
+	e.holding.Release()
 	notCanceled := e.stopCancel()
 	if notCanceled && !e.unsent && e.body != nil && e.body.reachedEOF && c.idleTimeout > 0 && c.reader.Buffered() == 0 {
 		e.pool.putIdle(c)
--- a/internal/qledge/operations.go
+++ b/internal/qledge/operations.go
@@ -75,6 +75,7 @@
 		{name: "store-calls", value: e.config.Source.Calls()},
 		{name: "requests-active", value: e.forwarder.Active()},
 		{name: "memory-held", value: e.forwarder.MemoryBytes()},
+		{name: "answer-memory-held", value: e.forwarder.AnswerBytes()},
 		{name: "routers-live", value: int64(e.fleet.LiveCount())},
 		{name: "caller-connections", value: int64(open)},
 		{name: "connections-accepted", value: int64(e.callers.acceptedCount())},
--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -75,7 +75,9 @@
 	// the fraction that active requests, including their bodies, may use.
 	_memoryLimitFraction   = 0.5
 	_requestMemoryFraction = 0.25
-	_megabyte              = 1 << 20
+	// _answerMemoryFraction is the fraction for what is held of upstreams' answers.
+	_answerMemoryFraction = 0.125
+	_megabyte             = 1 << 20
 	// _millicoresPerCore converts the VM's capacity, which routers announce in
 	// thousandths of a core.
 	_millicoresPerCore = 1000
@@ -260,6 +262,7 @@
 		CallerLeft:       e.callerLeft,
 		MaxConnections:   upstreamConnections,
 		MaxMemoryBytes:   int64(_requestMemoryFraction * float64(settings.MemoryMB) * _megabyte),
+		MaxAnswerBytes:   int64(_answerMemoryFraction * float64(settings.MemoryMB) * _megabyte),
 		Clock:            e.clock,
 		Random:           newRandom(),
 		Log:              e.log,
--- a/internal/qlforward/engine.go
+++ b/internal/qlforward/engine.go
@@ -349,6 +349,9 @@
 	for {
 		f.setSilenceTimeout(x, e, lastEventAt)
 		events, err := x.readEvents(e.Response(), &splitter, *buffer)
+		if holdErr := e.Hold(len(splitter.Rest())); err == nil {
+			err = holdErr
+		}
 		if len(events) > 0 {
 			lastEventAt = time.Now()
 			f.recordEvents(x, placementID)
--- a/internal/qlforward/exchange.go
+++ b/internal/qlforward/exchange.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/quetzallane/quetzallane/internal/qlmemory"
+
 	"github.com/quetzallane/quetzallane/internal/qlroute"
 )
 
@@ -16,6 +18,8 @@
 	start    time.Time
 	deadline time.Time
 	view     *View
+	// holding is the memory of the request, its body included.
+	holding  *qlmemory.Holding
 	caller   Caller
 	route    *qlroute.Route
 	service  *qlroute.Service
--- a/internal/qlforward/plain.go
+++ b/internal/qlforward/plain.go
@@ -1,7 +1,6 @@
 package qlforward
 
 import (
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -298,7 +297,7 @@
 		response: response,
 		answer:   answer,
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, _maxReplyBytes+1))
+	body, err := readBounded(response.Body, _maxReplyBytes+1, 0, e.Hold)
 	if err != nil {
 		return nil, errors.Annotate(err, "answer truncated")
 	}
--- a/internal/qlforward/qlforward.go
+++ b/internal/qlforward/qlforward.go
@@ -20,7 +20,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -34,6 +33,7 @@
 	"github.com/quetzallane/quetzallane/internal/qlbudget"
 	"github.com/quetzallane/quetzallane/internal/qlcatalog"
 	"github.com/quetzallane/quetzallane/internal/qlconn"
+	"github.com/quetzallane/quetzallane/internal/qlmemory"
 	"github.com/quetzallane/quetzallane/internal/qloffload"
 	"github.com/quetzallane/quetzallane/internal/qloutcome"
 	"github.com/quetzallane/quetzallane/internal/qlpace"
@@ -113,8 +113,10 @@
 	Outcomes *qloutcome.Counter
 	// MaxConnections limits the open connections to upstreams; 0 for no limit.
 	MaxConnections int
-	// MaxMemoryBytes limits the memory of all active requests.
+	// MaxMemoryBytes limits the memory of all active requests, and MaxAnswerBytes that of
+	// upstreams' answers to them; 0 for no limit of the latter.
 	MaxMemoryBytes int64
+	MaxAnswerBytes int64
 	// Clock returns the time on a monotonic clock.
 	Clock  func() time.Duration
 	Random *rand.Rand
@@ -130,8 +132,10 @@
 	stop            *stopState
 	lastPlacementID atomic.Uint64
 	activeRequests  atomic.Int64
-	memoryBytes     atomic.Int64
-	metrics         *Metrics
+	// memory is that of active requests, answerMemory that of upstreams' answers to them.
+	memory       *qlmemory.Account
+	answerMemory *qlmemory.Account
+	metrics      *Metrics
 
 	// mu guards the state that all requests share, by service.
 	mu        sync.Mutex
@@ -155,12 +159,16 @@
 		budgets:   make(map[string]*qlbudget.Budget),
 		pauses:    qlpause.New(),
 		stop:      newStopState(),
+
+		memory:       qlmemory.NewAccount(config.MaxMemoryBytes),
+		answerMemory: qlmemory.NewAccount(config.MaxAnswerBytes),
 	}
 	f.lastPlacementID.Store(config.Random.Uint64() >> _placementIDShift)
 	f.pool = qlconn.New(qlconn.Config{
 		DialTimeout: _dialTimeout,
 		IdleTimeout: _upstreamIdleTimeout,
 		MaxOpen:     config.MaxConnections,
+		Memory:      f.answerMemory,
 		Matches: func(response *http.Response, id string) bool {
 			return config.Dialect.ReadCaller(response.Header).ID == id
 		},
@@ -185,13 +193,18 @@
 
 // MemoryBytes returns the memory of all active requests, in bytes.
 func (f *Forwarder) MemoryBytes() int64 {
-	return f.memoryBytes.Load()
+	return f.memory.Used()
+}
+
+// AnswerBytes returns the memory of upstreams' answers beyond a small part of each, in bytes.
+func (f *Forwarder) AnswerBytes() int64 {
+	return f.answerMemory.Used()
 }
 
 // MemoryHalfUsed reports whether active requests use more than half of the memory that they
 // may use.
 func (f *Forwarder) MemoryHalfUsed() bool {
-	return f.memoryBytes.Load() > f.config.MaxMemoryBytes/2
+	return f.memory.Used() > f.config.MaxMemoryBytes/2
 }
 
 // Prune closes idle connections that expired or whose upstream is not ready,
@@ -238,9 +251,9 @@
 	if f.refusesToStop(x) || !f.admit(x) {
 		return
 	}
-	requestBytes := int64(_requestMemoryBytes) + max(request.ContentLength, 0)
-	defer f.memoryBytes.Add(-requestBytes)
-	if f.memoryBytes.Add(requestBytes) > f.config.MaxMemoryBytes {
+	x.holding = f.memory.NewHolding(0)
+	defer x.holding.Release()
+	if err := x.holding.Set(_requestMemoryBytes + int(max(request.ContentLength, 0))); err != nil {
 		f.refuse(x, qlcode.QueueFull, _notReadyRetry, "memory for requests is used up")
 		return
 	}
@@ -256,34 +269,6 @@
 	f.servePlain(x)
 }
 
-// readBody reads the whole body and reports whether it could; a body that
-// exceeds the configured limit is an error.
-func (f *Forwarder) readBody(x *exchange) bool {
-	limit := x.view.table.Limits().BodyBytes
-	if limit > 0 && x.request.ContentLength > limit {
-		f.fail(x, qlcode.BodyTooLarge, "")
-		return false
-	}
-	if x.request.ContentLength == 0 {
-		return true
-	}
-	reader := io.Reader(x.request.Body)
-	if limit > 0 {
-		reader = io.LimitReader(reader, limit+1)
-	}
-	body, err := io.ReadAll(reader)
-	switch {
-	case err != nil:
-		f.fail(x, qlcode.BadRequest, err.Error())
-		return false
-	case limit > 0 && int64(len(body)) > limit:
-		f.fail(x, qlcode.BodyTooLarge, "")
-		return false
-	}
-	x.body = body
-	return true
-}
-
 // admit looks up the customer by the key and refuses the request before its
 // body is read if this VM has no processor time or connection for it. It reports
 // whether the request is admitted.
--- a/internal/qlforward/qlforward_test.go
+++ b/internal/qlforward/qlforward_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/quetzallane/quetzallane/internal/qlmemory"
+
 	"github.com/quetzallane/quetzallane/internal/qlengine"
 )
 
@@ -243,7 +245,7 @@
 func TestRequestMemoryIsBounded(t *testing.T) {
 	u := newFakeUpstream(t, "u1", respond(200, "Signature: s\r\n", "ok"))
 	h := newHarness(t, u)
-	h.forwarder.config.MaxMemoryBytes = _requestMemoryBytes
+	h.forwarder.memory = qlmemory.NewAccount(_requestMemoryBytes)
 	if got := h.send(t, "POST", "/order/x", nil, "body"); got.status != 429 || u.count() != 0 {
 		t.Errorf("got %d after %d sends, want 429 and none", got.status, u.count())
 	}
--- a/internal/qlforward/standin_test.go
+++ b/internal/qlforward/standin_test.go
@@ -174,6 +174,11 @@
 	}
 }
 
+const (
+	// _maxAnswerBytes bounds what the forwarder of a harness holds of answers.
+	_maxAnswerBytes = 4 << 20
+)
+
 // harness is a forwarder behind an HTTP server, with fake upstreams.
 type harness struct {
 	forwarder *Forwarder
@@ -237,6 +242,7 @@
 		Lagging:          func() bool { return false },
 		CallerLeft:       func(context.Context) bool { return false },
 		MaxMemoryBytes:   1 << 20,
+		MaxAnswerBytes:   _maxAnswerBytes,
 		Clock:            func() time.Duration { return 0 },
 		Random:           rand.New(rand.NewPCG(1, 2)),
 		Log:              zap.NewNop(),
