Count bodies in chunks as they come, and end those that fall silent

Eight callers that fell silent within a long body used up the memory for requests for good: all other long requests got 429.

Cause: a request counted by its stated length; a body in chunks has none and counted as nothing. Nothing limited the time for a body.

Change: a body without a length is accounted for as it is read; one for which there is no room is refused with 429 (not run) and its connection is closed, since the HTTP server would otherwise wait for more of it before it answers. A body of which nothing comes for 10 s ends with 400, not sent to any upstream.

A slow body that goes on is served.

--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -75,6 +75,9 @@
 	// the fraction that active requests, including their bodies, may use.
 	_memoryLimitFraction   = 0.5
 	_requestMemoryFraction = 0.25
+	// _bodyIdleTimeout is how long nothing may come of a caller's body that has not arrived
+	// whole.
+	_bodyIdleTimeout = 10 * time.Second
 	// _answerMemoryFraction is the fraction for what is held of upstreams' answers.
 	_answerMemoryFraction = 0.125
 	_megabyte             = 1 << 20
@@ -262,6 +265,7 @@
 		CallerLeft:       e.callerLeft,
 		MaxConnections:   upstreamConnections,
 		MaxMemoryBytes:   int64(_requestMemoryFraction * float64(settings.MemoryMB) * _megabyte),
+		BodyIdleTimeout:  _bodyIdleTimeout,
 		MaxAnswerBytes:   int64(_answerMemoryFraction * float64(settings.MemoryMB) * _megabyte),
 		Clock:            e.clock,
 		Random:           newRandom(),
--- a/internal/qlforward/body.go
+++ b/internal/qlforward/body.go
@@ -2,9 +2,13 @@
 
 import (
 	"io"
+	"net/http"
+	"time"
 
 	"github.com/juju/errors"
+	"github.com/quetzallane/quetzallane/internal/qlmemory"
 	"github.com/quetzallane/quetzallane/pkg/qlcode"
+	"go.uber.org/zap"
 )
 
 // _readStepBytes is how much is read of a body at a time at least.
@@ -45,7 +49,8 @@
 }
 
 // readBody reads the whole body and reports whether it could; a body that
-// exceeds the configured limit is an error.
+// exceeds the configured limit is an error. The bytes count as those of active requests as
+// they come, since not each body states its length.
 func (f *Forwarder) readBody(x *exchange) bool {
 	limit := x.view.table.Limits().BodyBytes
 	if limit > 0 && x.request.ContentLength > limit {
@@ -60,8 +65,20 @@
 		readLimit = int(limit) + 1
 	}
 	hold := func(int) error { return nil }
-	body, err := readBounded(x.request.Body, readLimit, int(x.request.ContentLength), hold)
+	if x.request.ContentLength < 0 {
+		hold = func(bytes int) error { return x.holding.Set(_requestMemoryBytes + bytes) }
+	}
+	body, err := readBounded(&patientReader{
+		reader:     x.request.Body,
+		controller: http.NewResponseController(x.w),
+		patience:   f.config.BodyIdleTimeout,
+	}, readLimit, int(x.request.ContentLength), hold)
 	switch {
+	case errors.Is(err, qlmemory.ErrUsedUp):
+		// Otherwise, the server would wait for more of the body before it answers.
+		x.w.Header().Set("Connection", "close")
+		f.refuse(x, qlcode.QueueFull, _notReadyRetry, "memory for requests is used up")
+		return false
 	case err != nil:
 		f.fail(x, qlcode.BadRequest, err.Error())
 		return false
@@ -69,6 +86,33 @@
 		f.fail(x, qlcode.BodyTooLarge, "")
 		return false
 	}
+	f.endBodyTimeout(x)
 	x.body = body
 	return true
 }
+
+// endBodyTimeout removes the time limit of a body that has arrived. That of an offloaded request
+// has none.
+func (f *Forwarder) endBodyTimeout(x *exchange) {
+	err := http.NewResponseController(x.w).SetReadDeadline(time.Time{})
+	if err != nil && !errors.Is(err, http.ErrNotSupported) {
+		f.config.Log.Debug("body-timeout-not-removed", zap.String("request", x.caller.ID), zap.Error(err))
+	}
+}
+
+// patientReader reads a caller's body. It limits the time in which nothing comes: a caller that has
+// vanished within a body would hold memory for good.
+type patientReader struct {
+	reader     io.Reader
+	controller *http.ResponseController
+	patience   time.Duration
+}
+
+// Read implements io.Reader.
+func (r *patientReader) Read(p []byte) (int, error) {
+	err := r.controller.SetReadDeadline(time.Now().Add(r.patience))
+	if err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return 0, errors.Trace(err)
+	}
+	return r.reader.Read(p)
+}
--- a/internal/qlforward/body_test.go
+++ b/internal/qlforward/body_test.go
@@ -1,6 +1,7 @@
 package qlforward
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -29,6 +30,74 @@
 	return conn
 }
 
+func (h *harness) awaitMemory(want func(bytes int64) bool) (bytes int64) {
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if bytes = h.forwarder.MemoryBytes(); want(bytes) {
+			return bytes
+		}
+	}
+	return bytes
+}
+
+const _chunkedOrder = "POST /order/x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: i1\r\nKey: k1\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+// TestBodyInChunksCountsForMemory guards against bodies without a stated length that are held
+// beyond the limit on memory, so that the process is killed.
+func TestBodyInChunksCountsForMemory(t *testing.T) {
+	u := newFakeUpstream(t, "u1", respond(200, "Signature: s\r\n", "ok"))
+	h := newHarness(t, u)
+	h.forwarder.memory = qlmemory.NewAccount(_requestMemoryBytes + 800)
+	conn := h.dial(t, _chunkedOrder+chunk(strings.Repeat("x", 900)))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := response.StatusCode, http.StatusTooManyRequests; got != want {
+		t.Errorf("a body beyond the limit on memory: got %d, want %d", got, want)
+	}
+	if got := u.count(); got != 0 {
+		t.Errorf("got %d requests at the upstream, want none", got)
+	}
+	h.forwarder.memory = qlmemory.NewAccount(1 << 20)
+	h.dial(t, _chunkedOrder+chunk(strings.Repeat("x", 900)))
+	if got, want := h.awaitMemory(func(bytes int64) bool { return bytes >= _requestMemoryBytes+900 }), int64(_requestMemoryBytes+900); got < want {
+		t.Errorf("within a body: got %d bytes, want %d or more", got, want)
+	}
+}
+
+// TestVanishedCallerHoldsNoMemory guards against callers that fall silent within a body and use
+// up the memory for requests for good.
+func TestVanishedCallerHoldsNoMemory(t *testing.T) {
+	h := newHarness(t, newFakeUpstream(t, "u1", respond(200, "Signature: s\r\n", "ok")))
+	for _, begin := range []string{
+		_chunkedOrder + chunk("xxx"),
+		"POST /order/x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: i1\r\nKey: k1\r\nContent-Length: 900\r\n\r\nxxx",
+	} {
+		h.dial(t, begin)
+		if got := h.awaitMemory(func(bytes int64) bool { return bytes > 0 }); got == 0 {
+			t.Fatal("the request was not begun")
+		}
+		if got := h.awaitMemory(func(bytes int64) bool { return bytes == 0 }); got != 0 {
+			t.Errorf("after %v of silence: got %d bytes, want none", _bodyIdle, got)
+		}
+	}
+	// A slow body that goes on is served.
+	conn := h.dial(t, _chunkedOrder)
+	for range 4 {
+		time.Sleep(_bodyIdle / 2)
+		if _, err := io.WriteString(conn, chunk("x")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := io.WriteString(conn, "0\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || response.StatusCode != http.StatusOK {
+		t.Errorf("a slow body: got %v, %v, want 200", response, err)
+	}
+}
+
 // _smallVMBytes is the memory of the smallest VM.
 const _smallVMBytes = 112 << 20
 
--- a/internal/qlforward/qlforward.go
+++ b/internal/qlforward/qlforward.go
@@ -117,6 +117,8 @@
 	// upstreams' answers to them; 0 for no limit of the latter.
 	MaxMemoryBytes int64
 	MaxAnswerBytes int64
+	// BodyIdleTimeout is how long nothing may come of a caller's body that has not arrived whole.
+	BodyIdleTimeout time.Duration
 	// Clock returns the time on a monotonic clock.
 	Clock  func() time.Duration
 	Random *rand.Rand
--- a/internal/qlforward/standin_test.go
+++ b/internal/qlforward/standin_test.go
@@ -177,6 +177,8 @@
 const (
 	// _maxAnswerBytes bounds what the forwarder of a harness holds of answers.
 	_maxAnswerBytes = 4 << 20
+	// _bodyIdle is for how long nothing may come of a caller's body.
+	_bodyIdle = 300 * time.Millisecond
 )
 
 // harness is a forwarder behind an HTTP server, with fake upstreams.
@@ -243,6 +245,7 @@
 		CallerLeft:       func(context.Context) bool { return false },
 		MaxMemoryBytes:   1 << 20,
 		MaxAnswerBytes:   _maxAnswerBytes,
+		BodyIdleTimeout:  _bodyIdle,
 		Clock:            func() time.Duration { return 0 },
 		Random:           rand.New(rand.NewPCG(1, 2)),
 		Log:              zap.NewNop(),
