Leave heads that parsers read differently to the HTTP server

Cause: the intake ignored a field with an odd name, and the router that takes requests reads them by http.ReadRequest, without the checks of the HTTP server, which answers 400.

Change: the one check before a request is refused or passed on, qlintake.parse, takes a head only if each field has a valid name, a colon right after it and a value without control characters, and there is one Host. All others go to the HTTP server, as heads with other doubts did.

--- a/internal/qlintake/qlintake.go
+++ b/internal/qlintake/qlintake.go
@@ -390,6 +390,9 @@
 	_lineEnd = []byte("\r\n")
 	_headEnd = []byte("\r\n\r\n")
 	_version = []byte(" HTTP/1.1")
+	_colon   = []byte(":")
+
+	_namePunctuation = []byte("!#$%&'*+-.^_`|~")
 )
 
 // _unsupportedFields are header fields that change how the end of a request is
@@ -409,12 +412,15 @@
 	if !bytes.HasSuffix(line, _version) || !isPlainLine(line) {
 		return nil, 0, false
 	}
-	bodyLength, stated := 0, false
+	bodyLength, stated, hosts := 0, false, 0
 	for len(rest) > 0 {
 		line, rest, _ = bytes.Cut(rest, _lineEnd)
-		if !isPlainLine(line) || line[0] == ' ' || line[0] == '\t' {
+		if !isPlainLine(line) || !isField(line) {
 			return nil, 0, false
 		}
+		if _, found := fieldValue(line, "Host"); found {
+			hosts++
+		}
 		for _, name := range _unsupportedFields {
 			if _, found := fieldValue(line, name); found {
 				return nil, 0, false
@@ -430,9 +436,39 @@
 		}
 		bodyLength, stated = int(number), true
 	}
+	if hosts != 1 {
+		return nil, 0, false
+	}
 	return head, end + len(_headEnd) + bodyLength, true
 }
 
+// isField reports whether a line is a header field that each parser reads alike: a name of
+// characters that names may have, a colon right after it, and a value without control characters.
+// A field with a space before the colon, for example, is refused by the server, and ignored by
+// others.
+func isField(line []byte) bool {
+	name, value, ok := bytes.Cut(line, _colon)
+	if !ok || len(name) == 0 {
+		return false
+	}
+	for _, c := range name {
+		if !isNameByte(c) {
+			return false
+		}
+	}
+	for _, c := range value {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+// isNameByte reports whether the name of a field may contain the byte.
+func isNameByte(c byte) bool {
+	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || bytes.IndexByte(_namePunctuation, c) >= 0
+}
+
 // isPlainLine reports whether a line is not empty and contains no single CR or LF,
 // which a server might take for a line end.
 func isPlainLine(line []byte) bool {
