--- a/internal/qlconn/qlconn.go
+++ b/internal/qlconn/qlconn.go
@@ -402,10 +402,10 @@
 	return e.response
 }
 
-// Hold accounts for bytes of the body that the caller holds at present. It returns
+// Hold accounts for the bytes of the body that the caller holds at present. It returns
 // qlmemory.ErrUsedUp if all responses together hold too much: this one has to be given up then.
-func (e *Exchange) Hold(bytes int) error {
-	return errors.Trace(e.holding.Set(e.headBytes + bytes))
+func (e *Exchange) Hold(size int) error {
+	return errors.Trace(e.holding.Set(e.headBytes + size))
 }
 
 // SetReadTimeout limits the time until further data is read, counted from now;
--- a/internal/qlforward/body_test.go
+++ b/internal/qlforward/body_test.go
@@ -145,42 +145,49 @@
 		"/order/extensions", "/order/informational",
 	} {
 		t.Run(path, func(t *testing.T) {
-			h := newHarness(t, newFakeUpstream(t, "u1", endlessReply))
-			h.forwarder.memory = qlmemory.NewAccount(0)
-			runtime.GC()
-			var before, during runtime.MemStats
-			runtime.ReadMemStats(&before)
-			prompt := ""
-			if strings.HasPrefix(path, "/chat/") {
-				prompt = "Prompt: 1\r\n"
-			}
-			var begun sync.WaitGroup
-			for range connections {
-				begun.Go(func() {
-					h.dial(t, fmt.Sprintf("POST %s HTTP/1.1\r\nHost: 127.0.0.1\r\nId: i1\r\nKey: k1\r\n%sContent-Length: 0\r\n\r\n", path, prompt))
-				})
-			}
-			begun.Wait()
-			most, heap := int64(0), uint64(0)
-			for end := time.Now().Add(700 * time.Millisecond); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-				most = max(most, h.forwarder.AnswerBytes())
-				if got := h.send(t, "GET", "/look/x", nil, ""); got.status != 200 {
-					t.Errorf("another request meanwhile: got %d, %v, want 200", got.status, got.err)
-				}
-			}
-			runtime.GC()
-			runtime.ReadMemStats(&during)
-			if during.HeapAlloc > before.HeapAlloc {
-				heap = during.HeapAlloc - before.HeapAlloc
-			}
-			t.Logf("%d connections: %d KiB accounted for at most, %d KiB more of heap", connections, most>>10, heap>>10)
-			if most > _maxAnswerBytes {
-				t.Errorf("accounted for: got %d bytes, want at most %d", most, _maxAnswerBytes)
-			}
-			// The heap holds the upstreams' fillers, too.
-			if heap > _smallVMBytes/2 {
-				t.Errorf("heap: got %d bytes more, want at most %d", heap, _smallVMBytes/2)
-			}
+			checkEndlessAnswers(t, path, connections)
 		})
 	}
 }
+
+// checkEndlessAnswers sends a request to the path on each of so many connections, and another
+// caller's meanwhile.
+func checkEndlessAnswers(t *testing.T, path string, connections int) {
+	t.Helper()
+	h := newHarness(t, newFakeUpstream(t, "u1", endlessReply))
+	h.forwarder.memory = qlmemory.NewAccount(0)
+	runtime.GC()
+	var before, during runtime.MemStats
+	runtime.ReadMemStats(&before)
+	prompt := ""
+	if strings.HasPrefix(path, "/chat/") {
+		prompt = "Prompt: 1\r\n"
+	}
+	var begun sync.WaitGroup
+	for range connections {
+		begun.Go(func() {
+			h.dial(t, fmt.Sprintf("POST %s HTTP/1.1\r\nHost: 127.0.0.1\r\nId: i1\r\nKey: k1\r\n%sContent-Length: 0\r\n\r\n", path, prompt))
+		})
+	}
+	begun.Wait()
+	most, heap := int64(0), uint64(0)
+	for end := time.Now().Add(700 * time.Millisecond); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		most = max(most, h.forwarder.AnswerBytes())
+		if got := h.send(t, "GET", "/look/x", nil, ""); got.status != 200 {
+			t.Errorf("another request meanwhile: got %d, %v, want 200", got.status, got.err)
+		}
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&during)
+	if during.HeapAlloc > before.HeapAlloc {
+		heap = during.HeapAlloc - before.HeapAlloc
+	}
+	t.Logf("%d connections: %d KiB accounted for at most, %d KiB more of heap", connections, most>>10, heap>>10)
+	if most > _maxAnswerBytes {
+		t.Errorf("accounted for: got %d bytes, want at most %d", most, _maxAnswerBytes)
+	}
+	// The heap holds the upstreams' fillers, too.
+	if heap > _smallVMBytes/2 {
+		t.Errorf("heap: got %d bytes more, want at most %d", heap, _smallVMBytes/2)
+	}
+}
