--- a/internal/qledge/connection_test.go
+++ b/internal/qledge/connection_test.go
@@ -170,6 +170,7 @@
 
 func TestIdleConnectionsAreEvicted(t *testing.T) {
 	c := newCallerConnections(10, 1)
+	c.evictThreshold = 6
 	var conns []net.Conn
 	for range 7 {
 		conn, _ := net.Pipe()
