Close idle connections at the same thresholds as before

Change: the thresholds follow from memory and all descriptors as before; the descriptors for callers bound them apart.

--- a/internal/qledge/connection.go
+++ b/internal/qledge/connection.go
@@ -27,6 +27,9 @@
 	// _rejectFraction is the fraction of the connection limit from which on new
 	// connections are rejected, so that their callers try another router.
 	_rejectFraction = 0.85
+	// _evictPart and _rejectPart bound both by the descriptors that callers may use.
+	_evictPart  = 0.75
+	_rejectPart = 0.9
 	// _connectionMemoryFraction is the fraction of the memory that callers'
 	// connections may use. Each is estimated to use _connectionBytes: half for
 	// buffers and stacks in this process, half for a prompt of the size in the
@@ -122,12 +125,12 @@
 // of file descriptors and megabytes of memory.
 func newCallerConnections(descriptors, megabytes int) *callerConnections {
 	forCallers, _ := splitDescriptors(descriptors)
-	limit := min(float64(forCallers), _connectionMemoryFraction*float64(megabytes)*_megabyte/_connectionBytes)
+	limit := min(float64(descriptors), _connectionMemoryFraction*float64(megabytes)*_megabyte/_connectionBytes)
 	return &callerConnections{
 		crowdedThreshold: int(_crowdedFraction * float64(descriptors)),
-		evictThreshold:   int(_evictFraction * limit),
-		maxOpen:          int(_rejectFraction * limit),
-		maxOpenLight:     int(limit),
+		evictThreshold:   int(min(_evictFraction*limit, _evictPart*float64(forCallers))),
+		maxOpen:          int(min(_rejectFraction*limit, _rejectPart*float64(forCallers))),
+		maxOpenLight:     int(min(limit, float64(forCallers))),
 		idle:             list.New(),
 		idleElements:     make(map[net.Conn]*list.Element),
 		closing:          make(map[net.Conn]struct{}),
