Share the descriptors between callers and upstreams

Change: callers and upstreams share what is usable. New callers are admitted while the sum is below it, upstreams get what callers leave, and callers alone get four fifths at most.

--- a/internal/qlconn/qlconn.go
+++ b/internal/qlconn/qlconn.go
@@ -78,9 +78,9 @@
 	DialTimeout time.Duration
 	// IdleTimeout limits how long an idle connection is kept; 0 keeps none.
 	IdleTimeout time.Duration
-	// MaxOpen limits the open connections to all upstreams together; 0 for no limit. An idle
-	// one is closed for a new one.
-	MaxOpen int
+	// MaxOpen returns how many connections to all upstreams together may be open at present. An
+	// idle one is closed for a new one. It may be nil, and must not call the pool.
+	MaxOpen func() int
 	// Memory bounds what is held of all responses, beyond _allowanceBytes of each; nil for no
 	// limit.
 	Memory *qlmemory.Account
@@ -214,11 +214,14 @@
 // reserve counts a new connection to the host as open, and reports false if none may be opened.
 // The caller holds mu.
 func (p *Pool) reserve(h *hostPool) bool {
-	if p.isFull() {
-		return false
-	}
-	if p.config.MaxOpen > 0 && p.open >= p.config.MaxOpen {
-		p.closeAnyIdle()
+	if p.config.MaxOpen != nil {
+		most := p.config.MaxOpen()
+		if p.open-p.idle >= most {
+			return false
+		}
+		if p.open >= most {
+			p.closeAnyIdle()
+		}
 	}
 	h.open++
 	p.open++
@@ -242,16 +245,21 @@
 	}
 }
 
-// isFull reports whether all connections are in use and none may be opened. The caller holds mu.
-func (p *Pool) isFull() bool {
-	return p.config.MaxOpen > 0 && p.open-p.idle >= p.config.MaxOpen
-}
-
 // Full reports whether as many connections are in use as this process may have.
 func (p *Pool) Full() bool {
+	if p.config.MaxOpen == nil {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open-p.idle >= p.config.MaxOpen()
+}
+
+// Open returns the number of open connections.
+func (p *Pool) Open() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.isFull()
+	return p.open
 }
 
 // dial opens a connection that popIdle has counted.
--- a/internal/qledge/connection.go
+++ b/internal/qledge/connection.go
@@ -27,9 +27,11 @@
 	// _rejectFraction is the fraction of the connection limit from which on new
 	// connections are rejected, so that their callers try another router.
 	_rejectFraction = 0.85
-	// _evictPart and _rejectPart bound both by the descriptors that callers may use.
-	_evictPart  = 0.75
-	_rejectPart = 0.9
+	// _evictPart, _rejectPart and _rejectLightPart are the parts of the usable descriptors that
+	// bound these connections, too. The rest is for connections to upstreams.
+	_evictPart       = 0.7
+	_rejectPart      = 0.75
+	_rejectLightPart = 0.8
 	// _connectionMemoryFraction is the fraction of the memory that callers'
 	// connections may use. Each is estimated to use _connectionBytes: half for
 	// buffers and stacks in this process, half for a prompt of the size in the
@@ -74,13 +76,12 @@
 	_maxReservedFraction = 0.3
 )
 
-// splitDescriptors returns how many of a process's file descriptors its connections to callers
-// and those to upstreams may use. An active request needs one of each.
-func splitDescriptors(descriptors int) (callers, upstreams int) {
+// usableDescriptors returns how many of a process's file descriptors its connections to callers and
+// to upstreams may use together. An active request needs one of each.
+func usableDescriptors(descriptors int) int {
 	total := float64(descriptors)
 	reserved := _fileDescriptors + (_ownDescriptorFraction+_waitingFraction)*total
-	usable := int(total - min(reserved, _maxReservedFraction*total))
-	return usable / 2, usable - usable/2
+	return int(total - min(reserved, _maxReservedFraction*total))
 }
 
 // maxWaitingConnections returns how many connections above the limit may wait for their request.
@@ -98,6 +99,10 @@
 	maxOpen          int
 	// maxOpenLight is the maximum for customers that send no more than an even share.
 	maxOpenLight int
+	// usable is how many descriptors callers and upstreams may use together, and upstreams
+	// returns how many upstreams use.
+	usable    int
+	upstreams func() int
 
 	// outcomes counts what becomes of connections; it may be nil.
 	outcomes *qloutcome.Counter
@@ -124,13 +129,15 @@
 // newCallerConnections returns the limits for a process with the given number
 // of file descriptors and megabytes of memory.
 func newCallerConnections(descriptors, megabytes int) *callerConnections {
-	forCallers, _ := splitDescriptors(descriptors)
+	usable := usableDescriptors(descriptors)
 	limit := min(float64(descriptors), _connectionMemoryFraction*float64(megabytes)*_megabyte/_connectionBytes)
 	return &callerConnections{
 		crowdedThreshold: int(_crowdedFraction * float64(descriptors)),
-		evictThreshold:   int(min(_evictFraction*limit, _evictPart*float64(forCallers))),
-		maxOpen:          int(min(_rejectFraction*limit, _rejectPart*float64(forCallers))),
-		maxOpenLight:     int(min(limit, float64(forCallers))),
+		evictThreshold:   int(min(_evictFraction*limit, _evictPart*float64(usable))),
+		maxOpen:          int(min(_rejectFraction*limit, _rejectPart*float64(usable))),
+		usable:           usable,
+		upstreams:        func() int { return 0 },
+		maxOpenLight:     int(min(limit, _rejectLightPart*float64(usable))),
 		idle:             list.New(),
 		idleElements:     make(map[net.Conn]*list.Element),
 		closing:          make(map[net.Conn]struct{}),
@@ -169,17 +176,26 @@
 
 // admit reports whether to keep a new connection of any customer.
 func (c *callerConnections) admit() bool {
+	upstreams := c.upstreams()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.open < c.maxOpen
+	return c.open < c.maxOpen && c.open+upstreams < int(_rejectFraction*float64(c.usable))
 }
 
 // admitLight reports whether to keep a new connection of a customer that sends no more than
 // an even share. One customer's many connections must not keep it out.
 func (c *callerConnections) admitLight() bool {
+	upstreams := c.upstreams()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.open < c.maxOpenLight
+	return c.open < c.maxOpenLight && c.open+upstreams < c.usable
+}
+
+// forUpstreams returns how many connections to upstreams may be open at present.
+func (c *callerConnections) forUpstreams() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.usable - c.open
 }
 
 // acceptedCount returns how many connections were accepted and kept since the start.
--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -233,7 +233,6 @@
 		return nil, errors.Trace(err)
 	}
 	e.fleet = fleet
-	_, upstreamConnections := splitDescriptors(settings.Descriptors)
 	e.forwarder = qlforward.New(qlforward.Config{
 		Dialect: config.Dialect,
 		Placement: qlforward.Placement{
@@ -263,7 +262,7 @@
 		Lagging:          fleet.Lagging,
 		Outcomes:         e.outcomes,
 		CallerLeft:       e.callerLeft,
-		MaxConnections:   upstreamConnections,
+		MaxConnections:   e.callers.forUpstreams,
 		MaxMemoryBytes:   int64(_requestMemoryFraction * float64(settings.MemoryMB) * _megabyte),
 		BodyIdleTimeout:  _bodyIdleTimeout,
 		MaxAnswerBytes:   int64(_answerMemoryFraction * float64(settings.MemoryMB) * _megabyte),
@@ -271,6 +270,7 @@
 		Random:           newRandom(),
 		Log:              e.log,
 	})
+	e.callers.upstreams = e.forwarder.Connections
 	e.offloadServer = qloffload.NewServer(qloffload.ServerConfig{
 		Handler:  e.forwarder,
 		Declines: e.declinesOffload,
--- a/internal/qlforward/qlforward.go
+++ b/internal/qlforward/qlforward.go
@@ -111,8 +111,9 @@
 	Lagging func() bool
 	// Outcomes counts how requests end; it may be nil.
 	Outcomes *qloutcome.Counter
-	// MaxConnections limits the open connections to upstreams; 0 for no limit.
-	MaxConnections int
+	// MaxConnections returns how many connections to upstreams may be open at present. It may
+	// be nil.
+	MaxConnections func() int
 	// MaxMemoryBytes limits the memory of all active requests, and MaxAnswerBytes that of
 	// upstreams' answers to them; 0 for no limit of the latter.
 	MaxMemoryBytes int64
@@ -209,6 +210,11 @@
 	return f.memory.Used() > f.config.MaxMemoryBytes/2
 }
 
+// Connections returns the number of open connections to upstreams.
+func (f *Forwarder) Connections() int {
+	return f.pool.Open()
+}
+
 // Prune closes idle connections that expired or whose upstream is not ready,
 // and removes the load figures of upstreams that are not ready.
 func (f *Forwarder) Prune() {
