--- a/internal/qlforward/body.go
+++ b/internal/qlforward/body.go
@@ -68,10 +68,10 @@
 	if x.request.ContentLength < 0 {
 		hold = func(bytes int) error { return x.holding.Set(_requestMemoryBytes + bytes) }
 	}
-	body, err := readBounded(&patientReader{
-		reader:     x.request.Body,
-		controller: http.NewResponseController(x.w),
-		patience:   f.config.BodyIdleTimeout,
+	body, err := readBounded(&bodyReader{
+		reader:      x.request.Body,
+		controller:  http.NewResponseController(x.w),
+		idleTimeout: f.config.BodyIdleTimeout,
 	}, readLimit, int(x.request.ContentLength), hold)
 	switch {
 	case errors.Is(err, qlmemory.ErrUsedUp):
@@ -100,17 +100,18 @@
 	}
 }
 
-// patientReader reads a caller's body. It limits the time in which nothing comes: a caller that has
-// vanished within a body would hold memory for good.
-type patientReader struct {
+// bodyReader reads a caller's body. A caller that falls silent within a body would hold memory for
+// good without the limit.
+type bodyReader struct {
 	reader     io.Reader
 	controller *http.ResponseController
-	patience   time.Duration
+	// idleTimeout limits the time in which nothing comes.
+	idleTimeout time.Duration
 }
 
 // Read implements io.Reader.
-func (r *patientReader) Read(p []byte) (int, error) {
-	err := r.controller.SetReadDeadline(time.Now().Add(r.patience))
+func (r *bodyReader) Read(p []byte) (int, error) {
+	err := r.controller.SetReadDeadline(time.Now().Add(r.idleTimeout))
 	if err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return 0, errors.Trace(err)
 	}
