Bound the sum of offloaded answers that wait for their callers

Callers saw nothing yet: each caller that does not read an answer of another router may let 1 MiB of it wait, and hundreds together more than the VM has.

Cause: the limit was for each answer only.

Change: what exceeds 16 KiB of each counts in an account of an eighth of the VM's memory. A caller for whose answer there is no room is reset, as one that lets too much wait was.

--- a/internal/qledge/offload.go
+++ b/internal/qledge/offload.go
@@ -33,6 +33,7 @@
 			TimeLimit: func(head qlintake.Head) time.Duration {
 				return e.forwarder.OffloadTimeLimit(head.Target(), head.Get)
 			},
+			MaxPendingBytes: int64(_pendingMemoryFraction * float64(e.settings.MemoryMB) * _megabyte),
 			Stamp: func() qloffload.Stamp {
 				return qloffload.Stamp{
 					Revision:   e.revision.Load(),
--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -80,7 +80,10 @@
 	_bodyIdleTimeout = 10 * time.Second
 	// _answerMemoryFraction is the fraction for what is held of upstreams' answers.
 	_answerMemoryFraction = 0.125
-	_megabyte             = 1 << 20
+	// _pendingMemoryFraction is the fraction for other routers' answers that callers have not
+	// read.
+	_pendingMemoryFraction = 0.125
+	_megabyte              = 1 << 20
 	// _millicoresPerCore converts the VM's capacity, which routers announce in
 	// thousandths of a core.
 	_millicoresPerCore = 1000
--- a/internal/qlintake/offload.go
+++ b/internal/qlintake/offload.go
@@ -11,6 +11,7 @@
 
 	"github.com/juju/errors"
 	"github.com/quetzallane/quetzallane/internal/qlconn"
+	"github.com/quetzallane/quetzallane/internal/qlmemory"
 	"github.com/quetzallane/quetzallane/internal/qloffload"
 )
 
@@ -18,8 +19,10 @@
 	// _answerWriteTimeout limits the time to write a part of another router's answer to a
 	// caller that does not read it.
 	_answerWriteTimeout = 5 * time.Second
-	// _maxPendingBytes bounds the part of an answer that waits for that.
-	_maxPendingBytes = 1 << 20
+	// _maxPendingBytes bounds the part of an answer that waits for that. What exceeds
+	// _pendingAllowanceBytes counts for all answers together.
+	_maxPendingBytes       = 1 << 20
+	_pendingAllowanceBytes = 16 << 10
 )
 
 // offload passes the current request on to another router, and waits for the end of the
@@ -169,6 +172,10 @@
 	// set.
 	pending []byte
 	writing bool
+	// holding is the memory of pending and of what is being written; it is released with the
+	// end.
+	holding  *qlmemory.Holding
+	released bool
 	// outcome is set once the answer has ended.
 	outcome qloffload.Outcome
 
@@ -181,9 +188,10 @@
 
 func newCallerWriter(conn *Conn, closes bool) *callerWriter {
 	return &callerWriter{
-		conn:   conn,
-		closes: closes,
-		ended:  make(chan struct{}),
+		conn:    conn,
+		closes:  closes,
+		holding: conn.intake.pending.NewHolding(_pendingAllowanceBytes),
+		ended:   make(chan struct{}),
 	}
 }
 
@@ -206,8 +214,11 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.released {
+		return net.ErrClosed
+	}
 	if w.writing {
-		if len(w.pending)+len(data) > _maxPendingBytes {
+		if len(w.pending)+len(data) > _maxPendingBytes || w.holding.Add(len(data)) != nil {
 			return errSlowCaller
 		}
 		w.pending = append(w.pending, data...)
@@ -217,6 +228,9 @@
 	if err != nil || n == len(data) {
 		return err
 	}
+	if w.holding.Set(len(data)-n) != nil {
+		return errSlowCaller
+	}
 	w.pending, w.writing = append([]byte(nil), data[n:]...), true
 	endDelivery := w.conn.intake.config.Offloader.BeginDelivery()
 	go func() {
@@ -272,6 +286,7 @@
 		if err == nil {
 			_, err = w.conn.Write(data)
 		}
+		w.releasePart(len(data))
 		if err != nil {
 			// The reader notices this and cancels.
 			w.end(qloffload.Broken)
@@ -280,6 +295,16 @@
 	}
 }
 
+// releasePart records that a part does not wait any more.
+func (w *callerWriter) releasePart(size int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.released {
+		// Giving back needs no room.
+		_ = w.holding.Add(-size)
+	}
+}
+
 // finish ends the answer once all of it was written.
 func (w *callerWriter) finish(outcome qloffload.Outcome) {
 	w.mu.Lock()
@@ -297,6 +322,10 @@
 	w.conn.intake.config.pause()
 	w.endOnce.Do(func() {
 		defer close(w.ended)
+		w.mu.Lock()
+		w.released = true
+		w.holding.Release()
+		w.mu.Unlock()
 		w.release(outcome)
 	})
 }
--- a/internal/qlintake/offload_test.go
+++ b/internal/qlintake/offload_test.go
@@ -111,7 +111,9 @@
 			return time.Duration(s.idleTimeout.Load())
 		},
 		Offloader: s.offloader,
-		TimeLimit: func(Head) time.Duration { return time.Duration(s.timeLimit.Load()) },
+
+		MaxPendingBytes: _maxPendingSum,
+		TimeLimit:       func(Head) time.Duration { return time.Duration(s.timeLimit.Load()) },
 		Stamp: func() qloffload.Stamp {
 			return qloffload.Stamp{
 				AskToClose: s.asksToClose.Load(),
@@ -159,6 +161,9 @@
 	_timedOutAnswer = "HTTP/1.1 504 Gateway Timeout\r\nContent-Length: 9\r\n\r\n" + _timedOutBody
 )
 
+// _maxPendingSum is how much may wait for all callers together.
+const _maxPendingSum = 2 << 20
+
 // _work is how long a request to /work takes.
 const _work = 600 * time.Millisecond
 
--- a/internal/qlintake/qlintake.go
+++ b/internal/qlintake/qlintake.go
@@ -35,6 +35,7 @@
 	"github.com/juju/errors"
 	"github.com/quetzallane/quetzallane/internal/qladmission"
 	"github.com/quetzallane/quetzallane/internal/qlbuffer"
+	"github.com/quetzallane/quetzallane/internal/qlmemory"
 	"github.com/quetzallane/quetzallane/internal/qloffload"
 )
 
@@ -73,6 +74,9 @@
 	// TimeLimit returns for how long to wait for an answer of another router; 0 for no limit.
 	// It may be nil.
 	TimeLimit func(head Head) time.Duration
+	// MaxPendingBytes bounds the parts of other routers' answers that wait for their callers, in
+	// sum; 0 for no limit.
+	MaxPendingBytes int64
 	// Stamp returns what other routers are told about a request.
 	Stamp func() qloffload.Stamp
 	// OnState is called when a connection becomes active or idle by a request of which the
@@ -102,6 +106,8 @@
 type Intake struct {
 	config  Config
 	buffers *qlbuffer.Pool
+	// pending is the memory of what waits for callers.
+	pending *qlmemory.Account
 }
 
 // New returns an intake with the given configuration.
@@ -109,6 +115,7 @@
 	return &Intake{
 		config:  config,
 		buffers: qlbuffer.NewPool(_bufferSize),
+		pending: qlmemory.NewAccount(config.MaxPendingBytes),
 	}
 }
 
