--- a/review/standin-2/crowd.go
+++ b/review/standin-2/crowd.go
@@ -74,7 +74,7 @@
 	}
 	orders(routers, stop, &ordinary, &wg)
 	streams(routers, stop, &ordinary, &wg)
-	peaks := watchMemory(r, routers, stop)
+	peaks := watchMemory(r, routers, stop, false)
 	wg.Wait()
 	r.logf("opened %d connections with unfinished bodies; whole bodies %v; ordinary orders: %v", opened.Load(), &whole, &ordinary)
 	fmt.Println(peaks, "opened", opened.Load(), "whole", &whole, "ordinary", &ordinary)
--- a/review/standin-2/endless.go
+++ b/review/standin-2/endless.go
@@ -65,7 +65,7 @@
 			}
 		}()
 	}
-	peaks := watchMemory(r, routers, stop)
+	peaks := watchMemory(r, routers, stop, false)
 	wg.Wait()
 	r.logf("streams: %v", &seen)
 	fmt.Println(peaks, &seen)
--- a/review/standin-2/prefix.go
+++ b/review/standin-2/prefix.go
@@ -61,7 +61,7 @@
 		}()
 	}
 	orders(routers, stop, &ordinary, &wg)
-	peaks := watchMemory(r, routers, stop)
+	peaks := watchMemory(r, routers, stop, false)
 	wg.Wait()
 	r.logf("clients with many parts: %v", &crowd)
 	r.logf("ordinary orders: %v", &ordinary)
--- a/review/standin-2/router.go
+++ b/review/standin-2/router.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -131,20 +132,49 @@
 	return 0
 }
 
+// unreadBytes returns how many bytes the connections to an address hold that were received and not read.
+func unreadBytes(address string) int {
+	host, port, _ := net.SplitHostPort(address)
+	ip := net.ParseIP(host).To4()
+	number, _ := strconv.Atoi(port)
+	local := fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], number)
+	data, _ := os.ReadFile("/proc/net/tcp")
+	sum := 0
+	for _, line := range strings.Split(string(data), "\n") {
+		fields := strings.Fields(line)
+		if len(fields) < 5 || fields[1] != local || fields[3] != "01" {
+			continue
+		}
+		_, queue, _ := strings.Cut(fields[4], ":")
+		n, _ := strconv.ParseInt(queue, 16, 64)
+		sum += int(n)
+	}
+	return sum
+}
+
 // limitMB is memory-mb of the settings.
 const limitMB = 134
 
 // watchMemory does what the platform does: it kills a process that exceeds memory-mb, and starts it
 // again after a second. It ends with stop, and returns the highest figures.
-func watchMemory(run *run, routers []*router, stop time.Time) map[string]int {
+//
+// With unread, the bytes count, too, that the process has received and not read.
+func watchMemory(run *run, routers []*router, stop time.Time, unread bool) map[string]int {
 	peaks := make(map[string]int)
 	lastLine := time.Now()
 	for time.Now().Before(stop) {
 		line := ""
 		for _, r := range routers {
-			mb := r.memoryMB()
+			mb, waiting := r.memoryMB(), 0
+			if unread {
+				waiting = unreadBytes(r.callers) >> 20
+				mb += waiting
+			}
 			peaks[r.name] = max(peaks[r.name], mb)
 			line += fmt.Sprintf("  %s %d MiB", r.name, mb)
+			if unread {
+				line += fmt.Sprintf(" (%d unread)", waiting)
+			}
 			switch {
 			case r.hasEnded():
 				run.breaks("%s has ended by itself: %v", r.name, r.process.ProcessState)
