--- a/review/standin-2/reset_stream.go
+++ b/review/standin-2/reset_stream.go
@@ -36,19 +36,19 @@
 	}
 	zones := []string{"rw-north-a", "rw-north-b", "rw-north-c"}
 	var replicas []*replica
-	for i := range 3 {
-		replicas = append(replicas, startReplica(&replica{id: fmt.Sprintf("i-7f3a91c%d", i), service: engines, zone: zones[i], slots: 128, store: s, answer: answer}))
+	for i := range 6 {
+		replicas = append(replicas, startReplica(&replica{id: fmt.Sprintf("i-7f3a91c%d", i), service: engines, zone: zones[i%3], slots: 128, store: s, answer: answer}))
 	}
 	routers := startRouters(r.scratch, s.address, zones)
 	cleanup = append(cleanup, func() { stopAll(routers) })
 	r.logf("routers are ready")
 	time.Sleep(time.Second)
 	var wg sync.WaitGroup
-	for i := range 60 {
+	for i := range 120 {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			time.Sleep(time.Duration(i) * 5 * time.Millisecond)
+			time.Sleep(time.Duration(i) * 2500 * time.Microsecond)
 			a := &attempt{id: newID(), method: "POST", path: chatPath, key: key1, timeout: 15 * time.Second, tokens: "543,280", prefix: fmt.Sprintf("5c1e07a2:200,%x:343", 0x1000+i)}
 			res := a.do(routers[i%3].callers)
 			count, rest := events(a.id, res.body)
