--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -29,11 +29,11 @@
 // head returns the bytes of the request.
 func (a *attempt) bytes() []byte {
 	var b bytes.Buffer
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\n", a.method, a.path, clientHost, a.id)
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n"+nameAttempt+": %s\r\n", a.method, a.path, clientHost, a.id)
 	if a.tokens != "" {
-		fmt.Fprintf(&b, "X-Model: m\r\nX-Token-Usage: %s\r\nX-Prefix-Hash: %s\r\n", a.tokens, a.prefix)
+		fmt.Fprintf(&b, "X-Model: m\r\n"+nameTokens+": %s\r\n"+namePrefix+": %s\r\n", a.tokens, a.prefix)
 	}
-	fmt.Fprintf(&b, "X-Deadline-Ms: %d\r\nAuthorization: Token %s\r\n", a.timeout.Milliseconds(), a.key)
+	fmt.Fprintf(&b, nameDeadline+": %d\r\nAuthorization: Token %s\r\n", a.timeout.Milliseconds(), a.key)
 	for _, h := range a.headers {
 		b.WriteString(h + "\r\n")
 	}
@@ -88,7 +88,7 @@
 		return res
 	}
 	res.status, res.header, res.closes = response.StatusCode, response.Header, response.Close
-	res.signature, res.attemptID = response.Header.Get("X-Replica-Signature"), response.Header.Get("X-Attempt-Id")
+	res.signature, res.attemptID = response.Header.Get(nameSignature), response.Header.Get(nameAttempt)
 	res.body, res.err = io.ReadAll(response.Body)
 	res.whole = res.err == nil
 	return res
--- a/review/standin-2/crowd.go
+++ b/review/standin-2/crowd.go
@@ -17,7 +17,7 @@
 // open: most of 65,200 bytes, one in sixty of 4,190,000. Without the disruption, fifty clients send such bodies whole.
 func unfinishedBodies(r *run) {
 	s := startStore()
-	s.put("op/config", configuration(7))
+	s.put(keyConfiguration, configuration(7))
 	zones := []string{"rw-north-a", "rw-north-a", "rw-north-b"}
 	for i := range 3 {
 		startReplica(&replica{id: fmt.Sprintf("i-7f3a91c%d", i), service: plain, zone: zones[i], slots: 6, store: s, answer: answerPlain})
--- a/review/standin-2/endless.go
+++ b/review/standin-2/endless.go
@@ -16,7 +16,7 @@
 // closes the connection.
 func endlessHead(r *run) {
 	s := startStore()
-	s.put("op/config", configuration(7))
+	s.put(keyConfiguration, configuration(7))
 	var faulty atomic.Bool
 	number := make(map[string]int)
 	answer := func(rep *replica, conn *net.TCPConn, request *http.Request, _ []byte) bool {
--- a/review/standin-2/head.go
+++ b/review/standin-2/head.go
@@ -18,13 +18,13 @@
 // headRequests: clients send HEAD requests on kept connections while many users come at once.
 func headRequests(r *run) {
 	s := startStore()
-	s.put("op/config", configuration(7))
+	s.put(keyConfiguration, configuration(7))
 	zones := []string{"rw-north-a", "rw-north-b", "rw-north-c"}
 	answer := func(rep *replica, conn *net.TCPConn, request *http.Request, _ []byte) bool {
-		id := request.Header.Get("X-Attempt-Id")
+		id := request.Header.Get(nameAttempt)
 		time.Sleep(time.Duration(20+rand.IntN(20)) * time.Millisecond)
 		body := strings.Repeat("x", 800)
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Replica-Signature: %s.%s\r\nX-Replica-Load: %s\r\nContent-Length: %d\r\n\r\n", id, rep.id, id, rep.load(), len(body))
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n"+nameAttempt+": %s\r\n"+nameSignature+": %s.%s\r\n"+nameLoad+": %s\r\nContent-Length: %d\r\n\r\n", id, rep.id, id, rep.load(), len(body))
 		if request.Method != http.MethodHead {
 			_, _ = conn.Write([]byte(body))
 		}
--- a/review/standin-2/ordinary.go
+++ b/review/standin-2/ordinary.go
@@ -11,10 +11,10 @@
 
 // answerPlain answers a request of a plain service after 20 ms.
 func answerPlain(rep *replica, conn *net.TCPConn, request *http.Request, _ []byte) bool {
-	id := request.Header.Get("X-Attempt-Id")
+	id := request.Header.Get(nameAttempt)
 	time.Sleep(20 * time.Millisecond)
 	body := strings.Repeat("x", 800)
-	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Replica-Signature: %s.%s\r\nX-Replica-Load: %s\r\nContent-Length: %d\r\n\r\n", id, rep.id, id, rep.load(), len(body))
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n"+nameAttempt+": %s\r\n"+nameSignature+": %s.%s\r\n"+nameLoad+": %s\r\nContent-Length: %d\r\n\r\n", id, rep.id, id, rep.load(), len(body))
 	if request.Method != http.MethodHead {
 		_, _ = conn.Write([]byte(body))
 	}
@@ -23,8 +23,8 @@
 
 // answerStream answers with a stream of so many events, one each 25 ms.
 func answerStream(rep *replica, conn *net.TCPConn, request *http.Request, count int) bool {
-	id := request.Header.Get("X-Attempt-Id")
-	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Replica-Signature: %s.%s\r\nX-Replica-Load: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, rep.id, id, rep.load())
+	id := request.Header.Get(nameAttempt)
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n"+nameAttempt+": %s\r\n"+nameSignature+": %s.%s\r\n"+nameLoad+": %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, rep.id, id, rep.load())
 	for n := range count {
 		time.Sleep(25 * time.Millisecond)
 		text := event(id, n)
--- a/review/standin-2/platform.go
+++ b/review/standin-2/platform.go
@@ -42,9 +42,9 @@
 	must(err)
 	s.address = listener.Addr().String()
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /kv-range", s.serveRange)
-	mux.HandleFunc("GET /kv-key", s.serveKey)
-	mux.HandleFunc("GET /kv-watch", s.serveWatch)
+	mux.HandleFunc("GET "+pathRange, s.serveRange)
+	mux.HandleFunc("GET "+pathKey, s.serveKey)
+	mux.HandleFunc("GET "+pathWatch, s.serveWatch)
 	go func() { _ = http.Serve(listener, mux) }()
 	return s
 }
--- a/review/standin-2/prefix.go
+++ b/review/standin-2/prefix.go
@@ -16,7 +16,7 @@
 // Without the disruption, their prompts of the same size have two parts.
 func manyParts(r *run) {
 	s := startStore()
-	s.put("op/config", configuration(7))
+	s.put(keyConfiguration, configuration(7))
 	zones := []string{"rw-north-a", "rw-north-b", "rw-north-c"}
 	for i := range 18 {
 		startReplica(&replica{id: fmt.Sprintf("i-8f3a91%02d", i), service: engines, zone: zones[i%3], slots: 128, store: s,
--- a/review/standin-2/replica.go
+++ b/review/standin-2/replica.go
@@ -100,16 +100,16 @@
 			return
 		}
 		if request.URL.Path == "/healthz" {
-			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Replica-Id: %s\r\nX-Replica-Load: %s\r\nContent-Length: 0\r\n\r\n", r.id, r.load())
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n"+nameReplica+": %s\r\n"+nameLoad+": %s\r\nContent-Length: 0\r\n\r\n", r.id, r.load())
 			continue
 		}
-		if expected := request.Header.Get("X-Expect-Replica"); expected != "" && expected != r.id {
-			fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", request.Header.Get("X-Attempt-Id"))
+		if expected := request.Header.Get(nameExpected); expected != "" && expected != r.id {
+			fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\n"+nameAttempt+": %s\r\n"+nameNotRun+": 1\r\nContent-Length: 0\r\n\r\n", request.Header.Get(nameAttempt))
 			continue
 		}
 		if int(r.active.Add(1)) > r.slots {
 			r.active.Add(-1)
-			fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nX-Replica-Load: %s\r\nContent-Length: 0\r\n\r\n", request.Header.Get("X-Attempt-Id"), r.load())
+			fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n"+nameAttempt+": %s\r\n"+nameNotRun+": 1\r\n"+nameLoad+": %s\r\nContent-Length: 0\r\n\r\n", request.Header.Get(nameAttempt), r.load())
 			continue
 		}
 		keep := r.answer(r, conn, request, body)
--- a/review/standin-2/reset_stream.go
+++ b/review/standin-2/reset_stream.go
@@ -15,13 +15,13 @@
 func resetStream(r *run) {
 	const total = 56
 	s := startStore()
-	s.put("op/config", configuration(7))
+	s.put(keyConfiguration, configuration(7))
 	var mu sync.Mutex
 	made := make(map[string]int)
 	answer := func(rep *replica, conn *net.TCPConn, request *http.Request, _ []byte) bool {
-		id := request.Header.Get("X-Attempt-Id")
+		id := request.Header.Get(nameAttempt)
 		r.logf("replica %s runs %s", rep.id, id)
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Replica-Signature: %s.%s\r\nX-Replica-Load: %s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n", id, rep.id, id, rep.load())
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n"+nameAttempt+": %s\r\n"+nameSignature+": %s.%s\r\n"+nameLoad+": %s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n", id, rep.id, id, rep.load())
 		for n := range total {
 			time.Sleep(25 * time.Millisecond)
 			if _, err := conn.Write([]byte(event(id, n))); err != nil {
--- a/review/standin-2/router.go
+++ b/review/standin-2/router.go
@@ -83,7 +83,7 @@
 	must(err)
 	r.logPath, r.settings = logPath, settings
 	r.process = exec.Command("target/quetzallaned", "edge")
-	r.process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "QUETZALLANE_SETTINGS=" + settings}
+	r.process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), nameSettings + "=" + settings}
 	r.process.Stdout, r.process.Stderr = log, log
 	r.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	must(r.process.Start())
