--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 6 to 10: one program, from the standard library only.
+# Builds the stand-ins of the cases 6 to 9: one program, from the standard library only.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
