Refuse messages with spaces in field names

Callers saw: status 200 for an answer whose head has a space in a field name or before its colon. The line was dropped; with "Transfer-Encoding : chunked" the body held the framing of its chunks, or a part of them if there was a length.

Cause: net/http refuses all other bytes that field names may not contain, but keeps names with spaces as they are, so that it doesn't know these fields. Only its server checks names again.

Change: package qlhead reads responses and requests as net/http does, and returns an error for such names; its Transport does so for clients of net/http. Callers get 502 or, of a repeatable request, the answer of another upstream.

--- a/cmd/qlsoak/caller.go
+++ b/cmd/qlsoak/caller.go
@@ -14,6 +14,7 @@
 	"strings"
 	"time"
 
+	"github.com/quetzallane/quetzallane/internal/qlhead"
 	"github.com/quetzallane/quetzallane/platform/qlsim"
 )
 
@@ -186,7 +187,7 @@
 		c.disconnect()
 		return
 	}
-	response, err := http.ReadResponse(c.reader, request)
+	response, err := qlhead.ReadResponse(c.reader, request)
 	if err != nil {
 		a.disconnected = !errors.Is(err, os.ErrDeadlineExceeded)
 		c.disconnect()
--- a/cmd/qlsoak/router.go
+++ b/cmd/qlsoak/router.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/quetzallane/quetzallane/internal/qlhead"
 )
 
 const (
@@ -175,7 +176,8 @@
 // ends. Two failed polls in a row take the router out of rotation.
 func (n *router) pollReady(ctx context.Context) {
 	client := &http.Client{
-		Timeout: _readyPollInterval,
+		Transport: qlhead.NewTransport(http.DefaultTransport),
+		Timeout:   _readyPollInterval,
 	}
 	failures := 0
 	for ctx.Err() == nil {
--- a/cmd/quetzallane/main.go
+++ b/cmd/quetzallane/main.go
@@ -28,6 +28,7 @@
 
 	"github.com/juju/errors"
 	"github.com/quetzallane/quetzallane/internal/qlexplain"
+	"github.com/quetzallane/quetzallane/internal/qlhead"
 	"github.com/quetzallane/quetzallane/pkg/qlcode"
 	"github.com/quetzallane/quetzallane/pkg/qlconfig"
 	"github.com/quetzallane/quetzallane/platform/qlbench"
@@ -157,7 +158,8 @@
 		Args:  cobra.ExactArgs(1),
 		RunE: func(command *cobra.Command, args []string) error {
 			client := &http.Client{
-				Timeout: _stateTimeout,
+				Transport: qlhead.NewTransport(http.DefaultTransport),
+				Timeout:   _stateTimeout,
 			}
 			response, err := client.Get("http://" + args[0] + "/debug/state")
 			if err != nil {
--- a/internal/qlconn/exchange.go
+++ b/internal/qlconn/exchange.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/quetzallane/quetzallane/internal/qlhead"
 	"github.com/quetzallane/quetzallane/internal/qlmemory"
 )
 
@@ -118,7 +119,7 @@
 	defer func() { e.headBytes = e.conn.limit.remove() }()
 	informational := 0
 	for skipped := 0; skipped <= _maxSkippedResponses; {
-		response, err := http.ReadResponse(e.conn.reader, methodOnly)
+		response, err := qlhead.ReadResponse(e.conn.reader, methodOnly)
 		if err != nil {
 			return errors.Trace(err)
 		}
--- a/internal/qldemo/qldemo.go
+++ b/internal/qldemo/qldemo.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/quetzallane/quetzallane/internal/qlhead"
 	"github.com/quetzallane/quetzallane/internal/qlplatform"
 	"github.com/quetzallane/quetzallane/internal/qlstandin"
 	"github.com/quetzallane/quetzallane/internal/qlupstream"
@@ -74,7 +75,8 @@
 		plan: plan,
 		out:  out,
 		http: &http.Client{
-			Timeout: _callTimeout,
+			Transport: qlhead.NewTransport(http.DefaultTransport),
+			Timeout:   _callTimeout,
 		},
 	}
 	for _, step := range []func(context.Context) error{
--- /dev/null
+++ b/internal/qlhead/qlhead.go
@@ -0,0 +1,85 @@
+// Package qlhead reads HTTP/1.1 messages that other processes send, and returns an error for a
+// malformed head.
+//
+// Where net/http reads a message by itself it accepts field names that contain spaces, and does not
+// know these fields: the body of a response with "Transfer-Encoding : chunked" then holds the
+// framing of its chunks, too. A proxy may remove a space before the colon (RFC 9112, section 5.1),
+// but an upstream that sends one may have sent anything else in the wrong place.
+//
+// The server of net/http needs no such check; it refuses these requests.
+//
+// # Usage
+//
+//	response, err := qlhead.ReadResponse(reader, request)
+//
+//	client := &http.Client{Transport: qlhead.NewTransport(http.DefaultTransport)}
+package qlhead
+
+import (
+	"bufio"
+	"net/http"
+	"strings"
+
+	"github.com/juju/errors"
+)
+
+// ReadResponse is as http.ReadResponse. After an error, nothing more can be read from the reader.
+func ReadResponse(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
+	response, err := http.ReadResponse(reader, request)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if err := checkFieldNames(response.Header); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return response, nil
+}
+
+// ReadRequest is as http.ReadRequest. After an error, nothing more can be read from the reader.
+func ReadRequest(reader *bufio.Reader) (*http.Request, error) {
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if err := checkFieldNames(request.Header); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return request, nil
+}
+
+// Transport is an http.RoundTripper that returns an error in place of a response with a malformed
+// head.
+type Transport struct {
+	base http.RoundTripper
+}
+
+// NewTransport returns a transport that sends requests with the base.
+func NewTransport(base http.RoundTripper) *Transport {
+	return &Transport{
+		base: base,
+	}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := t.base.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkFieldNames(response.Header); err != nil {
+		_ = response.Body.Close()
+		return nil, errors.Trace(err)
+	}
+	return response, nil
+}
+
+// checkFieldNames returns an error if a name contains a space. net/http refuses all other bytes
+// that names may not contain.
+func checkFieldNames(header http.Header) error {
+	for name := range header {
+		if strings.Contains(name, " ") {
+			return errors.NotValidf("field name %q", name)
+		}
+	}
+	return nil
+}
--- a/internal/qloffload/server.go
+++ b/internal/qloffload/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/juju/errors"
 	"github.com/quetzallane/quetzallane/internal/qlbuffer"
+	"github.com/quetzallane/quetzallane/internal/qlhead"
 	"go.uber.org/zap"
 )
 
@@ -311,7 +312,7 @@
 	reader, _ := l.server.readers.Get().(*bufio.Reader)
 	defer l.server.readers.Put(reader)
 	reader.Reset(bytes.NewReader(raw))
-	request, err := http.ReadRequest(reader)
+	request, err := qlhead.ReadRequest(reader)
 	if err != nil {
 		// The answer is that of the HTTP server.
 		w.header.Set("Content-Type", "text/plain; charset=utf-8")
--- a/internal/qlplatform/qlplatform.go
+++ b/internal/qlplatform/qlplatform.go
@@ -25,6 +25,7 @@
 
 	"github.com/juju/errors"
 	"github.com/quetzallane/quetzallane/internal/qlcore"
+	"github.com/quetzallane/quetzallane/internal/qlhead"
 	"github.com/quetzallane/quetzallane/internal/qlmember"
 	"github.com/quetzallane/quetzallane/pkg/qlconfig"
 	"github.com/quetzallane/quetzallane/pkg/qljson"
@@ -122,7 +123,9 @@
 func New(config Config) *Client {
 	return &Client{
 		config: config,
-		http:   &http.Client{},
+		http: &http.Client{
+			Transport: qlhead.NewTransport(http.DefaultTransport),
+		},
 	}
 }
 
--- a/internal/qlrouter/load.go
+++ b/internal/qlrouter/load.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/quetzallane/quetzallane/internal/qlhead"
 	"github.com/quetzallane/quetzallane/pkg/qlconfig"
 )
 
@@ -17,6 +18,11 @@
 	_maxLoadBody = 1 << 16
 )
 
+// _upstreamClient calls upstreams for the router itself; callers' requests are sent by qlupstream.
+var _upstreamClient = &http.Client{
+	Transport: qlhead.NewTransport(http.DefaultTransport),
+}
+
 // updateLoadPolls starts a poll of the load for each upstream that this router
 // has come to own, and ends the polls of those that it no longer owns.
 func (r *Router) updateLoadPolls() {
@@ -83,7 +89,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := _upstreamClient.Do(request)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/qlrouter/order.go
+++ b/internal/qlrouter/order.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := _upstreamClient.Do(request)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/qlupstream/qlupstream.go
+++ b/internal/qlupstream/qlupstream.go
@@ -38,6 +38,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/quetzallane/quetzallane/internal/qlhead"
 	"github.com/quetzallane/quetzallane/pkg/qlcode"
 )
 
@@ -145,9 +146,9 @@
 type Sender struct {
 	config Config
 	// pooled reuses connections; it carries repeatable calls.
-	pooled *http.Transport
+	pooled *qlhead.Transport
 	// unpooled makes a new connection for each call.
-	unpooled *http.Transport
+	unpooled *qlhead.Transport
 }
 
 // New returns a sender.
@@ -159,8 +160,8 @@
 	}
 }
 
-func newTransport(disableReuse bool) *http.Transport {
-	return &http.Transport{
+func newTransport(disableReuse bool) *qlhead.Transport {
+	return qlhead.NewTransport(&http.Transport{
 		DialContext:            dial,
 		DisableKeepAlives:      disableReuse,
 		DisableCompression:     true,
@@ -168,7 +169,7 @@
 		IdleConnTimeout:        _idleTimeout,
 		ForceAttemptHTTP2:      false,
 		MaxResponseHeaderBytes: 1 << 16,
-	}
+	})
 }
 
 // inTimeKey is the context key of Call.InTime.
