Refuse responses with invalid status codes

Callers saw: of the product's own interface, a stream with status 200 whose upstream had answered with status 000. At the edge an answer with status 000 got 502 already, but bytes of its body that look like a response were taken for the answer to the request.

Cause: net/http accepts each number of three characters as a status code, also 000, 099 and +20. qlconn took all below 200 for informational responses, after which the next response follows at once; qlupstream passed them on as answers. The same held for 101, which no request asks for.

Change: qlhead refuses status codes below 100, and 101.

Why it works: all clients read responses by qlhead; its test has all numbers of three characters, with and without a sign.

The other statuses of the table (20, 0200, -20, 2x0, "2 0") and those without a response in their body were refused before.

--- a/internal/qlforward/malformed_test.go
+++ b/internal/qlforward/malformed_test.go
@@ -66,3 +66,12 @@
 		checkIsNotForwarded(t, c.name+", sound response after it", head+_soundResponse)
 	}
 }
+
+func TestResponseWithInvalidStatusIsNotForwarded(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "20", "0200", "+20", "-20", "2x0", "2 0", "101"} {
+		head := "HTTP/1.1 " + status + " OK\r\nId: i1\r\nSignature: s\r\n"
+		checkIsNotForwarded(t, "status "+status, head+"Content-Length: 12\r\n\r\nwhole answer")
+		checkIsNotForwarded(t, "status "+status+", no length", head+"\r\nwhole answer")
+		checkIsNotForwarded(t, "status "+status+", sound response as its body", head+"\r\n"+_soundResponse)
+	}
+}
--- a/internal/qlhead/qlhead.go
+++ b/internal/qlhead/qlhead.go
@@ -1,12 +1,14 @@
 // Package qlhead reads HTTP/1.1 messages that other processes send, and returns an error for a
 // malformed head.
 //
-// Where net/http reads a message by itself it accepts field names that contain spaces, and does not
-// know these fields: the body of a response with "Transfer-Encoding : chunked" then holds the
-// framing of its chunks, too. A proxy may remove a space before the colon (RFC 9112, section 5.1),
-// but an upstream that sends one may have sent anything else in the wrong place.
+// net/http is more lenient, except in its server:
 //
-// The server of net/http needs no such check; it refuses these requests.
+//   - It accepts field names that contain spaces, and does not know these fields: the body of a
+//     response with "Transfer-Encoding : chunked" then holds the framing of its chunks, too. A
+//     proxy may remove a space before the colon (RFC 9112, section 5.1), but an upstream that
+//     sends one may have sent anything else in the wrong place.
+//   - It accepts each number of three characters as a status code, also 000, 099 and +20, and
+//     the status code 101 though no request asks for another protocol.
 //
 // # Usage
 //
@@ -29,7 +31,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	if err := checkFieldNames(response.Header); err != nil {
+	if err := checkResponse(response); err != nil {
 		return nil, errors.Trace(err)
 	}
 	return response, nil
@@ -66,13 +68,22 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := checkFieldNames(response.Header); err != nil {
+	if err := checkResponse(response); err != nil {
 		_ = response.Body.Close()
 		return nil, errors.Trace(err)
 	}
 	return response, nil
 }
 
+// checkResponse returns an error if the head of a response that net/http has read is malformed.
+func checkResponse(response *http.Response) error {
+	// No request asks for another protocol. What follows a 101 would not be HTTP.
+	if response.StatusCode < http.StatusContinue || response.StatusCode == http.StatusSwitchingProtocols {
+		return errors.NotValidf("status code %d", response.StatusCode)
+	}
+	return checkFieldNames(response.Header)
+}
+
 // checkFieldNames returns an error if a name contains a space. net/http refuses all other bytes
 // that names may not contain.
 func checkFieldNames(header http.Header) error {
--- a/internal/qlhead/qlhead_test.go
+++ b/internal/qlhead/qlhead_test.go
@@ -88,6 +88,34 @@
 	}
 }
 
+// TestStatusCodes has each text of three characters that net/http accepts as a number.
+func TestStatusCodes(t *testing.T) {
+	for code := range 1000 {
+		texts := []string{fmt.Sprintf("%03d", code)}
+		if code < 100 {
+			texts = append(texts, fmt.Sprintf("+%02d", code), fmt.Sprintf("-%02d", code))
+		}
+		for _, text := range texts {
+			_, err := readResponse("HTTP/1.1 " + text + " Text\r\nContent-Length: 0\r\n\r\n")
+			if allowed := code >= 100 && code != http.StatusSwitchingProtocols; (err == nil) != allowed {
+				t.Errorf("status code %s: got error %v, want it to be allowed: %v", text, err, allowed)
+			}
+		}
+	}
+}
+
+func TestTransportRefusesStatusCodes(t *testing.T) {
+	client := &http.Client{
+		Transport: NewTransport(http.DefaultTransport),
+	}
+	for _, text := range []string{"000", "099", "+20", "0200", "101"} {
+		response := "HTTP/1.1 " + text + " OK\r\nContent-Length: 2\r\n\r\n" + _body
+		if got, err := get(client, newRawServer(t, response).URL); err == nil {
+			t.Errorf("status code %s: got %q and no error, want one", text, got)
+		}
+	}
+}
+
 func TestTransportRefusesMalformedHeads(t *testing.T) {
 	client := &http.Client{
 		Transport: NewTransport(http.DefaultTransport),
--- a/internal/qlupstream/malformed_test.go
+++ b/internal/qlupstream/malformed_test.go
@@ -21,6 +21,11 @@
 		status string
 		fields string
 	}{
+		{name: "status 000", status: "000 OK"},
+		{name: "status 099", status: "099 OK"},
+		{name: "status with a sign", status: "+20 OK"},
+		{name: "status of four digits", status: "0200 OK"},
+		{name: "status 101", status: "101 Switching Protocols"},
 		{name: "space in a name", status: "200 OK", fields: "X Y: z\r\n"},
 		{name: "space before a colon", status: "200 OK", fields: "X-Y : z\r\n"},
 		{name: "space after Transfer-Encoding", status: "200 OK", fields: "Transfer-Encoding : chunked\r\n"},
