Refuse status codes above 599

Callers saw: an answer with status 600 or 999, which HTTP does not know.

Cause: as of the statuses below 100: net/http accepts each number of three characters. A client has to treat such an answer as one with a status of 500 to 599 (RFC 9110, section 15).

Change: qlhead refuses them, so that callers get 502 or the answer of another upstream.

Evidence: without the check of the upper end 12 requests at the forwarder and 4 calls of qlupstream get the answer, and 400 status codes of qlhead's test are accepted.

--- a/internal/qlforward/malformed_test.go
+++ b/internal/qlforward/malformed_test.go
@@ -68,7 +68,7 @@
 }
 
 func TestResponseWithInvalidStatusIsNotForwarded(t *testing.T) {
-	for _, status := range []string{"000", "001", "099", "20", "0200", "+20", "-20", "2x0", "2 0", "101"} {
+	for _, status := range []string{"000", "001", "099", "20", "0200", "+20", "-20", "2x0", "2 0", "101", "600", "999"} {
 		head := "HTTP/1.1 " + status + " OK\r\nId: i1\r\nSignature: s\r\n"
 		checkIsNotForwarded(t, "status "+status, head+"Content-Length: 12\r\n\r\nwhole answer")
 		checkIsNotForwarded(t, "status "+status+", no length", head+"\r\nwhole answer")
--- a/internal/qlhead/qlhead.go
+++ b/internal/qlhead/qlhead.go
@@ -7,7 +7,7 @@
 //     response with "Transfer-Encoding : chunked" then holds the framing of its chunks, too. A
 //     proxy may remove a space before the colon (RFC 9112, section 5.1), but an upstream that
 //     sends one may have sent anything else in the wrong place.
-//   - It accepts each number of three characters as a status code, also 000, 099 and +20, and
+//   - It accepts each number of three characters as a status code, also 000, +20 and 600, and
 //     the status code 101 though no request asks for another protocol.
 //
 // # Usage
@@ -25,6 +25,12 @@
 	"github.com/juju/errors"
 )
 
+// The range of valid status codes (RFC 9110, section 15).
+const (
+	_minStatusCode = 100
+	_maxStatusCode = 599
+)
+
 // ReadResponse is as http.ReadResponse. After an error, nothing more can be read from the reader.
 func ReadResponse(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
 	response, err := http.ReadResponse(reader, request)
@@ -78,8 +84,9 @@
 // checkResponse returns an error if the head of a response that net/http has read is malformed.
 func checkResponse(response *http.Response) error {
 	// No request asks for another protocol. What follows a 101 would not be HTTP.
-	if response.StatusCode < http.StatusContinue || response.StatusCode == http.StatusSwitchingProtocols {
-		return errors.NotValidf("status code %d", response.StatusCode)
+	code := response.StatusCode
+	if code < _minStatusCode || code > _maxStatusCode || code == http.StatusSwitchingProtocols {
+		return errors.NotValidf("status code %d", code)
 	}
 	return checkFieldNames(response.Header)
 }
--- a/internal/qlhead/qlhead_test.go
+++ b/internal/qlhead/qlhead_test.go
@@ -97,7 +97,7 @@
 		}
 		for _, text := range texts {
 			_, err := readResponse("HTTP/1.1 " + text + " Text\r\nContent-Length: 0\r\n\r\n")
-			if allowed := code >= 100 && code != http.StatusSwitchingProtocols; (err == nil) != allowed {
+			if allowed := code >= 100 && code <= 599 && code != http.StatusSwitchingProtocols; (err == nil) != allowed {
 				t.Errorf("status code %s: got error %v, want it to be allowed: %v", text, err, allowed)
 			}
 		}
@@ -108,7 +108,7 @@
 	client := &http.Client{
 		Transport: NewTransport(http.DefaultTransport),
 	}
-	for _, text := range []string{"000", "099", "+20", "0200", "101"} {
+	for _, text := range []string{"000", "099", "+20", "0200", "101", "600", "999"} {
 		response := "HTTP/1.1 " + text + " OK\r\nContent-Length: 2\r\n\r\n" + _body
 		if got, err := get(client, newRawServer(t, response).URL); err == nil {
 			t.Errorf("status code %s: got %q and no error, want one", text, got)
--- a/internal/qlupstream/malformed_test.go
+++ b/internal/qlupstream/malformed_test.go
@@ -25,6 +25,7 @@
 		{name: "status 099", status: "099 OK"},
 		{name: "status with a sign", status: "+20 OK"},
 		{name: "status of four digits", status: "0200 OK"},
+		{name: "status 600", status: "600 OK"},
 		{name: "status 101", status: "101 Switching Protocols"},
 		{name: "space in a name", status: "200 OK", fields: "X Y: z\r\n"},
 		{name: "space before a colon", status: "200 OK", fields: "X-Y : z\r\n"},
