List a fault: answers with HTTP/1.0 in chunks are passed on

Callers see: status 200 and the framing of the chunks as a part of the body.

Cause: net/http ignores Transfer-Encoding of that version and removes the field, so that neither qlhead nor qlconn can see it in the response.

--- a/internal/qlforward/malformed_test.go
+++ b/internal/qlforward/malformed_test.go
@@ -75,3 +75,10 @@
 		checkIsNotForwarded(t, "status "+status+", sound response as its body", head+"\r\n"+_soundResponse)
 	}
 }
+
+// TestOldResponseInChunksIsNotForwarded has an upstream answer with HTTP/1.0 in chunks. That
+// version has none, so that the end of the body is not known (RFC 9112, section 6.1).
+func TestOldResponseInChunksIsNotForwarded(t *testing.T) {
+	head := "HTTP/1.0 200 OK\r\nId: i1\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+	checkIsNotForwarded(t, "HTTP/1.0 in chunks", head+chunk("whole answer")+_lastChunk)
+}
