Tests of malformed heads: one server and one list of fields

Cause: four packages had the same server and table. Change: package qlheadtest has both; each client now gets all malformed fields.

--- a/internal/qlhead/qlhead_test.go
+++ b/internal/qlhead/qlhead_test.go
@@ -5,34 +5,14 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
+
+	"github.com/quetzallane/quetzallane/internal/qlheadtest"
 )
 
 const _body = "ok"
 
-// responseWith returns a response with the line in its head.
-func responseWith(line string) string {
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\nDate: now\r\n%s\r\nContent-Length: %d\r\n\r\n%s", line, len(_body), _body)
-}
-
-// newRawServer returns a server that writes the bytes and closes the connection.
-func newRawServer(t *testing.T, response string) *httptest.Server {
-	t.Helper()
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		conn, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			t.Error(err)
-			return
-		}
-		_, _ = io.WriteString(conn, response)
-		_ = conn.Close()
-	}))
-	t.Cleanup(server.Close)
-	return server
-}
-
 func readResponse(response string) (body string, err error) {
 	got, err := ReadResponse(bufio.NewReader(strings.NewReader(response)), nil)
 	if err != nil {
@@ -66,7 +46,7 @@
 		}
 		text := string([]byte{byte(c)})
 		for _, name := range []string{text + "Name", "Na" + text + "me", "Name" + text} {
-			got, err := readResponse(responseWith(name + ": value"))
+			got, err := readResponse(qlheadtest.ResponseWith(name+": value", _body))
 			// A line that begins with a space or a tab continues the field before it, and a
 			// colon ends the name.
 			allowed := isTokenByte(byte(c)) || (c == ' ' || c == '\t') && name == text+"Name" || c == ':' && name != text+"Name"
@@ -80,7 +60,7 @@
 // TestBytesOfFieldValues has each byte in a field value.
 func TestBytesOfFieldValues(t *testing.T) {
 	for c := range 256 {
-		got, err := readResponse(responseWith("Name: va" + string([]byte{byte(c)}) + "lue"))
+		got, err := readResponse(qlheadtest.ResponseWith("Name: va"+string([]byte{byte(c)})+"lue", _body))
 		allowed := c >= ' ' && c != 0x7f || c == '\t'
 		if (err == nil) != allowed || allowed && got != _body {
 			t.Errorf("byte %#x in a value: got %q, error %v, want it to be allowed: %v", c, got, err, allowed)
@@ -110,7 +90,7 @@
 	}
 	for _, text := range []string{"000", "099", "+20", "0200", "101", "600", "999"} {
 		response := "HTTP/1.1 " + text + " OK\r\nContent-Length: 2\r\n\r\n" + _body
-		if got, err := get(client, newRawServer(t, response).URL); err == nil {
+		if got, err := get(client, qlheadtest.NewServer(t, response).URL); err == nil {
 			t.Errorf("status code %s: got %q and no error, want one", text, got)
 		}
 	}
@@ -120,21 +100,11 @@
 	client := &http.Client{
 		Transport: NewTransport(http.DefaultTransport),
 	}
-	for _, c := range []struct {
-		line    string
-		allowed bool
-	}{
-		{line: "Field-Name: value", allowed: true},
-		{line: "Field-Name:value of words", allowed: true},
-		{line: "Field Name: value"},
-		{line: "Field-Name : value"},
-		{line: "Transfer-Encoding : chunked"},
-		{line: "Content-Length : 1"},
-		{line: "Field\x01Name: value"},
-	} {
-		got, err := get(client, newRawServer(t, responseWith(c.line)).URL)
-		if (err == nil) != c.allowed || c.allowed && got != _body {
-			t.Errorf("%q: got %q, error %v, want it to be allowed: %v", c.line, got, err, c.allowed)
+	const noSpace = "Field-Name:value of words"
+	for _, field := range append(qlheadtest.MalformedFields(), qlheadtest.ValidField, noSpace) {
+		got, err := get(client, qlheadtest.NewServer(t, qlheadtest.ResponseWith(field, _body)).URL)
+		if allowed := field == qlheadtest.ValidField || field == noSpace; (err == nil) != allowed || allowed && got != _body {
+			t.Errorf("%q: got %q, error %v, want it to be allowed: %v", field, got, err, allowed)
 		}
 	}
 }
