Tests of resets: wait for the kernel's state, and not without end

Cause: a fixed wait of 10 ms could end before a reset had arrived, and the tests would then have checked nothing; if an upstream got no connection on a busy machine, they would have waited for it without end. Change: the tests wait for up to 2 s until the connection is in the state that they are about, or for the requests that they have sent. "Look" and "take" in names give way to check and consume.

--- a/internal/qlconn/reset_test.go
+++ b/internal/qlconn/reset_test.go
@@ -8,8 +8,11 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // resettingUpstream sends the head and the first bytes of an answer without a length, and resets
@@ -19,25 +22,21 @@
 	// readsBody is set if the body of a request is read before the answer.
 	readsBody bool
 	reset     chan struct{}
-	// resets counts the connections that are still to be reset.
-	resets sync.WaitGroup
 }
 
 const _firstBytes = "a part of the answer"
 
-func newResettingUpstream(t *testing.T, connections int, readsBody bool) *resettingUpstream {
+func newResettingUpstream(t *testing.T, readsBody bool) *resettingUpstream {
 	t.Helper()
 	u := &resettingUpstream{
 		readsBody: readsBody,
 		reset:     make(chan struct{}),
 	}
-	u.resets.Add(connections)
 	u.fakeUpstream = newFakeUpstream(t, func(conn net.Conn, reader *bufio.Reader, _ int64) { u.serve(conn, reader) })
 	return u
 }
 
 func (u *resettingUpstream) serve(conn net.Conn, reader *bufio.Reader) {
-	defer u.resets.Done()
 	request, err := http.ReadRequest(reader)
 	if err != nil {
 		return
@@ -69,24 +68,55 @@
 	return e
 }
 
-// TestOthersDoNotTakeTheErrorOfAReset guards against a cut answer without a length that looks
-// complete: another request has looked at the connection after its reset and before the next read.
-func TestOthersDoNotTakeTheErrorOfAReset(t *testing.T) {
+// _tcpClose is the kernel's TCP_CLOSE, the state of a connection that was reset.
+const _tcpClose = 7
+
+// awaitReset waits until this end has received the reset of the connection. It asks for the state,
+// since calls that read would get the error.
+func awaitReset(t *testing.T, conn net.Conn) {
+	t.Helper()
+	withDescriptor, ok := conn.(syscall.Conn)
+	if !ok {
+		t.Fatalf("got a connection of type %T, want one with a descriptor", conn)
+	}
+	raw, err := withDescriptor.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		var info *unix.TCPInfo
+		var infoErr error
+		err := raw.Control(func(descriptor uintptr) {
+			info, infoErr = unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
+		})
+		if err != nil || infoErr != nil {
+			t.Fatal(err, infoErr)
+		}
+		if info.State == _tcpClose {
+			return
+		}
+	}
+	t.Fatal("the connection was not reset within 2 s")
+}
+
+// TestChecksDoNotConsumeTheErrorOfAReset guards against a cut answer without a length that looks
+// complete: another request has checked the connection after its reset and before the next read.
+func TestChecksDoNotConsumeTheErrorOfAReset(t *testing.T) {
 	const exchanges = 3
 	loss := func(p *Pool, e *Exchange) { p.Loss(e.conn.address, time.Now()) }
 	for _, c := range []struct {
 		name      string
 		readsBody bool
 		bodyBytes int
-		look      func(p *Pool, e *Exchange)
+		check     func(p *Pool, e *Exchange)
 	}{
-		{name: "Loss", readsBody: true, look: loss},
-		{name: "Loss, long body not read", bodyBytes: 64 << 10, look: loss},
-		{name: "LostAll", readsBody: true, look: func(p *Pool, e *Exchange) { p.LostAll(e.conn.address, time.Now()) }},
-		{name: "ClosedByPeer", readsBody: true, look: func(_ *Pool, e *Exchange) { ClosedByPeer(e.conn.Conn) }},
-		{name: "HasUnreadBytes", readsBody: true, look: func(_ *Pool, e *Exchange) { HasUnreadBytes(e.conn.Conn) }},
+		{name: "Loss", readsBody: true, check: loss},
+		{name: "Loss, long body not read", bodyBytes: 64 << 10, check: loss},
+		{name: "LostAll", readsBody: true, check: func(p *Pool, e *Exchange) { p.LostAll(e.conn.address, time.Now()) }},
+		{name: "ClosedByPeer", readsBody: true, check: func(_ *Pool, e *Exchange) { ClosedByPeer(e.conn.Conn) }},
+		{name: "HasUnreadBytes", readsBody: true, check: func(_ *Pool, e *Exchange) { HasUnreadBytes(e.conn.Conn) }},
 	} {
-		u, p := newResettingUpstream(t, exchanges, c.readsBody), newPool()
+		u, p := newResettingUpstream(t, c.readsBody), newPool()
 		opened := make([]*Exchange, exchanges)
 		for i := range opened {
 			opened[i] = u.open(t, p, c.bodyBytes)
@@ -94,10 +124,11 @@
 			opened[i].conn.openedAt = opened[i].conn.openedAt.Add(-2 * _lossWindow)
 		}
 		close(u.reset)
-		u.resets.Wait()
-		time.Sleep(10 * time.Millisecond)
 		for _, e := range opened {
-			c.look(p, e)
+			awaitReset(t, e.conn.Conn)
+		}
+		for _, e := range opened {
+			c.check(p, e)
 		}
 		for _, e := range opened {
 			if rest, err := io.ReadAll(e.Response().Body); err == nil {
@@ -111,8 +142,8 @@
 // of them at once, while the pool counts the connections that it has lost.
 func TestUploadsResetTogetherAreNotAnswered(t *testing.T) {
 	const uploads = 16
-	u, p := newResettingUpstream(t, uploads, false), newPool()
-	var ended sync.WaitGroup
+	u, p := newResettingUpstream(t, false), newPool()
+	var ended, counted sync.WaitGroup
 	for range uploads {
 		ended.Go(func() {
 			request := u.request("1")
@@ -122,20 +153,20 @@
 			}
 		})
 	}
+	// Loss leaves out younger connections.
 	time.Sleep(_lossWindow + 50*time.Millisecond)
 	counting, stop := context.WithCancel(t.Context())
 	for range 4 {
-		ended.Go(func() {
+		counted.Go(func() {
 			for counting.Err() == nil {
 				p.Loss(u.listener.Addr().String(), time.Now())
 			}
 		})
 	}
 	close(u.reset)
-	u.resets.Wait()
-	time.Sleep(100 * time.Millisecond)
-	stop()
 	ended.Wait()
+	stop()
+	counted.Wait()
 }
 
 // TestClosedByPeer has a peer close or reset a connection, with or without unread bytes.
@@ -167,13 +198,16 @@
 		peer := <-accepted
 		_, _ = io.WriteString(peer, c.unread)
 		c.end(peer)
-		time.Sleep(10 * time.Millisecond)
-		for look := range 2 {
+		hasArrived := func() bool { return ClosedByPeer(conn) == c.closed && HasUnreadBytes(conn) == (c.unread != "") }
+		for end := time.Now().Add(2 * time.Second); !hasArrived() && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		for check := range 2 {
 			if got := ClosedByPeer(conn); got != c.closed {
-				t.Errorf("%s, look %d: closed: got %v, want %v", c.name, look, got, c.closed)
+				t.Errorf("%s, check %d: closed: got %v, want %v", c.name, check, got, c.closed)
 			}
 			if got, want := HasUnreadBytes(conn), c.unread != ""; got != want {
-				t.Errorf("%s, look %d: unread bytes: got %v, want %v", c.name, look, got, want)
+				t.Errorf("%s, check %d: unread bytes: got %v, want %v", c.name, check, got, want)
 			}
 		}
 		_ = conn.Close()
--- a/internal/qlforward/reset_test.go
+++ b/internal/qlforward/reset_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -24,13 +25,12 @@
 		{path: "/find/x", body: "a part of the answer"},
 		{path: "/chat/x", header: promptHeaders(), body: _event1 + _event2},
 	} {
-		var begun sync.WaitGroup
-		begun.Add(requests)
+		var begun atomic.Int64
 		crash := make(chan struct{})
 		u := newFakeUpstream(t, "u1", func(conn net.Conn, request *http.Request) {
 			writeHead(conn, request, "")
 			_, _ = io.WriteString(conn, c.body)
-			begun.Done()
+			begun.Add(1)
 			<-crash
 			if tcp, ok := conn.(*net.TCPConn); ok {
 				_ = tcp.SetLinger(0)
@@ -46,7 +46,12 @@
 				}
 			})
 		}
-		begun.Wait()
+		for end := time.Now().Add(2 * time.Second); begun.Load() < requests && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		if got := begun.Load(); got < requests {
+			t.Errorf("%s: got %d answers begun within 2 s, want %d", c.path, got, requests)
+		}
 		// Connections that are younger when they end are not counted as lost.
 		time.Sleep(150 * time.Millisecond)
 		close(crash)
