Refuse responses with HTTP/1.0 that state a transfer coding

Callers saw: status 200 with the framing of the chunks as a part of the body, when an upstream had answered with HTTP/1.0 and Transfer-Encoding: chunked.

Cause: HTTP/1.0 has no transfer codings. net/http removes the field and takes the bytes up to the end of the connection for the body.

Change: qlhead reads the head of such a response itself before net/http does, and refuses it with the field (RFC 9112, section 6.1: the framing is faulty). Other responses with HTTP/1.0 are read as before, but their connections are not used again.

Why it works: the field is seen before it is removed, on all paths that qlconn reads.

--- a/internal/qlhead/qlhead.go
+++ b/internal/qlhead/qlhead.go
@@ -9,6 +9,8 @@
 //     sends one may have sent anything else in the wrong place.
 //   - It accepts each number of three characters as a status code, also 000, +20 and 600, and
 //     the status code 101 though no request asks for another protocol.
+//   - It removes a Transfer-Encoding from a message with HTTP/1.0, which has no such codings. The
+//     body of a response then holds the framing of its chunks.
 //
 // # Usage
 //
@@ -19,6 +21,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"io"
 	"net/http"
 	"strings"
 
@@ -31,9 +35,18 @@
 	_maxStatusCode = 599
 )
 
-// ReadResponse is as http.ReadResponse. After an error, nothing more can be read from the reader.
+// ReadResponse is as http.ReadResponse, but that the connection of a response with HTTP/1.0 cannot
+// be used again. After an error, nothing more can be read from the reader.
 func ReadResponse(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
-	response, err := http.ReadResponse(reader, request)
+	version, err := reader.Peek(len("HTTP/1.1"))
+	if err != nil {
+		return nil, errors.Trace(unexpected(err))
+	}
+	read := http.ReadResponse
+	if major, minor, ok := http.ParseHTTPVersion(string(version)); ok && (major < 1 || major == 1 && minor < 1) {
+		read = readOldResponse
+	}
+	response, err := read(reader, request)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -43,6 +56,38 @@
 	return response, nil
 }
 
+// readOldResponse reads a response with HTTP/1.0 or older. One with a Transfer-Encoding is malformed: the
+// end of its body is not known (RFC 9112, section 6.1).
+func readOldResponse(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
+	var head bytes.Buffer
+	for isEnd := false; !isEnd; {
+		line, err := reader.ReadBytes('\n')
+		if err != nil {
+			return nil, errors.Trace(unexpected(err))
+		}
+		if name, _, _ := bytes.Cut(line, []byte(":")); strings.EqualFold(string(name), "Transfer-Encoding") {
+			return nil, errors.NotValidf("Transfer-Encoding before HTTP/1.1")
+		}
+		head.Write(line)
+		isEnd = len(bytes.TrimRight(line, "\r\n")) == 0
+	}
+	response, err := http.ReadResponse(bufio.NewReader(io.MultiReader(&head, reader)), request)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	// The new reader may have buffered bytes that follow the body.
+	response.Close = true
+	return response, nil
+}
+
+// unexpected returns the error of a message that ends within its head.
+func unexpected(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
 // ReadRequest is as http.ReadRequest. After an error, nothing more can be read from the reader.
 func ReadRequest(reader *bufio.Reader) (*http.Request, error) {
 	request, err := http.ReadRequest(reader)
--- a/internal/qlhead/qlhead_test.go
+++ b/internal/qlhead/qlhead_test.go
@@ -68,6 +68,40 @@
 	}
 }
 
+// TestOldResponses has responses with HTTP/1.0, which are refused if a transfer coding is stated:
+// their bodies would hold the framing of the chunks.
+func TestOldResponses(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		response string
+		want     string
+	}{
+		{name: "length", response: "HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\n" + _body + "x", want: _body},
+		{name: "no length", response: "HTTP/1.0 200 OK\r\n\r\n" + _body, want: _body},
+		{name: "bare LF", response: "HTTP/1.0 200 OK\nName: value\n\n" + _body, want: _body},
+		{name: "head longer than a buffer", response: "HTTP/1.0 200 OK\r\nName: " + strings.Repeat("v", 9000) + "\r\n\r\n" + _body, want: _body},
+		{name: "in chunks", response: "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
+		{name: "in chunks, lower case", response: "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
+		{name: "in chunks, with a length", response: "HTTP/1.0 200 OK\r\nContent-Length: 12\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
+		{name: "in chunks, older version", response: "HTTP/0.9 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
+		{name: "cut in the head", response: "HTTP/1.0 200 OK\r\nName: va"},
+		{name: "cut in the version", response: "HTTP/1"},
+	} {
+		got, err := readResponse(c.response)
+		if (err == nil) != (c.want != "") || got != c.want {
+			t.Errorf("%s: got %q, error %v, want %q", c.name, got, err, c.want)
+		}
+	}
+}
+
+// TestConnectionOfAnOldResponseIsNotReused has a response with HTTP/1.0 ask to keep its connection.
+func TestConnectionOfAnOldResponseIsNotReused(t *testing.T) {
+	response, err := ReadResponse(bufio.NewReader(strings.NewReader("HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 2\r\n\r\nok")), nil)
+	if err != nil || !response.Close {
+		t.Errorf("got %+v, %v, want the connection to be closed after it", response, err)
+	}
+}
+
 // TestStatusCodes has each text of three characters that net/http accepts as a number.
 func TestStatusCodes(t *testing.T) {
 	for code := range 1000 {
