Refuse responses with spaces in the names of trailers

Callers saw: status 200 and a body that looked complete, though a malformed line followed its last chunk. A control byte there got 502.

Cause: qlhead checked the names of a head only; net/http keeps names with spaces in trailers, too.

Change: the end of a body in chunks is an error if one of its trailers has such a name, as for other malformed ends. An answer in one piece gets 502, a stream that has begun is cut.

Why it works: net/http sets the trailers before it reports the end of the body, and all bodies are read to their end before they count as complete.

Evidence: TestMalformedTrailers (reader and client, four names each) and TestResponseWithMalformedTrailerIsNotComplete (all four kinds of routes) failed before and pass now.

--- a/internal/qlforward/malformed_test.go
+++ b/internal/qlforward/malformed_test.go
@@ -11,9 +11,8 @@
 // _soundResponse follows malformed heads: no byte after them may be taken for a response.
 const _soundResponse = "HTTP/1.1 200 OK\r\nId: i1\r\nSignature: s\r\nContent-Length: 5\r\n\r\nsound"
 
-// checkIsNotForwarded sends a request on each kind of route to an upstream that sends the bytes.
-// Callers get 502, since the request may have run.
-func checkIsNotForwarded(t *testing.T, name, response string) {
+// sendOnEachRoute sends a request on each kind of route to an upstream that sends the bytes.
+func sendOnEachRoute(t *testing.T, response string, check func(path string, got result)) {
 	t.Helper()
 	for _, c := range []struct {
 		path   string
@@ -25,11 +24,19 @@
 		{path: "/resume/x", header: promptHeaders()},
 	} {
 		u := newFakeUpstream(t, "u1", func(conn net.Conn, _ *http.Request) { _, _ = io.WriteString(conn, response) })
-		got := newHarness(t, u).send(t, http.MethodPost, c.path, c.header, "")
+		check(c.path, newHarness(t, u).send(t, http.MethodPost, c.path, c.header, ""))
+	}
+}
+
+// checkIsNotForwarded checks that callers get 502 if an upstream sends the bytes, since the request
+// may have run.
+func checkIsNotForwarded(t *testing.T, name, response string) {
+	t.Helper()
+	sendOnEachRoute(t, response, func(path string, got result) {
 		if got.status != http.StatusBadGateway || got.err != nil || got.header.Get("Signature") != "" {
-			t.Errorf("%s, %s: got status %d, body %q, error %v, want 502", name, c.path, got.status, got.body, got.err)
+			t.Errorf("%s, %s: got status %d, body %q, error %v, want 502", name, path, got.status, got.body, got.err)
 		}
-	}
+	})
 }
 
 func TestResponseWithMalformedFieldIsNotForwarded(t *testing.T) {
@@ -76,6 +83,17 @@
 	}
 }
 
+// TestResponseWithMalformedTrailerIsNotComplete has a malformed field follow the last chunk.
+func TestResponseWithMalformedTrailerIsNotComplete(t *testing.T) {
+	response := "HTTP/1.1 200 OK\r\nId: i1\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(_event1) + "0\r\nX Y: z\r\n\r\n"
+	sendOnEachRoute(t, response, func(path string, got result) {
+		// A stream has begun by then.
+		if got.status == http.StatusOK && got.err == nil {
+			t.Errorf("%s: got the whole answer %q, want none", path, got.body)
+		}
+	})
+}
+
 // TestOldResponseInChunksIsNotForwarded has an upstream answer with HTTP/1.0 in chunks. That
 // version has none, so that the end of the body is not known (RFC 9112, section 6.1).
 func TestOldResponseInChunksIsNotForwarded(t *testing.T) {
--- a/internal/qlhead/qlhead.go
+++ b/internal/qlhead/qlhead.go
@@ -3,10 +3,10 @@
 //
 // net/http is more lenient, except in its server:
 //
-//   - It accepts field names that contain spaces, and does not know these fields: the body of a
-//     response with "Transfer-Encoding : chunked" then holds the framing of its chunks, too. A
-//     proxy may remove a space before the colon (RFC 9112, section 5.1), but an upstream that
-//     sends one may have sent anything else in the wrong place.
+//   - It accepts names of fields and trailers that contain spaces, and does not know these fields:
+//     the body of a response with "Transfer-Encoding : chunked" then holds the framing of its
+//     chunks, too. A proxy may remove a space before the colon (RFC 9112, section 5.1), but an
+//     upstream that sends one may have sent anything else in the wrong place.
 //   - It accepts each number of three characters as a status code, also 000, +20 and 600, and
 //     the status code 101 though no request asks for another protocol.
 //   - It removes a Transfer-Encoding from a message with HTTP/1.0, which has no such codings. The
@@ -53,6 +53,7 @@
 	if err := checkResponse(response); err != nil {
 		return nil, errors.Trace(err)
 	}
+	checkTrailers(response)
 	return response, nil
 }
 
@@ -123,6 +124,7 @@
 		_ = response.Body.Close()
 		return nil, errors.Trace(err)
 	}
+	checkTrailers(response)
 	return response, nil
 }
 
@@ -136,6 +138,35 @@
 	return checkFieldNames(response.Header)
 }
 
+// checkTrailers has the end of the body of a response be an error if its trailers are malformed.
+func checkTrailers(response *http.Response) {
+	if len(response.TransferEncoding) > 0 {
+		response.Body = &bodyBeforeTrailers{
+			ReadCloser: response.Body,
+			response:   response,
+		}
+	}
+}
+
+// bodyBeforeTrailers is a body in chunks, which trailers may follow.
+type bodyBeforeTrailers struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read implements io.Reader.
+func (b *bodyBeforeTrailers) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	// net/http has set the trailers before it reports the end.
+	if err := checkFieldNames(b.response.Trailer); err != nil {
+		return n, errors.Annotate(err, "trailer")
+	}
+	return n, io.EOF
+}
+
 // checkFieldNames returns an error if a name contains a space. net/http refuses all other bytes
 // that names may not contain.
 func checkFieldNames(header http.Header) error {
--- a/internal/qlhead/qlhead_test.go
+++ b/internal/qlhead/qlhead_test.go
@@ -94,6 +94,23 @@
 	}
 }
 
+// TestMalformedTrailers has malformed fields after the last chunk. The body must not look complete.
+func TestMalformedTrailers(t *testing.T) {
+	client := &http.Client{
+		Transport: NewTransport(http.DefaultTransport),
+	}
+	for _, field := range append(qlheadtest.MalformedFields(), qlheadtest.ValidField) {
+		response := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" + field + "\r\n\r\n"
+		want := field == qlheadtest.ValidField
+		if got, err := readResponse(response); (err == nil) != want || got != _body {
+			t.Errorf("%q: got %q, error %v, want it to be allowed: %v", field, got, err, want)
+		}
+		if got, err := get(client, qlheadtest.NewServer(t, response).URL); (err == nil) != want || got != _body {
+			t.Errorf("%q: client got %q, error %v, want it to be allowed: %v", field, got, err, want)
+		}
+	}
+}
+
 // TestConnectionOfAnOldResponseIsNotReused has a response with HTTP/1.0 ask to keep its connection.
 func TestConnectionOfAnOldResponseIsNotReused(t *testing.T) {
 	response, err := ReadResponse(bufio.NewReader(strings.NewReader("HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 2\r\n\r\nok")), nil)
