Refuse informational responses with spaces in field names in all clients

Seen: the clients of net/http (qlupstream, the store, qlplatform) skipped a 103 with a space in the name of a field and took the response after it. qlconn refuses it, since its upstream may have sent anything else in the wrong place. Nothing of the 103 was passed on.

Cause: these clients read informational responses themselves, before qlhead's transport sees anything.

Change: the transport checks them by httptrace; its error ends the request.

Evidence: TestMalformedInformationalResponses failed before for all four names with spaces and passes now.

--- a/internal/qlhead/qlhead.go
+++ b/internal/qlhead/qlhead.go
@@ -24,6 +24,8 @@
 	"bytes"
 	"io"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
 	"strings"
 
 	"github.com/juju/errors"
@@ -114,9 +116,13 @@
 	}
 }
 
-// RoundTrip implements http.RoundTripper.
+// RoundTrip implements http.RoundTripper. The base must support httptrace, so that informational
+// responses are checked, too.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	response, err := t.base.RoundTrip(request)
+	trace := &httptrace.ClientTrace{
+		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error { return checkFieldNames(http.Header(header)) },
+	}
+	response, err := t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/qlhead/qlhead_test.go
+++ b/internal/qlhead/qlhead_test.go
@@ -111,6 +111,20 @@
 	}
 }
 
+// TestMalformedInformationalResponses has malformed fields in a response that a client skips.
+func TestMalformedInformationalResponses(t *testing.T) {
+	client := &http.Client{
+		Transport: NewTransport(http.DefaultTransport),
+	}
+	for _, field := range append(qlheadtest.MalformedFields(), qlheadtest.ValidField) {
+		response := "HTTP/1.1 103 Early Hints\r\n" + field + "\r\n\r\n" + qlheadtest.ResponseWith("Name: value", _body)
+		want := field == qlheadtest.ValidField
+		if got, err := get(client, qlheadtest.NewServer(t, response).URL); (err == nil) != want || want && got != _body {
+			t.Errorf("%q: got %q, error %v, want it to be allowed: %v", field, got, err, want)
+		}
+	}
+}
+
 // TestConnectionOfAnOldResponseIsNotReused has a response with HTTP/1.0 ask to keep its connection.
 func TestConnectionOfAnOldResponseIsNotReused(t *testing.T) {
 	response, err := ReadResponse(bufio.NewReader(strings.NewReader("HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 2\r\n\r\nok")), nil)
