State the length of answers at the router's own interface

Callers could see: a part of an answer as the complete one, if they use HTTP/1.0 and the connection ends while it is written: after 30 s without reading, or with the process. Found by reading, on the paths related to the incident; not seen in a run.

Cause: writeAnswer left the framing to the server of net/http, which adds a length to short bodies only. A longer one ends with its connection for callers with HTTP/1.0.

Change: the length is stated.

Why it works: the body is held as a whole before its head is written. Streams have an end event, and errors are short.

Evidence: TestAnswerToOldCallerStatesItsLength failed before (no length) and passes now.

--- a/internal/qlrouter/serve.go
+++ b/internal/qlrouter/serve.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -246,6 +247,10 @@
 	if kind := answer.Header().Get("Content-Type"); kind != "" {
 		w.Header().Set("Content-Type", kind)
 	}
+	if size := len(answer.Body()); size > 0 {
+		// A caller with HTTP/1.0 sees by it whether the body is complete.
+		w.Header().Set("Content-Length", strconv.Itoa(size))
+	}
 	w.WriteHeader(answer.Status())
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(_writeTimeout))
 	_, _ = w.Write(answer.Body())
