Test a router process before an upstream that sends broken answers

The tests of resets call the packages in one process. This one has a router process with 16 requests at a time on each kind of route: long uploads that are answered early without a length and reset, and answers with status 000.

--- /dev/null
+++ b/internal/qledge/broken_test.go
@@ -0,0 +1,143 @@
+package qledge
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// _faultHeader asks an upstream for a broken answer.
+const _faultHeader = "Fault"
+
+const (
+	// _resetFault is an answer without a length that is sent before the request was read, and cut
+	// by a reset.
+	_resetFault = "reset"
+	// _statusFault is an answer with an invalid status.
+	_statusFault = "status"
+)
+
+const (
+	// _brokenBody is a part of a stream's events, and of an answer in one piece.
+	_brokenBody = "id: 0\ndata: x\n\n"
+	// _resetDelay is above the time for which connections have to be open to count as lost.
+	_resetDelay = 120 * time.Millisecond
+	// _longUpload is more than the sockets of a connection hold.
+	_longUpload = 3 << 20
+)
+
+// faultyUpstream sends broken answers to requests that ask for them.
+type faultyUpstream struct {
+	*workingUpstream
+	// together is how many connections are reset at once, whether all of them have come or not.
+	together int64
+	broken   atomic.Int64
+}
+
+func newFaultyUpstream(t *testing.T, together int64) (u *faultyUpstream, address string) {
+	t.Helper()
+	u = &faultyUpstream{
+		workingUpstream: &workingUpstream{
+			begun: make(map[string]int),
+		},
+		together: together,
+	}
+	server := httptest.NewServer(u)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return u, strings.TrimPrefix(server.URL, "http://")
+}
+
+// ServeHTTP implements http.Handler.
+func (u *faultyUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	fault := r.Header.Get(_faultHeader)
+	if fault == "" {
+		u.workingUpstream.ServeHTTP(w, r)
+		return
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	group := (u.broken.Add(1) + u.together - 1) / u.together
+	status := "200"
+	if fault == _statusFault {
+		status = "000"
+	}
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s OK\r\n%s: %s\r\n%s: s\r\nContent-Type: text/event-stream\r\n\r\n%s",
+		status, _idHeader, r.Header.Get(_idHeader), _signatureHeader, _brokenBody)
+	if tcp, ok := conn.(*net.TCPConn); ok && fault == _resetFault {
+		for end := time.Now().Add(time.Second); u.broken.Load() < group*u.together && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(_resetDelay)
+		_ = tcp.SetLinger(0)
+	}
+}
+
+// askForFault sends a request for a broken answer, with a body of the size, and returns what came.
+func askForFault(address, path, fault string, number, bodyBytes int) routerAnswer {
+	c, err := dialRouter(address)
+	if err != nil {
+		return routerAnswer{err: err}
+	}
+	defer func() { _ = c.conn.Close() }()
+	head, _, _ := strings.Cut(routerRequest(path, fmt.Sprintf("%s-%d", fault, number), 0), "Content-Length")
+	head += fmt.Sprintf("%s: %s\r\nContent-Length: %d\r\n\r\n", _faultHeader, fault, bodyBytes)
+	if _, err := io.WriteString(c.conn, head+strings.Repeat("x", bodyBytes)); err != nil {
+		return routerAnswer{err: err}
+	}
+	return c.read()
+}
+
+// TestBrokenAnswersAreNotForwarded guards against broken answers that callers get as answers. A
+// router process has many requests at a time, and their upstream answers long uploads early,
+// without a length, and resets the connections, or sends the status 000.
+func TestBrokenAnswersAreNotForwarded(t *testing.T) {
+	const (
+		rounds  = 2
+		callers = 16
+	)
+	u, address := newFaultyUpstream(t, callers)
+	p := startProcess(t, stopSettings(t), address)
+	for _, c := range []struct {
+		fault     string
+		bodyBytes int
+		isRight   func(answer routerAnswer) bool
+	}{
+		{fault: _resetFault, bodyBytes: _longUpload, isRight: func(answer routerAnswer) bool { return answer.status != http.StatusOK || !answer.whole }},
+		{fault: _statusFault, bodyBytes: 100, isRight: func(answer routerAnswer) bool { return answer.status == http.StatusBadGateway }},
+	} {
+		for _, path := range []string{_lookupPath, _orderPath, _streamPath} {
+			before := u.broken.Load()
+			var wrong atomic.Int64
+			for round := range rounds {
+				var ended sync.WaitGroup
+				for caller := range callers {
+					ended.Go(func() {
+						if !c.isRight(askForFault(p.callers, path, c.fault, round*callers+caller, c.bodyBytes)) {
+							wrong.Add(1)
+						}
+					})
+				}
+				ended.Wait()
+			}
+			if got := u.broken.Load() - before; got < rounds*callers/2 {
+				t.Errorf("%s, %s: got %d broken answers from the upstream, want at least half of %d", path, c.fault, got, rounds*callers)
+			}
+			if got := wrong.Load(); got > 0 {
+				t.Errorf("%s, %s: got %d of %d broken answers as answers, want none", path, c.fault, got, rounds*callers)
+			}
+		}
+	}
+}
