--- a/internal/qledge/broken_test.go
+++ b/internal/qledge/broken_test.go
@@ -100,44 +100,57 @@
 	return c.read()
 }
 
+// brokenAnswerCase is a kind of broken answer.
+type brokenAnswerCase struct {
+	fault     string
+	bodyBytes int
+	// isRight reports whether a caller got what it may get.
+	isRight func(answer routerAnswer) bool
+}
+
+const (
+	_brokenAnswerRounds  = 2
+	_brokenAnswerCallers = 16
+)
+
 // TestBrokenAnswersAreNotForwarded guards against broken answers that callers get as answers. A
 // router process has many requests at a time, and their upstream answers long uploads early,
 // without a length, and resets the connections, or sends the status 000.
 func TestBrokenAnswersAreNotForwarded(t *testing.T) {
-	const (
-		rounds  = 2
-		callers = 16
-	)
-	u, address := newFaultyUpstream(t, callers)
+	u, address := newFaultyUpstream(t, _brokenAnswerCallers)
 	p := startProcess(t, stopSettings(t), address)
-	for _, c := range []struct {
-		fault     string
-		bodyBytes int
-		isRight   func(answer routerAnswer) bool
-	}{
+	for _, c := range []brokenAnswerCase{
 		{fault: _resetFault, bodyBytes: _longUpload, isRight: func(answer routerAnswer) bool { return answer.status != http.StatusOK || !answer.whole }},
 		{fault: _statusFault, bodyBytes: 100, isRight: func(answer routerAnswer) bool { return answer.status == http.StatusBadGateway }},
 	} {
 		for _, path := range []string{_lookupPath, _orderPath, _streamPath} {
-			before := u.broken.Load()
-			var wrong atomic.Int64
-			for round := range rounds {
-				var ended sync.WaitGroup
-				for caller := range callers {
-					ended.Go(func() {
-						if !c.isRight(askForFault(p.callers, path, c.fault, round*callers+caller, c.bodyBytes)) {
-							wrong.Add(1)
-						}
-					})
+			c.check(t, u, p.callers, path)
+		}
+	}
+}
+
+// check sends requests to the router at the address.
+func (c *brokenAnswerCase) check(t *testing.T, u *faultyUpstream, address, path string) {
+	t.Helper()
+	const requests = _brokenAnswerRounds * _brokenAnswerCallers
+	before := u.broken.Load()
+	var wrong atomic.Int64
+	for round := range _brokenAnswerRounds {
+		var ended sync.WaitGroup
+		for caller := range _brokenAnswerCallers {
+			ended.Go(func() {
+				answer := askForFault(address, path, c.fault, round*_brokenAnswerCallers+caller, c.bodyBytes)
+				if !c.isRight(answer) {
+					wrong.Add(1)
 				}
-				ended.Wait()
-			}
-			if got := u.broken.Load() - before; got < rounds*callers/2 {
-				t.Errorf("%s, %s: got %d broken answers from the upstream, want at least half of %d", path, c.fault, got, rounds*callers)
-			}
-			if got := wrong.Load(); got > 0 {
-				t.Errorf("%s, %s: got %d of %d broken answers as answers, want none", path, c.fault, got, rounds*callers)
-			}
+			})
 		}
+		ended.Wait()
+	}
+	if got := u.broken.Load() - before; got < requests/2 {
+		t.Errorf("%s, %s: got %d broken answers from the upstream, want at least half of %d", path, c.fault, got, requests)
+	}
+	if got := wrong.Load(); got > 0 {
+		t.Errorf("%s, %s: got %d of %d broken answers as answers, want none", path, c.fault, got, requests)
 	}
 }
