--- a/internal/qledge/broken_test.go
+++ b/internal/qledge/broken_test.go
@@ -27,7 +27,7 @@
 const (
 	// _brokenBody is a part of a stream's events, and of an answer in one piece.
 	_brokenBody = "id: 0\ndata: x\n\n"
-	// _resetDelay is above the time for which connections have to be open to count as lost.
+	// _resetDelay is above the age from which connections that end count as lost.
 	_resetDelay = 120 * time.Millisecond
 	// _longUpload is more than the sockets of a connection hold.
 	_longUpload = 3 << 20
@@ -36,9 +36,10 @@
 // faultyUpstream sends broken answers to requests that ask for them.
 type faultyUpstream struct {
 	*workingUpstream
-	// together is how many connections are reset at once, whether all of them have come or not.
+	// together is how many connections are reset at once. If fewer come, these are reset after 1 s.
 	together int64
-	broken   atomic.Int64
+	// broken counts the broken answers.
+	broken atomic.Int64
 }
 
 func newFaultyUpstream(t *testing.T, together int64) (u *faultyUpstream, address string) {
@@ -69,7 +70,7 @@
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	group := (u.broken.Add(1) + u.together - 1) / u.together
+	number := u.broken.Add(1)
 	status := "200"
 	if fault == _statusFault {
 		status = "000"
@@ -77,7 +78,8 @@
 	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s OK\r\n%s: %s\r\n%s: s\r\nContent-Type: text/event-stream\r\n\r\n%s",
 		status, _idHeader, r.Header.Get(_idHeader), _signatureHeader, _brokenBody)
 	if tcp, ok := conn.(*net.TCPConn); ok && fault == _resetFault {
-		for end := time.Now().Add(time.Second); u.broken.Load() < group*u.together && time.Now().Before(end); {
+		allCame := (number + u.together - 1) / u.together * u.together
+		for end := time.Now().Add(time.Second); u.broken.Load() < allCame && time.Now().Before(end); {
 			time.Sleep(time.Millisecond)
 		}
 		time.Sleep(_resetDelay)
@@ -120,7 +122,9 @@
 	u, address := newFaultyUpstream(t, _brokenAnswerCallers)
 	p := startProcess(t, stopSettings(t), address)
 	for _, c := range []brokenAnswerCase{
-		{fault: _resetFault, bodyBytes: _longUpload, isRight: func(answer routerAnswer) bool { return answer.status != http.StatusOK || !answer.whole }},
+		{fault: _resetFault, bodyBytes: _longUpload, isRight: func(answer routerAnswer) bool {
+			return answer.status != http.StatusOK || !answer.whole
+		}},
 		{fault: _statusFault, bodyBytes: 100, isRight: func(answer routerAnswer) bool {
 			// The customer's share may be used up, so that the router refuses some with 429.
 			return answer.status >= http.StatusBadRequest && answer.whole && !strings.Contains(answer.body, _brokenBody)
--- a/internal/qlhead/qlhead.go
+++ b/internal/qlhead/qlhead.go
@@ -55,12 +55,12 @@
 	if err := checkResponse(response); err != nil {
 		return nil, errors.Trace(err)
 	}
-	checkTrailers(response)
+	checkTrailersAtEnd(response)
 	return response, nil
 }
 
-// readOldResponse reads a response with HTTP/1.0 or older. One with a Transfer-Encoding is malformed: the
-// end of its body is not known (RFC 9112, section 6.1).
+// readOldResponse reads a response with HTTP/1.0 or older. One with a Transfer-Encoding is
+// malformed: the end of its body is not known (RFC 9112, section 6.1).
 func readOldResponse(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
 	var head bytes.Buffer
 	for isEnd := false; !isEnd; {
@@ -130,7 +130,7 @@
 		_ = response.Body.Close()
 		return nil, errors.Trace(err)
 	}
-	checkTrailers(response)
+	checkTrailersAtEnd(response)
 	return response, nil
 }
 
@@ -144,8 +144,8 @@
 	return checkFieldNames(response.Header)
 }
 
-// checkTrailers has the end of the body of a response be an error if its trailers are malformed.
-func checkTrailers(response *http.Response) {
+// checkTrailersAtEnd makes the end of the body of a response an error if its trailers are malformed.
+func checkTrailersAtEnd(response *http.Response) {
 	if len(response.TransferEncoding) > 0 {
 		response.Body = &bodyBeforeTrailers{
 			ReadCloser: response.Body,
