Tests of malformed heads: the server states that it closes connections

Cause: the test's server closes each connection after its answer without saying so, and net/http's client sent the order on the connection of the request before; it doesn't repeat a POST that may have run. The answers now state Connection: close.

--- a/internal/qlheadtest/qlheadtest.go
+++ b/internal/qlheadtest/qlheadtest.go
@@ -29,9 +29,10 @@
 	}
 }
 
-// ResponseWith returns a response with status 200, the line in its head, and the body.
+// ResponseWith returns a response with status 200, the line in its head, and the body. It states that
+// its connection is closed, so that no client sends another request on it.
 func ResponseWith(line, body string) string {
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\nDate: now\r\n%s\r\nContent-Length: %d\r\n\r\n%s", line, len(body), body)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nConnection: close\r\n%s\r\nContent-Length: %d\r\n\r\n%s", line, len(body), body)
 }
 
 // NewServer starts a server that answers each request with the bytes and closes the connection.
