Test of broken answers: send again what the router refuses for a used share

Such requests are now sent again for up to 5 s; the bound on how many must reach the upstream stays.

--- a/internal/qledge/broken_test.go
+++ b/internal/qledge/broken_test.go
@@ -126,7 +126,6 @@
 			return answer.status != http.StatusOK || !answer.whole
 		}},
 		{fault: _statusFault, bodyBytes: 100, isRight: func(answer routerAnswer) bool {
-			// The customer's share may be used up, so that the router refuses some with 429.
 			return answer.status >= http.StatusBadRequest && answer.whole && !strings.Contains(answer.body, _brokenBody)
 		}},
 	} {
@@ -146,7 +145,14 @@
 		var ended sync.WaitGroup
 		for caller := range _brokenAnswerCallers {
 			ended.Go(func() {
-				answer := askForFault(address, path, c.fault, round*_brokenAnswerCallers+caller, c.bodyBytes)
+				var answer routerAnswer
+				for end := time.Now().Add(5 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+					answer = askForFault(address, path, c.fault, round*_brokenAnswerCallers+caller, c.bodyBytes)
+					// The customer's share may be used up.
+					if answer.status != http.StatusTooManyRequests || time.Now().After(end) {
+						break
+					}
+				}
 				if !c.isRight(answer) {
 					wrong.Add(1)
 				}
