Refuse responses with HTTP/1.0 and a transfer coding in clients of net/http

Callers saw: at the router's own interface, status 200 with the framing of the chunks as a part of the body, when an upstream had answered with HTTP/1.0, a Content-Length and Transfer-Encoding: chunked. qlconn, which reads replicas' answers at the edge, has refused them since.

Cause: HTTP/1.0 has no transfer codings. net/http's client removes the field before qlhead's transport sees the head.

Change: the connections that qlhead's transport dials look at the bytes of each head and end Read with an error at such a field. A transport has connections of its own therefore; clients without settings share one, DefaultTransport. Connections with TLS, which no client here uses, can't be read this way.

Why it works: httptrace tells the connection when it is chosen for a request, so that it knows where the next head begins; net/http fails the request with the error of Read, before it returns a response. Bodies aren't looked at.

Ruled out: refusing all responses with HTTP/1.0, which is what simple upstreams speak.

Evidence: TestOldResponseInChunksIsNoAnswer (qlupstream, both kinds of connections) and four cases of TestOldResponses with a client failed before (status 200, body "2 ok 0" with its framing) and pass.

--- a/cmd/qlsoak/router.go
+++ b/cmd/qlsoak/router.go
@@ -176,7 +176,7 @@
 // ends. Two failed polls in a row take the router out of rotation.
 func (n *router) pollReady(ctx context.Context) {
 	client := &http.Client{
-		Transport: qlhead.NewTransport(http.DefaultTransport),
+		Transport: qlhead.DefaultTransport(),
 		Timeout:   _readyPollInterval,
 	}
 	failures := 0
--- a/cmd/quetzallane/main.go
+++ b/cmd/quetzallane/main.go
@@ -158,7 +158,7 @@
 		Args:  cobra.ExactArgs(1),
 		RunE: func(command *cobra.Command, args []string) error {
 			client := &http.Client{
-				Transport: qlhead.NewTransport(http.DefaultTransport),
+				Transport: qlhead.DefaultTransport(),
 				Timeout:   _stateTimeout,
 			}
 			response, err := client.Get("http://" + args[0] + "/debug/state")
--- a/internal/qldemo/qldemo.go
+++ b/internal/qldemo/qldemo.go
@@ -75,7 +75,7 @@
 		plan: plan,
 		out:  out,
 		http: &http.Client{
-			Transport: qlhead.NewTransport(http.DefaultTransport),
+			Transport: qlhead.DefaultTransport(),
 			Timeout:   _callTimeout,
 		},
 	}
--- a/internal/qlhead/qlhead.go
+++ b/internal/qlhead/qlhead.go
@@ -16,7 +16,7 @@
 //
 //	response, err := qlhead.ReadResponse(reader, request)
 //
-//	client := &http.Client{Transport: qlhead.NewTransport(http.DefaultTransport)}
+//	client := &http.Client{Transport: qlhead.DefaultTransport()}
 package qlhead
 
 import (
@@ -27,6 +27,7 @@
 	"net/http/httptrace"
 	"net/textproto"
 	"strings"
+	"sync"
 
 	"github.com/juju/errors"
 )
@@ -45,7 +46,7 @@
 		return nil, errors.Trace(unexpected(err))
 	}
 	read := http.ReadResponse
-	if major, minor, ok := http.ParseHTTPVersion(string(version)); ok && (major < 1 || major == 1 && minor < 1) {
+	if isOldVersion(version) {
 		read = readOldResponse
 	}
 	response, err := read(reader, request)
@@ -62,19 +63,19 @@
 // readOldResponse reads a response with HTTP/1.0 or older. One with a Transfer-Encoding is
 // malformed: the end of its body is not known (RFC 9112, section 6.1).
 func readOldResponse(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
-	var head bytes.Buffer
+	var text bytes.Buffer
 	for isEnd := false; !isEnd; {
 		line, err := reader.ReadBytes('\n')
 		if err != nil {
 			return nil, errors.Trace(unexpected(err))
 		}
-		if name, _, _ := bytes.Cut(line, []byte(":")); strings.EqualFold(string(name), "Transfer-Encoding") {
-			return nil, errors.NotValidf("Transfer-Encoding before HTTP/1.1")
+		if isTransferEncoding(line) {
+			return nil, errors.Trace(errOldCoding)
 		}
-		head.Write(line)
-		isEnd = len(bytes.TrimRight(line, "\r\n")) == 0
+		text.Write(line)
+		isEnd = isEndOfHead(line)
 	}
-	response, err := http.ReadResponse(bufio.NewReader(io.MultiReader(&head, reader)), request)
+	response, err := http.ReadResponse(bufio.NewReader(io.MultiReader(&text, reader)), request)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -104,22 +105,38 @@
 }
 
 // Transport is an http.RoundTripper that returns an error in place of a response with a malformed
-// head.
+// head. Behind TLS, it accepts a Transfer-Encoding in a response with HTTP/1.0.
 type Transport struct {
-	base http.RoundTripper
+	base *http.Transport
 }
 
-// NewTransport returns a transport that sends requests with the base.
-func NewTransport(base http.RoundTripper) *Transport {
-	return &Transport{
-		base: base,
+// NewTransport returns a transport with the settings of the base and connections of its own.
+func NewTransport(base *http.Transport) *Transport {
+	t := &Transport{
+		base: base.Clone(),
 	}
+	t.base.DialContext = dialer(base)
+	return t
 }
 
-// RoundTrip implements http.RoundTripper. The base must support httptrace, so that informational
-// responses are checked, too.
+var _defaultTransport = sync.OnceValue(func() *Transport {
+	base, ok := http.DefaultTransport.(*http.Transport)
+	if !ok {
+		base = &http.Transport{}
+	}
+	return NewTransport(base)
+})
+
+// DefaultTransport returns the transport with the settings of http.DefaultTransport. Like that, it
+// is the same for all callers.
+func DefaultTransport() *Transport {
+	return _defaultTransport()
+}
+
+// RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	trace := &httptrace.ClientTrace{
+		GotConn:        expectHead,
 		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error { return checkFieldNames(http.Header(header)) },
 	}
 	response, err := t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
--- a/internal/qlhead/qlhead_test.go
+++ b/internal/qlhead/qlhead_test.go
@@ -71,6 +71,9 @@
 // TestOldResponses has responses with HTTP/1.0, which are refused if a transfer coding is stated:
 // their bodies would hold the framing of the chunks.
 func TestOldResponses(t *testing.T) {
+	client := &http.Client{
+		Transport: DefaultTransport(),
+	}
 	for _, c := range []struct {
 		name     string
 		response string
@@ -84,6 +87,8 @@
 		{name: "in chunks, lower case", response: "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
 		{name: "in chunks, with a length", response: "HTTP/1.0 200 OK\r\nContent-Length: 12\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
 		{name: "in chunks, older version", response: "HTTP/0.9 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
+		{name: "the field in the body", response: "HTTP/1.0 200 OK\r\n\r\nTransfer-Encoding: chunked\r\n", want: "Transfer-Encoding: chunked\r\n"},
+		{name: "a longer name", response: "HTTP/1.0 200 OK\r\nTransfer-Encoding-Name: chunked\r\n\r\n" + _body, want: _body},
 		{name: "cut in the head", response: "HTTP/1.0 200 OK\r\nName: va"},
 		{name: "cut in the version", response: "HTTP/1"},
 	} {
@@ -91,13 +96,17 @@
 		if (err == nil) != (c.want != "") || got != c.want {
 			t.Errorf("%s: got %q, error %v, want %q", c.name, got, err, c.want)
 		}
+		got, err = get(client, qlheadtest.NewServer(t, c.response).URL)
+		if (err == nil) != (c.want != "") || got != c.want {
+			t.Errorf("%s: client got %q, error %v, want %q", c.name, got, err, c.want)
+		}
 	}
 }
 
 // TestMalformedTrailers has malformed fields after the last chunk. The body must not look complete.
 func TestMalformedTrailers(t *testing.T) {
 	client := &http.Client{
-		Transport: NewTransport(http.DefaultTransport),
+		Transport: DefaultTransport(),
 	}
 	for _, field := range append(qlheadtest.MalformedFields(), qlheadtest.ValidField) {
 		response := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" + field + "\r\n\r\n"
@@ -114,7 +123,7 @@
 // TestMalformedInformationalResponses has malformed fields in a response that a client skips.
 func TestMalformedInformationalResponses(t *testing.T) {
 	client := &http.Client{
-		Transport: NewTransport(http.DefaultTransport),
+		Transport: DefaultTransport(),
 	}
 	for _, field := range append(qlheadtest.MalformedFields(), qlheadtest.ValidField) {
 		response := "HTTP/1.1 103 Early Hints\r\n" + field + "\r\n\r\n" + qlheadtest.ResponseWith("Name: value", _body)
@@ -151,7 +160,7 @@
 
 func TestTransportRefusesStatusCodes(t *testing.T) {
 	client := &http.Client{
-		Transport: NewTransport(http.DefaultTransport),
+		Transport: DefaultTransport(),
 	}
 	for _, text := range []string{"000", "099", "+20", "0200", "101", "600", "999"} {
 		response := "HTTP/1.1 " + text + " OK\r\nContent-Length: 2\r\n\r\n" + _body
@@ -163,7 +172,7 @@
 
 func TestTransportRefusesMalformedHeads(t *testing.T) {
 	client := &http.Client{
-		Transport: NewTransport(http.DefaultTransport),
+		Transport: DefaultTransport(),
 	}
 	const noSpace = "Field-Name:value of words"
 	for _, field := range append(qlheadtest.MalformedFields(), qlheadtest.ValidField, noSpace) {
--- a/internal/qlplatform/qlplatform.go
+++ b/internal/qlplatform/qlplatform.go
@@ -124,7 +124,7 @@
 	return &Client{
 		config: config,
 		http: &http.Client{
-			Transport: qlhead.NewTransport(http.DefaultTransport),
+			Transport: qlhead.DefaultTransport(),
 		},
 	}
 }
--- a/internal/qlrouter/load.go
+++ b/internal/qlrouter/load.go
@@ -20,7 +20,7 @@
 
 // _upstreamClient calls upstreams for the router itself; callers' requests are sent by qlupstream.
 var _upstreamClient = &http.Client{
-	Transport: qlhead.NewTransport(http.DefaultTransport),
+	Transport: qlhead.DefaultTransport(),
 }
 
 // updateLoadPolls starts a poll of the load for each upstream that this router
--- a/internal/qlupstream/malformed_test.go
+++ b/internal/qlupstream/malformed_test.go
@@ -55,3 +55,17 @@
 		}
 	}
 }
+
+// TestOldResponseInChunksIsNoAnswer guards against answers that hold the framing of chunks.
+func TestOldResponseInChunksIsNoAnswer(t *testing.T) {
+	for _, repeatable := range []bool{false, true} {
+		u := newRawUpstream(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+			_, _ = io.WriteString(conn, "HTTP/1.0 200 OK\r\nX-Request-Id: q1\r\nContent-Length: 12\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n")
+			return false
+		})
+		answer := newSender().Do(context.Background(), u.call(repeatable))
+		if got, want := answer.Code(), qlcode.UpstreamCut; got != want || !answer.Sent() {
+			t.Errorf("repeatable %v: got code %d, body %q, sent %v, want code %d", repeatable, got, answer.Body(), answer.Sent(), want)
+		}
+	}
+}
