Test of kept connections: a time limit for its client

Cause: if the transport did not use the connection again, the test's client would wait for an answer until the test binary's limit of 20 minutes.

Change: the client ends its requests after 10 s. What is checked is unchanged.

--- a/internal/qlhead/conn_test.go
+++ b/internal/qlhead/conn_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/juju/errors"
 )
@@ -94,6 +95,7 @@
 	})
 	client := &http.Client{
 		Transport: NewTransport(&http.Transport{}),
+		Timeout:   10 * time.Second,
 	}
 	for i := range 2 {
 		if got, err := get(client, url); err != nil || got != body {
