--- a/cmd/quetzallaned/harness_test.go
+++ b/cmd/quetzallaned/harness_test.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	"github.com/quetzallane/quetzallane/internal/qlloopbacktest"
 	"github.com/quetzallane/quetzallane/internal/qlplatform"
 	"github.com/quetzallane/quetzallane/internal/qlstandin"
 	"github.com/quetzallane/quetzallane/pkg/qlcode"
@@ -91,14 +92,12 @@
 }
 
 // freeAddresses returns distinct free addresses: all of them are bound at the same
-// time before they are released. They are on a loopback IP address that depends on
-// the process id. On 127.0.0.1, the kernel could give a released port to an
-// outgoing connection of another process before the router binds it.
+// time before they are released.
 func freeAddresses(t *testing.T, count int) []string {
 	t.Helper()
 	addresses := make([]string, 0, count)
 	for range count {
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:0", 1+os.Getpid()/250%250, os.Getpid()%250))
+		listener, err := net.Listen("tcp", qlloopbacktest.IP(1)+":0")
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/qledge/evacuate_test.go
+++ b/internal/qledge/evacuate_test.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 	"github.com/quetzallane/quetzallane/internal/qlcatalog"
 	"github.com/quetzallane/quetzallane/internal/qlfleetwire"
+	"github.com/quetzallane/quetzallane/internal/qlloopbacktest"
 	"github.com/quetzallane/quetzallane/internal/qlsetting"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
@@ -58,8 +59,8 @@
 		t.Fatal(err)
 	}
 	third := startEdge(t, "r3", none, func(settings *qlsetting.Edge) {
-		settings.PeerAddress = net.JoinHostPort(loopbackAddress(3), port)
-		settings.Seeds = []string{loopbackAddress(1) + ":1"}
+		settings.PeerAddress = net.JoinHostPort(qlloopbacktest.IP(3), port)
+		settings.Seeds = []string{qlloopbacktest.IP(1) + ":1"}
 	})
 	third.awaitZones(t, "z2")
 }
--- a/internal/qledge/kept_test.go
+++ b/internal/qledge/kept_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/quetzallane/quetzallane/internal/qladmission"
 	"github.com/quetzallane/quetzallane/internal/qlintake"
+	"github.com/quetzallane/quetzallane/internal/qlloopbacktest"
 	"github.com/quetzallane/quetzallane/internal/qloffload"
 	"github.com/quetzallane/quetzallane/internal/qlsetting"
 	"go.uber.org/zap"
@@ -79,7 +80,7 @@
 // address for links.
 func breakLinks(t *testing.T, to string, life time.Duration) string {
 	t.Helper()
-	listener, err := net.Listen("tcp4", loopbackAddress(1)+":0")
+	listener, err := net.Listen("tcp4", qlloopbacktest.IP(1)+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -149,7 +150,7 @@
 		}
 	}
 	f.offloader.Peers().Set(0, peers)
-	inner, err := net.Listen("tcp4", loopbackAddress(1)+":0")
+	inner, err := net.Listen("tcp4", qlloopbacktest.IP(1)+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/qledge/left_test.go
+++ b/internal/qledge/left_test.go
@@ -9,6 +9,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/quetzallane/quetzallane/internal/qlloopbacktest"
 )
 
 // gatedListener leaves connections in the accept queue while its gate is shut.
@@ -26,7 +28,7 @@
 // serveGated makes a router accept further callers at an address once the gate opens.
 func serveGated(t *testing.T, r *runningEdge) (address string, gate chan struct{}) {
 	t.Helper()
-	listener, err := net.Listen("tcp4", loopbackAddress(1)+":0")
+	listener, err := net.Listen("tcp4", qlloopbacktest.IP(1)+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/qledge/reader_test.go
+++ b/internal/qledge/reader_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/quetzallane/quetzallane/internal/qlfeed"
 	"github.com/quetzallane/quetzallane/internal/qlfleetwire"
+	"github.com/quetzallane/quetzallane/internal/qlloopbacktest"
 	"github.com/quetzallane/quetzallane/internal/qlsetting"
 )
 
@@ -126,8 +127,8 @@
 		t.Fatal(err)
 	}
 	second := startEdge(t, "r2", downStore, func(settings *qlsetting.Edge) {
-		settings.PeerAddress = net.JoinHostPort(loopbackAddress(2), port)
-		settings.Seeds = []string{loopbackAddress(1) + ":1"}
+		settings.PeerAddress = net.JoinHostPort(qlloopbacktest.IP(2), port)
+		settings.Seeds = []string{qlloopbacktest.IP(1) + ":1"}
 	})
 	second.awaitState(t, "1 u1")
 	store.commit(func() { store.config = store.revision })
--- a/internal/qledge/smallvm_test.go
+++ b/internal/qledge/smallvm_test.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/quetzallane/quetzallane/internal/qlloopbacktest"
 )
 
 const (
@@ -115,7 +117,7 @@
 // accept makes the VM accept callers until the test ends.
 func (vm *smallVM) accept(t *testing.T) {
 	t.Helper()
-	listener, err := net.Listen("tcp4", loopbackAddress(1)+":0")
+	listener, err := net.Listen("tcp4", qlloopbacktest.IP(1)+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/qledge/standin_test.go
+++ b/internal/qledge/standin_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -14,6 +13,7 @@
 	"github.com/juju/errors"
 	"github.com/quetzallane/quetzallane/internal/qlcatalog"
 	"github.com/quetzallane/quetzallane/internal/qlforward"
+	"github.com/quetzallane/quetzallane/internal/qlloopbacktest"
 	"github.com/quetzallane/quetzallane/internal/qlroute"
 	"github.com/quetzallane/quetzallane/internal/qlsetting"
 	"github.com/quetzallane/quetzallane/pkg/qljson"
@@ -249,19 +249,12 @@
 	}
 }
 
-// loopbackAddress returns the nth of this process's own loopback addresses: on
-// 127.0.0.1 the kernel may give a port that was free to another process's
-// connection.
-func loopbackAddress(n int) string {
-	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()/250%250, os.Getpid()%250, n)
-}
-
 // freePorts returns addresses on loopback that were free a moment ago.
 func freePorts(t testing.TB, count int) []string {
 	t.Helper()
 	var addresses []string
 	for range count {
-		listener, err := net.Listen("tcp4", loopbackAddress(1)+":0")
+		listener, err := net.Listen("tcp4", qlloopbacktest.IP(1)+":0")
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -404,9 +397,9 @@
 	var fleet []*runningEdge
 	for i, store := range stores {
 		fleet = append(fleet, startEdge(t, fmt.Sprintf("r%d", i+1), store, func(settings *qlsetting.Edge) {
-			settings.PeerAddress = net.JoinHostPort(loopbackAddress(i+1), port)
-			settings.OffloadAddress = net.JoinHostPort(loopbackAddress(i+1), offloadPort)
-			settings.Seeds = []string{loopbackAddress(1) + ":1"}
+			settings.PeerAddress = net.JoinHostPort(qlloopbacktest.IP(i+1), port)
+			settings.OffloadAddress = net.JoinHostPort(qlloopbacktest.IP(i+1), offloadPort)
+			settings.Seeds = []string{qlloopbacktest.IP(1) + ":1"}
 			settings.ProcessorFraction = fractions[i]
 		}))
 	}
--- a/internal/qledge/stop_offload_test.go
+++ b/internal/qledge/stop_offload_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/quetzallane/quetzallane/internal/qlloopbacktest"
 	"github.com/quetzallane/quetzallane/internal/qlsetting"
 )
 
@@ -43,9 +44,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		settings.PeerAddress = net.JoinHostPort(loopbackAddress(n), port)
-		settings.OffloadAddress = net.JoinHostPort(loopbackAddress(n), offloadPort)
-		settings.Seeds = []string{loopbackAddress(1) + ":1", loopbackAddress(2) + ":1"}
+		settings.PeerAddress = net.JoinHostPort(qlloopbacktest.IP(n), port)
+		settings.OffloadAddress = net.JoinHostPort(qlloopbacktest.IP(n), offloadPort)
+		settings.Seeds = []string{qlloopbacktest.IP(1) + ":1", qlloopbacktest.IP(2) + ":1"}
 		settings.ProcessorFraction = fraction
 	}
 	fractions := map[bool]float64{true: _tinyFraction, false: 1}
