--- a/review/lab-3/crowd.go
+++ b/review/lab-3/crowd.go
@@ -13,7 +13,7 @@
 )
 
 func init() {
-	for _, mode := range []string{"body", "chunk", "fields", "pipeline", "slowread", "heads", "mix", "mix2", "far"} {
+	for _, mode := range []string{"body", "chunk", "fields", "pipeline", "slowread", "heads", "mix", "mix2", "mix3", "bigchunk", "far"} {
 		cases["crowd-"+mode] = func(w *world) { crowd(w, mode) }
 	}
 }
@@ -84,6 +84,9 @@
 	if mode == "mix2" {
 		mode = []string{"body", "fields", "slowread", "slowread"}[i%4]
 	}
+	if mode == "mix3" {
+		mode = []string{"chunk", "chunk", "fields", "slowread", "bigchunk"}[i%5]
+	}
 	for {
 		select {
 		case <-stop:
@@ -121,6 +124,14 @@
 			time.Sleep(20 * time.Millisecond)
 		}
 		_, _ = io.Copy(io.Discard, c)
+	case "bigchunk":
+		_, _ = io.WriteString(c, head+"Transfer-Encoding: chunked\r\n\r\n")
+		for range 33 {
+			if _, err := io.WriteString(c, "2000\r\n"+strings.Repeat("b", 0x2000)+"\r\n"); err != nil {
+				return
+			}
+		}
+		_, _ = io.Copy(io.Discard, c)
 	case "fields":
 		var fields strings.Builder
 		for n := range 2600 {
