--- a/review/lab-3/fields.go
+++ b/review/lab-3/fields.go
@@ -16,7 +16,7 @@
 
 const (
 	fieldsMemoryMB = 134
-	fieldsClients  = 1500
+	fieldsClients  = 2000
 )
 
 // shortFields: clients of one customer, all at one router of a zone, send requests of legal size that
@@ -33,13 +33,9 @@
 		w.startReplica(replicaConfig{id: fmt.Sprintf("ledger-%d", i), service: "ledger", zone: "z1", slots: 6, work: 30 * time.Millisecond})
 	}
 	for i := range 18 {
-		w.startReplica(replicaConfig{id: fmt.Sprintf("quill-%d", i), service: "quill", zone: "z1", slots: 128, events: 56, work: 50 * time.Millisecond, gap: 200 * time.Millisecond})
+		w.startReplica(replicaConfig{id: fmt.Sprintf("quill-%d", i), service: "quill", zone: "z1", slots: 128, events: 56, work: 50 * time.Millisecond, gap: 240 * time.Millisecond})
 	}
-	w.configureRouters(routerConfig{count: 3, zones: []string{"z1"}, memoryMB: fieldsMemoryMB, change: func(i int, s map[string]any) {
-		if i == 0 {
-			s["processor-part"] = 0.192
-		}
-	}})
+	w.configureRouters(routerConfig{count: 3, zones: []string{"z1"}, memoryMB: fieldsMemoryMB})
 	w.startRouters()
 	time.Sleep(3 * time.Second)
 	stop := make(chan struct{})
@@ -72,7 +68,11 @@
 	w.note("calm: ordinary callers served %d, not %d", served.Swap(0), notServed.Swap(0))
 	var fields strings.Builder
 	for i := 0; w.trouble && fields.Len() < 15<<10; i++ {
-		fmt.Fprintf(&fields, "%c%c%c:\r\n", nameBytes[i%36], nameBytes[i/36%36], nameBytes[i/1296])
+		name := string(nameBytes[i%len(nameBytes)]) + string(nameBytes[i/len(nameBytes)%len(nameBytes)])
+		if i >= len(nameBytes)*len(nameBytes) {
+			name = fmt.Sprintf("%04d", i)
+		}
+		fields.WriteString(name + ":\r\n")
 	}
 	head := fields.String()
 	for i := range fieldsClients {
@@ -116,7 +116,7 @@
 	}
 	began, highest, killed := time.Now(), 0, 0
 	lastNote := began
-	for time.Since(began) < 25*time.Second && killed == 0 {
+	for time.Since(began) < 40*time.Second && killed == 0 {
 		time.Sleep(20 * time.Millisecond)
 		for _, r := range w.routers {
 			resident := r.status("VmRSS")
--- a/review/lab-3/heads.go
+++ b/review/lab-3/heads.go
@@ -20,7 +20,7 @@
 	// Half of the replicas spoil each 20th of their answers for five seconds.
 	spoilEvery = 20
 	spoilTime  = 5 * time.Second
-	headRate   = 400
+	headRate   = 600
 )
 
 // endlessHead: model replicas spoil a small share of their answers with a head without end. The
--- a/review/lab-3/pipe.go
+++ b/review/lab-3/pipe.go
@@ -41,6 +41,7 @@
 	var mu sync.Mutex
 	codes := map[string]int{}
 	notRun := map[string]bool{}
+	lostIDs := map[string]string{}
 	note := func(format string, a ...any) { wrong.Add(1); w.note("WRONG "+format, a...) }
 	worker := func() {
 		for {
@@ -96,6 +97,11 @@
 					response, err := http.ReadResponse(reader, &http.Request{Method: "POST"})
 					if err != nil {
 						lost.Add(1)
+						mu.Lock()
+						for _, left := range ids[i:] {
+							lostIDs[left] = err.Error()
+						}
+						mu.Unlock()
 						closed = true
 						break
 					}
@@ -184,6 +190,9 @@
 		if n > 1 {
 			note("%s ran %d times", id, n)
 		}
+		if cause, ok := lostIDs[id]; ok {
+			w.note("LOST %s ran, no answer: %s", id, cause)
+		}
 		if notRun[id] {
 			note("%s was refused as not run and has run", id)
 		}
