--- a/review/lab-3/fields.go
+++ b/review/lab-3/fields.go
@@ -16,7 +16,7 @@
 
 const (
 	fieldsMemoryMB = 134
-	fieldsClients  = 2000
+	fieldsClients  = 1500
 )
 
 // shortFields: clients of one customer, all at one router of a zone, send requests of legal size that
