Log how long questions wait at the owner, late answers, and refusals above the share by limit

Change: packets-waited (owner), late and placed-alone in answers-missed (routers), refused-load, -wait and -read-again in share-state. No decision changes.

--- a/internal/qledge/load.go
+++ b/internal/qledge/load.go
@@ -149,18 +149,21 @@
 // routers since the last lines.
 func (e *Edge) logPlacement(now time.Duration) {
 	stats := e.fleet.Core().Stats()
+	placer := e.fleet.Core().Placer()
+	refusals := placer.TakeShareRefusals()
 	if stats.DecidedForOthers == e.lastLogged.decided {
 		return
 	}
 	e.lastLogged.decided = stats.DecidedForOthers
-	placer := e.fleet.Core().Placer()
 	for group, shares := range placer.Shares() {
 		customers := shares.State()
 		slices.SortStableFunc(customers, func(a, b qlshare.CustomerState) int { return cmp.Compare(b.Demand, a.Demand) })
 		for _, customer := range customers[:min(_maxLoggedShares, len(customers))] {
 			e.log.Info("share-state", zap.Int("group", group), zap.String("customer", customer.Customer),
 				zap.Float64("asked", customer.Demand), zap.Float64("granted", customer.Granted), zap.Float64("level", shares.MaxMinLevel()),
-				zap.Float64("ratio", customer.Ratio), zap.Float64("reached", shares.GrantedLevel()))
+				zap.Float64("ratio", customer.Ratio), zap.Float64("reached", shares.GrantedLevel()),
+				zap.Int("refused-load", refusals[customer.Customer].Load), zap.Int("refused-wait", refusals[customer.Customer].Wait),
+				zap.Int("refused-read-again", refusals[customer.Customer].Recompute))
 		}
 	}
 	pools := placer.State(now)
--- a/internal/qlfleet/answers.go
+++ b/internal/qlfleet/answers.go
@@ -27,6 +27,8 @@
 		AnsweredByOwner: stats.AnsweredByOwner - a.last.AnsweredByOwner,
 		DecidedAlone:    stats.DecidedAlone - a.last.DecidedAlone,
 		AnswersMissed:   stats.AnswersMissed - a.last.AnswersMissed,
+		AnswersLate:     stats.AnswersLate - a.last.AnswersLate,
+		PlacedAlone:     stats.PlacedAlone - a.last.PlacedAlone,
 	}
 	a.last, a.lastAt = stats, now
 	return delta, delta.AnswersMissed > 0
@@ -42,6 +44,8 @@
 		zap.Uint64("missed", delta.AnswersMissed),
 		zap.Uint64("asked", delta.AskedOwner),
 		zap.Uint64("answered", delta.AnsweredByOwner),
+		zap.Uint64("late", delta.AnswersLate),
 		zap.Uint64("decided-alone", delta.DecidedAlone),
+		zap.Uint64("placed-alone", delta.PlacedAlone),
 		zap.Duration("lag", lag))
 }
--- a/internal/qlfleet/qlfleet.go
+++ b/internal/qlfleet/qlfleet.go
@@ -87,6 +87,7 @@
 	bytesSent    atomic.Int64
 	echo         echo
 	answers      answerCounter
+	waits        packetWaits
 	// lastTickAt is when the control goroutine has ticked last, in nanoseconds of
 	// Config.Clock.
 	lastTickAt atomic.Int64
@@ -224,6 +225,7 @@
 	f.lagging.Store(f.core.IsLagging())
 	f.core.Tick(now)
 	f.logAnswers(now, lag)
+	f.logWaits(now)
 	f.config.OnTick(now, lag)
 }
 
@@ -370,7 +372,11 @@
 			}
 			continue
 		}
-		f.Post(func(now time.Duration) { f.core.Receive(now, source.String(), packet) })
+		receivedAt := f.config.Clock()
+		f.Post(func(now time.Duration) {
+			f.waits.observe(now-receivedAt, qlowner.AnswerTimeout, len(packet.GetAsks()))
+			f.core.Receive(now, source.String(), packet)
+		})
 	}
 }
 
--- a/internal/qlowner/ask.go
+++ b/internal/qlowner/ask.go
@@ -46,7 +46,7 @@
 		request:     request,
 		owner:       owner,
 		askedAt:     now,
-		deadline:    now + _answerTimeout,
+		deadline:    now + AnswerTimeout,
 		secondGroup: secondGroup,
 	}
 	queue := c.queueFor(now, owner)
@@ -102,6 +102,9 @@
 	}
 	decision := c.placer.Decide(now, request)
 	decision.Decider = c.config.Self
+	if !isOwner && decision.Engine != "" {
+		c.stats.PlacedAlone++
+	}
 	if !c.askSecondGroup(now, request, &decision, secondGroup) {
 		c.conclude(now, request, decision)
 	}
--- a/internal/qlowner/packet.go
+++ b/internal/qlowner/packet.go
@@ -413,6 +413,7 @@
 	c.recordAnswer(from)
 	q, ok := c.questions[message.GetRequest()]
 	if !ok || q.owner != from {
+		c.stats.AnswersLate++
 		c.release(now, from, message)
 		return
 	}
--- a/internal/qlowner/qlowner.go
+++ b/internal/qlowner/qlowner.go
@@ -42,9 +42,9 @@
 )
 
 const (
-	// _answerTimeout is how long a router waits for an owner's answer: a few
+	// AnswerTimeout is how long a router waits for an owner's answer: a few
 	// round trips between zones, and a small part of any latency objective.
-	_answerTimeout = 50 * time.Millisecond
+	AnswerTimeout = 50 * time.Millisecond
 	// An owner that misses _missLimit answers and is silent for _silenceLimit, several
 	// times what one in a flood needs, is skipped for _penaltyDuration.
 	_missLimit       = 2
@@ -247,7 +247,13 @@
 	DecidedAlone     uint64 `json:"decided-alone"`
 	DecidedForOthers uint64 `json:"decided-for-others"`
 	AnswersMissed    uint64 `json:"answers-missed"`
-	Packets          uint64 `json:"packets"`
+	// AnswersLate counts answers that came after this router had decided by itself, or
+	// whose caller had left.
+	AnswersLate uint64 `json:"answers-late"`
+	// PlacedAlone counts the requests that this router placed although another one owns
+	// the engines.
+	PlacedAlone uint64 `json:"placed-alone"`
+	Packets     uint64 `json:"packets"`
 }
 
 // New returns a core that does not know any other router yet.
--- a/internal/qlowner/qlowner_test.go
+++ b/internal/qlowner/qlowner_test.go
@@ -273,9 +273,9 @@
 	n.cores[owner] = nil
 	for request := uint64(2); request < 12; request++ {
 		n.ask(asker, request)
-		n.advance(_answerTimeout + 5*time.Millisecond)
+		n.advance(AnswerTimeout + 5*time.Millisecond)
 		if _, ok := n.decisions[n.ids[asker]][request]; !ok {
-			t.Fatalf("request %d is not decided after %v", request, _answerTimeout)
+			t.Fatalf("request %d is not decided after %v", request, AnswerTimeout)
 		}
 	}
 	last := n.decisions[n.ids[asker]][11]
--- a/internal/qlplace/qlplace.go
+++ b/internal/qlplace/qlplace.go
@@ -203,6 +203,9 @@
 	blocked    []bool
 	anyBlocked bool
 	weighing   weighing
+	// shareRefusals counts refusals of customers above their share, see
+	// TakeShareRefusals.
+	shareRefusals map[string]ShareRefusals
 }
 
 // New returns a placer without engines.
@@ -220,6 +223,7 @@
 			Known: 1,
 			Live:  1,
 		},
+		shareRefusals: make(map[string]ShareRefusals),
 	}
 }
 
@@ -366,6 +370,9 @@
 		if !best.forecast.Fits {
 			reason = Full
 		}
+		if reason == OverShare {
+			p.countShareRefusal(request.Customer, &best, &limits)
+		}
 		return p.refuse(pool, reason, &best, &limits)
 	}
 	shares.AddGrant(now, request.Customer, cost)
