--- a/internal/qlowner/qlowner_test.go
+++ b/internal/qlowner/qlowner_test.go
@@ -30,6 +30,8 @@
 	// handled in the order of their arrival.
 	lag       func(router int) time.Duration
 	handledAt map[int]time.Duration
+	// deliver handles a datagram that has arrived; nil if routers handle them at once.
+	deliver func(d datagram)
 	// onOwnerChange is called when a router turns from one owner to another.
 	onOwnerChange func(router int, from, to string)
 	decisions     map[string]map[uint64]qlplace.Decision
@@ -178,13 +180,11 @@
 				n.inFlight = append(n.inFlight, d)
 				continue
 			}
-			packet := &qlfleetwire.Packet{}
-			if err := proto.Unmarshal(d.packet, packet); err != nil {
-				n.t.Fatal(err)
-			}
-			if core := n.cores[d.to]; core != nil && !n.isLost(d.from, d.to) {
-				core.Receive(n.now, address(d.from), packet)
+			if n.deliver != nil {
+				n.deliver(d)
+				continue
 			}
+			n.receive(d)
 		}
 		for _, core := range n.cores {
 			if core != nil {
@@ -198,6 +198,17 @@
 	}
 }
 
+// receive has a router handle a datagram.
+func (n *network) receive(d datagram) {
+	packet := &qlfleetwire.Packet{}
+	if err := proto.Unmarshal(d.packet, packet); err != nil {
+		n.t.Fatal(err)
+	}
+	if core := n.cores[d.to]; core != nil && !n.isLost(d.from, d.to) {
+		core.Receive(n.now, address(d.from), packet)
+	}
+}
+
 func (n *network) ask(router int, request uint64) {
 	n.cores[router].Ask(n.now, &qlplace.Request{
 		Key: qlengine.Key{
--- a/internal/qlplace/load_test.go
+++ b/internal/qlplace/load_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/quetzallane/quetzallane/internal/qlengine"
 )
 
@@ -75,7 +76,9 @@
 	speed     simSpeed
 	objective time.Duration
 	// segments is the number of shared segments that requests choose from.
-	segments         uint64
+	segments uint64
+	// ownSegments is set if each customer has segments of its own.
+	ownSegments      bool
 	engines          map[string]*simEngine
 	queue            simQueue
 	random           *rand.Rand
@@ -138,7 +141,11 @@
 
 func (s *sim) request(now time.Duration, customer string) {
 	s.lastRequest++
-	r := request(s.lastRequest, customer, 10+s.random.Uint64N(s.segments), 500+s.random.IntN(4000))
+	segment := 10 + s.random.Uint64N(s.segments)
+	if s.ownSegments {
+		segment += xxhash.Sum64String(customer) << 8
+	}
+	r := request(s.lastRequest, customer, segment, 500+s.random.IntN(4000))
 	if s.objective > 0 {
 		r.LatencyObjective = s.objective
 	}
