Customers above their share that got less than others are not held back like them

Cause: a customer's excess over an even division was cut off at 1 from below, so that one that had been granted half of the even part had the same limits as one that had all of it. Whoever asks most often finds the engines that fall below that limit first. Evidence: refused-load in share-state: nearly all refusals of both are for the load limit, and hardly any for tokens to be read again. Change: the excess is used below 1, too; both limits then rise, up to those of customers within their share and to the highest load limit. Why it works: the limit now differs between any two customers that were granted differently, at any level of grants; only the one that got most competes by how often it asks.

--- a/internal/qlplace/admit.go
+++ b/internal/qlplace/admit.go
@@ -37,7 +37,7 @@
 	shares := p.shares[pool.group]
 	if ratio := shares.Ratio(now, request.Customer); ratio > 1 {
 		excess := shares.Excess(request.Customer)
-		l.maxLoad = min(max(2*_overShareLoad-pool.meanLoad, _minOverShareLoad), _maxOverShareLoad) / math.Pow(excess, _overShareLoadExponent)
+		l.maxLoad = overShareMaxLoad(pool.meanLoad, excess)
 		l.waitFactor, l.reason = overShareWaitFactor(excess), OverShare
 	}
 	return l
@@ -180,7 +180,15 @@
 // overShareWaitFactor returns the factor for the allowed wait of a customer
 // above its fair share, given its excess.
 func overShareWaitFactor(excess float64) float64 {
-	return max(_overShareWaitFactor/math.Pow(excess, _overShareWaitExponent), _minOverShareWaitFactor)
+	factor := _overShareWaitFactor / math.Pow(excess, _overShareWaitExponent)
+	return min(max(factor, _minOverShareWaitFactor), 1)
+}
+
+// overShareMaxLoad returns the load up to which engines are used for a customer
+// above its fair share, given the engines' mean load and its excess.
+func overShareMaxLoad(meanLoad, excess float64) float64 {
+	limit := max(2*_overShareLoad-meanLoad, _minOverShareLoad)
+	return min(limit/math.Pow(excess, _overShareLoadExponent), _maxOverShareLoad)
 }
 
 // trackObjective lowers strictestObjective to a stricter objective at once and
--- a/internal/qlplace/qlplace.go
+++ b/internal/qlplace/qlplace.go
@@ -54,7 +54,8 @@
 	// _overShareWaitFactor scales the allowed wait of customers above their
 	// fair share. It is divided by the customer's excess (see
 	// qlshare.Window.Excess) to the power of _overShareWaitExponent, down to
-	// _minOverShareWaitFactor.
+	// _minOverShareWaitFactor, and up to 1 for those that were granted less
+	// than others.
 	_overShareWaitFactor    = 0.6
 	_overShareWaitExponent  = 4
 	_minOverShareWaitFactor = 0.1
@@ -65,7 +66,8 @@
 	// _maxOverShareLoad, and lower by as much as the mean is above it, down to
 	// _minOverShareLoad. It
 	// is then divided by the customer's excess to the power of
-	// _overShareLoadExponent.
+	// _overShareLoadExponent, up to _maxOverShareLoad for those that were
+	// granted less than others.
 	_overShareLoad         = 0.66
 	_minOverShareLoad      = 0.46
 	_maxOverShareLoad      = 1.3
--- a/internal/qlshare/qlshare.go
+++ b/internal/qlshare/qlshare.go
@@ -13,7 +13,7 @@
 //	window.AddDemand(now, customer, cost)
 //	window.AddGrant(now, customer, cost)
 //	ratio := window.Ratio(now, customer) // above 1: more than its fair share
-//	excess := window.Excess(customer)    // above 1: more than a max-min division of the grants
+//	excess := window.Excess(customer)    // above 1: more than by a max-min division of the grants, below 1: less
 package qlshare
 
 import (
@@ -156,14 +156,17 @@
 }
 
 // Excess returns what the customer was granted divided by the granted level
-// (see GrantedLevel), at least 1. The granted level is computed by Ratio, once
-// in each bucket of the window.
+// (see GrantedLevel), or 1 if nothing was granted to anybody. The granted level
+// is computed by Ratio, once in each bucket of the window.
 func (w *Window) Excess(customer string) float64 {
-	u := w.customers[customer]
-	if u == nil || w.grantedLevel <= 0 {
+	if w.grantedLevel <= 0 {
 		return 1
 	}
-	return max(sum(&u.granted)/w.grantedLevel, 1)
+	u := w.customers[customer]
+	if u == nil {
+		return 0
+	}
+	return sum(&u.granted) / w.grantedLevel
 }
 
 // GrantedLevel returns the highest grant that a customer would have if
