An owner drops questions that waited too long and says that it is strained; routers alone place what was placed

Cause: a queue that is longer than those in it wait. The owner got 18,000 to 20,000 questions a second, the rate that it decides, and each waited 0.1 to 0.57 s; routers wait 0.05 s. It spent its processor on answers that were late for all, and its routers placed nearly all they were asked for, each as if the engines were idle: known load, of which there was none, times 89 is none. Evidence: packets-waited of the owner (all questions late from 12 s on, 4,096 packets queued), answers-missed (answered 0, late 9,400 to 16,900 a second in all; placed-alone 13,800 to 26,500 a second; engines begin 1,300). Change: (1) questions that waited for 25 ms are dropped, and count as demand; (2) from a wait of 10 ms on the owner's packets say for 1 s that it is strained, and routers then refuse requests of customers above their share to 1.5 times what is placed of them, as when their own processor is strained; (3) a router alone places what was placed of its requests lately, and no more of a customer above its share than of that one; (4) a router that did not answer a question gets the list of active requests twice more: it may have placed one that is refused here. Why it works: no decision is made for nobody, what is asked falls to what can be decided within a round trip, and what many routers place alone adds up to what the engines took before, however much is asked.

--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -201,7 +201,7 @@
 		Shedder:    e.shedder,
 		CanOffload: e.offloader.Ready,
 		CountKept:  e.offloader.CountKept,
-		Strained:   func() bool { return e.acceptPace.IsStrained(e.clock()) },
+		Strained:   e.isStrained,
 		Clock:      e.clock,
 		Chance:     rand.Float64,
 	})
@@ -298,6 +298,12 @@
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 }
 
+// isStrained reports whether this router, or an owner of engines that it asks, does not keep
+// up with what callers send.
+func (e *Edge) isStrained() bool {
+	return e.acceptPace.IsStrained(e.clock()) || e.fleet.OwnerStrained()
+}
+
 func (e *Edge) clock() time.Duration {
 	return time.Since(e.started)
 }
--- a/internal/qlfleet/answers.go
+++ b/internal/qlfleet/answers.go
@@ -29,6 +29,7 @@
 		AnswersMissed:   stats.AnswersMissed - a.last.AnswersMissed,
 		AnswersLate:     stats.AnswersLate - a.last.AnswersLate,
 		PlacedAlone:     stats.PlacedAlone - a.last.PlacedAlone,
+		RefusedAlone:    stats.RefusedAlone - a.last.RefusedAlone,
 	}
 	a.last, a.lastAt = stats, now
 	return delta, delta.AnswersMissed > 0
@@ -47,5 +48,6 @@
 		zap.Uint64("late", delta.AnswersLate),
 		zap.Uint64("decided-alone", delta.DecidedAlone),
 		zap.Uint64("placed-alone", delta.PlacedAlone),
+		zap.Uint64("refused-alone", delta.RefusedAlone),
 		zap.Duration("lag", lag))
 }
--- a/internal/qlfleet/answers_test.go
+++ b/internal/qlfleet/answers_test.go
@@ -37,13 +37,3 @@
 		t.Errorf("lines: got %d, want 3 or 4", lines)
 	}
 }
-
-func TestPacketWaitsCountLateQuestions(t *testing.T) {
-	var w packetWaits
-	w.observe(20*time.Millisecond, 50*time.Millisecond, 3)
-	w.observe(60*time.Millisecond, 50*time.Millisecond, 2)
-	w.observe(70*time.Millisecond, 50*time.Millisecond, 0)
-	if got, want := w, (packetWaits{packets: 3, questions: 5, late: 2, longest: 70 * time.Millisecond}); got != want {
-		t.Errorf("waits: got %+v, want %+v", got, want)
-	}
-}
--- a/internal/qlfleet/qlfleet.go
+++ b/internal/qlfleet/qlfleet.go
@@ -92,6 +92,8 @@
 	// Config.Clock.
 	lastTickAt atomic.Int64
 	lagging    atomic.Bool
+	// ownerStrained is that of the core after the last events.
+	ownerStrained atomic.Bool
 	// waiters holds, by request, the channels that decisions are sent on. Only
 	// the control goroutine uses it.
 	waiters map[uint64]chan qlplace.Decision
@@ -167,6 +169,12 @@
 	return f.lagging.Load()
 }
 
+// OwnerStrained reports whether an owner that this router asks gets more questions than it
+// decides in time.
+func (f *Fleet) OwnerStrained() bool {
+	return f.ownerStrained.Load()
+}
+
 // Traffic returns the number of datagrams sent and their size in total.
 func (f *Fleet) Traffic() (packets, bytes int64) {
 	return f.packetsSent.Load(), f.bytesSent.Load()
@@ -207,6 +215,7 @@
 		now := f.config.Clock()
 		f.core.Expire(now)
 		f.core.Flush(now)
+		f.ownerStrained.Store(f.core.OwnerStrained(now))
 		f.resetTimer(timer, now)
 	}
 }
@@ -374,8 +383,8 @@
 		}
 		receivedAt := f.config.Clock()
 		f.Post(func(now time.Duration) {
-			f.waits.observe(now-receivedAt, qlowner.AnswerTimeout, len(packet.GetAsks()))
-			f.core.Receive(now, source.String(), packet)
+			f.waits.observe(now-receivedAt, len(packet.GetAsks()))
+			f.core.Receive(now, receivedAt, source.String(), packet)
 		})
 	}
 }
--- a/internal/qlfleet/qlfleet_test.go
+++ b/internal/qlfleet/qlfleet_test.go
@@ -153,3 +153,42 @@
 		t.Errorf("engine after the panic: got %q, want %q", got, want)
 	}
 }
+
+// TestQuestionsThatWaitTooLongAreDropped guards against an owner that decides questions whose
+// routers no longer wait, and tells nobody that it is late.
+func TestQuestionsThatWaitTooLongAreDropped(t *testing.T) {
+	const (
+		stall = 150 * time.Millisecond
+		limit = 10 * time.Second
+	)
+	fleets := startFleets(t, 2)
+	lastRequest := uint64(0)
+	ask := func(f *Fleet) qlplace.Decision {
+		lastRequest++
+		return f.Ask(context.Background(), &qlplace.Request{
+			Key: qlengine.Key{
+				Request: lastRequest,
+			},
+			Service:          "models",
+			LatencyObjective: time.Second,
+		})
+	}
+	owner, asker := fleets[0], fleets[1]
+	if ask(owner).Decider != "r0" {
+		owner, asker = asker, owner
+	}
+	dropped, strained := uint64(0), false
+	for end := time.Now().Add(limit); (dropped == 0 || !strained) && time.Now().Before(end); {
+		owner.Post(func(time.Duration) { time.Sleep(stall) })
+		ask(asker)
+		owner.Call(func(time.Duration) { dropped = owner.Core().Stats().QuestionsDropped })
+		ask(asker)
+		strained = strained || asker.OwnerStrained()
+	}
+	if dropped == 0 {
+		t.Errorf("the owner has dropped no question that waited for up to %v", stall)
+	}
+	if !strained {
+		t.Error("the router that asks does not know that its owner is strained")
+	}
+}
--- a/internal/qlfleet/waits.go
+++ b/internal/qlfleet/waits.go
@@ -19,18 +19,15 @@
 type packetWaits struct {
 	packets   int
 	questions int
-	// late counts the questions that waited longer than other routers wait for answers.
-	late     int
-	longest  time.Duration
-	loggedAt time.Duration
+	longest   time.Duration
+	loggedAt  time.Duration
+	// droppedBefore is the number of questions that had been dropped by then.
+	droppedBefore uint64
 }
 
-func (w *packetWaits) observe(wait, limit time.Duration, questions int) {
+func (w *packetWaits) observe(wait time.Duration, questions int) {
 	w.packets++
 	w.questions += questions
-	if wait > limit {
-		w.late += questions
-	}
 	w.longest = max(w.longest, wait)
 }
 
@@ -40,15 +37,17 @@
 	if now-w.loggedAt < _waitsInterval {
 		return
 	}
+	dropped := f.core.Stats().QuestionsDropped
 	if w.longest >= _notableWait {
 		f.config.Log.Info("packets-waited",
 			zap.Int("packets", w.packets),
 			zap.Int("questions", w.questions),
-			zap.Int("late-questions", w.late),
+			zap.Uint64("questions-dropped", dropped-w.droppedBefore),
 			zap.Duration("longest", w.longest),
 			zap.Int("queued", len(f.events)))
 	}
 	*w = packetWaits{
-		loggedAt: now,
+		loggedAt:      now,
+		droppedBefore: dropped,
 	}
 }
--- a/internal/qlowner/ask.go
+++ b/internal/qlowner/ask.go
@@ -46,7 +46,7 @@
 		request:     request,
 		owner:       owner,
 		askedAt:     now,
-		deadline:    now + AnswerTimeout,
+		deadline:    now + _answerTimeout,
 		secondGroup: secondGroup,
 	}
 	queue := c.queueFor(now, owner)
@@ -90,10 +90,19 @@
 }
 
 // decideLocally decides on a request of this router by the load known here. A
-// router that is not the owner knows only a part of the load and scales it up.
+// router that is not the owner knows only a part of the load and scales it up, and
+// places no more than was placed lately.
 func (c *Core) decideLocally(now time.Duration, request *qlplace.Request, secondGroup bool) {
 	c.stats.DecidedAlone++
 	isOwner := c.owners[c.requestGroupKey(request)] == c.config.Self && !c.config.DecideLocally
+	if !isOwner && !c.config.DecideLocally {
+		if refusal, ok := c.admitAlone(now, request); !ok {
+			if !c.askSecondGroup(now, request, &refusal, secondGroup) {
+				c.conclude(now, request, refusal)
+			}
+			return
+		}
+	}
 	c.placer.SetAlone(!isOwner)
 	if c.owners[c.requestGroupKey(request)] == c.config.Self {
 		c.placer.SetLoadScale(1)
@@ -113,6 +122,8 @@
 // conclude reports the decision on a request of this router and, if the request was
 // placed, starts tracking it.
 func (c *Core) conclude(now time.Duration, request *qlplace.Request, decision qlplace.Decision) {
+	byOwner := decision.Decider != c.config.Self || c.owners[c.requestGroupKey(request)] == c.config.Self
+	c.alone.record(now, request, &decision, byOwner, c.minAloneRate())
 	if decision.Engine != "" {
 		key := c.requestGroupKey(request)
 		active := &activeRequest{
@@ -162,6 +173,7 @@
 		}
 		delete(c.questions, id)
 		c.stats.AnswersMissed++
+		c.unansweredBy[q.owner] = _unansweredRounds
 		if !c.IsLagging() {
 			c.recordMiss(now, q)
 		}
--- a/internal/qlowner/fuzz_test.go
+++ b/internal/qlowner/fuzz_test.go
@@ -63,11 +63,11 @@
 			OnMessageError: func(string, error) {},
 		})
 		core.Placer().SetEngines(testEngines())
-		core.Receive(0, "10.0.0.2:7400", &qlfleetwire.Packet{
+		core.Receive(0, 0, "10.0.0.2:7400", &qlfleetwire.Packet{
 			From:         "r2",
 			Introduction: introduction,
 		})
-		core.Receive(time.Millisecond, "10.0.0.2:7400", packet)
+		core.Receive(time.Millisecond, time.Millisecond, "10.0.0.2:7400", packet)
 		core.Ask(2*time.Millisecond, &qlplace.Request{
 			Service:          "models",
 			LatencyObjective: time.Second,
--- a/internal/qlowner/late_test.go
+++ b/internal/qlowner/late_test.go
@@ -147,7 +147,7 @@
 	owner := n.owner()
 	n.lag = func(router int) time.Duration {
 		if router == owner {
-			return 2 * AnswerTimeout
+			return 2 * _answerTimeout
 		}
 		return 0
 	}
@@ -159,7 +159,7 @@
 		}
 		n.advance(5 * time.Millisecond)
 	}
-	n.advance(10 * AnswerTimeout)
+	n.advance(10 * _answerTimeout)
 	placed := make(map[string]int)
 	for i, id := range n.ids {
 		for _, decision := range n.decisions[id] {
--- a/internal/qlowner/overload_test.go
+++ b/internal/qlowner/overload_test.go
@@ -246,7 +246,11 @@
 
 // isRefusedHere reports whether a router refuses a request before it asks the owner.
 func (o *overload) isRefusedHere(customer string, router int) bool {
-	return !o.limits[router].Admit(o.now, customer, 0)
+	chance := 0.0
+	if o.cores[router].OwnerStrained(o.now) {
+		chance = o.random.Float64()
+	}
+	return !o.limits[router].Admit(o.now, customer, chance)
 }
 
 // collect starts requests that were decided on their engines.
--- a/internal/qlowner/packet.go
+++ b/internal/qlowner/packet.go
@@ -33,6 +33,7 @@
 		Incarnation: c.config.Incarnation,
 		Late:        c.IsLagging(),
 		Uninformed:  !c.evidence.informed,
+		Strained:    c.now < c.strain.until,
 	}
 }
 
@@ -224,12 +225,16 @@
 	}
 }
 
-// Receive handles a packet that arrived from the source address.
-func (c *Core) Receive(now time.Duration, source string, packet *qlfleetwire.Packet) {
+// Receive handles a packet that arrived from the source address. receivedAt is when this
+// process read it.
+func (c *Core) Receive(now, receivedAt time.Duration, source string, packet *qlfleetwire.Packet) {
 	from := packet.GetFrom()
 	if from == "" || from == c.config.Self {
 		return
 	}
+	wait := now - receivedAt
+	c.observeWait(now, wait)
+	c.recordStrain(now, from, packet.GetStrained())
 	if introduction := packet.GetIntroduction(); introduction != nil {
 		c.learnRouters(now, introduction.GetRouters())
 		if introduction.GetWantsReply() {
@@ -256,8 +261,11 @@
 			c.setInformed()
 		}
 	}
-	for _, ask := range packet.GetAsks() {
-		c.answer(now, from, ask)
+	// A router that lags waits for answers for as much longer.
+	if asks := packet.GetAsks(); len(asks) > 0 && wait > _maxQuestionWait && !packet.GetLate() {
+		c.dropQuestions(now, from, asks)
+	} else {
+		c.answerAll(now, from, asks)
 	}
 	for _, decision := range packet.GetVerdicts() {
 		c.receiveDecision(now, from, decision)
@@ -339,6 +347,8 @@
 			delete(c.routers, id)
 			delete(c.knownBy, id)
 			delete(c.penalties, id)
+			delete(c.strain.ofOthers, id)
+			delete(c.strain.noticedAt, id)
 			delete(c.evidence.exchangedAt, id)
 			forgotten++
 		}
@@ -389,6 +399,12 @@
 	}
 }
 
+func (c *Core) answerAll(now time.Duration, from string, asks []*qlfleetwire.Ask) {
+	for _, ask := range asks {
+		c.answer(now, from, ask)
+	}
+}
+
 // answer decides on another router's request and queues the answer to it.
 func (c *Core) answer(now time.Duration, from string, ask *qlfleetwire.Ask) {
 	c.stats.DecidedForOthers++
--- a/internal/qlowner/qlowner.go
+++ b/internal/qlowner/qlowner.go
@@ -7,12 +7,16 @@
 // a large service are divided into groups, each with an owner of its own. For
 // each request, a router asks the owner of the request's group by one datagram
 // and, if that refuses the request, the owner of one other group. If no answer
-// arrives within a few round trips, the router decides by itself and scales up
-// the load that it knows to account for the other routers. An owner that is
-// silent is skipped for a while; one that answers late, as under a flood of requests
-// of its own, remains the owner. The loss of an owner loses only
-// its view of the load, which the next owner regains as routers report their
-// active requests to it.
+// arrives within a few round trips, the router decides by itself: it scales up
+// the load that it knows to account for the other routers, and places no more than
+// was placed of its requests lately. An owner that is silent is skipped for a while;
+// one that answers late, as under a flood of requests of its own, remains the owner.
+// The loss of an owner loses only its view of the load, which the next owner regains
+// as routers report their active requests to it.
+//
+// An owner that gets more questions than it can decide drops those that have waited
+// too long and tells the others that it is strained. They then ask less for customers
+// above their share, see OwnerStrained.
 //
 // While the routers' views of the live routers differ, two routers may own the
 // same engines. Each of them then knows a part of the load, and engines may
@@ -24,7 +28,7 @@
 //	config.Send, config.OnDecision = send, onDecision // and the other functions
 //	core := qlowner.New(config)
 //	core.Ask(now, request)
-//	core.Receive(now, source, packet)
+//	core.Receive(now, receivedAt, source, packet)
 //	core.Tick(now)
 //	core.Flush(now)
 package qlowner
@@ -42,9 +46,9 @@
 )
 
 const (
-	// AnswerTimeout is how long a router waits for an owner's answer: a few
+	// _answerTimeout is how long a router waits for an owner's answer: a few
 	// round trips between zones, and a small part of any latency objective.
-	AnswerTimeout = 50 * time.Millisecond
+	_answerTimeout = 50 * time.Millisecond
 	// An owner that misses _missLimit answers and is silent for _silenceLimit, several
 	// times what one in a flood needs, is skipped for _penaltyDuration.
 	_missLimit       = 2
@@ -91,6 +95,9 @@
 	// than _lostRequestMinAge.
 	_lostRequestMinAge = 300 * time.Millisecond
 	_reconcileInterval = time.Second
+	// _unansweredRounds is how many reconciliations include a router after a question that
+	// it did not answer: the first may come before _lostRequestMinAge.
+	_unansweredRounds = 2
 	// _lagFactor is by how many times its own scheduling lag a router extends its
 	// wait for an answer: the question and the answer are each delayed by the lag.
 	_lagFactor = 2
@@ -223,7 +230,10 @@
 	// trackingRouters are the routers that had active requests of this one at the
 	// last reconciliation.
 	trackingRouters []string
-	leaving         bool
+	// unansweredBy holds, for routers that did not answer a question in time, to how many
+	// more of the next reconciliations they belong: they may have placed the request.
+	unansweredBy map[string]int
+	leaving      bool
 	// lastLossAt is when a live router was lost last, recentLosses how many were lost
 	// without a pause of _lossInterval.
 	lastLossAt   time.Duration
@@ -234,6 +244,8 @@
 	now          time.Duration
 	lag          time.Duration
 	laggingUntil time.Duration
+	strain       strainState
+	alone        aloneLimit
 	stats        Stats
 }
 
@@ -253,7 +265,12 @@
 	// PlacedAlone counts the requests that this router placed although another one owns
 	// the engines.
 	PlacedAlone uint64 `json:"placed-alone"`
-	Packets     uint64 `json:"packets"`
+	// RefusedAlone counts those that it refused then, since it may not place more.
+	RefusedAlone uint64 `json:"refused-alone"`
+	// QuestionsDropped counts questions of other routers that had waited here for so long
+	// that no answer would have reached them in time.
+	QuestionsDropped uint64 `json:"questions-dropped"`
+	Packets          uint64 `json:"packets"`
 }
 
 // New returns a core that does not know any other router yet.
@@ -276,6 +293,9 @@
 		sendQueues:     make(map[string]*sendQueue),
 		penalties:      make(map[string]penalty),
 		knownBy:        make(map[string]uint64),
+		unansweredBy:   make(map[string]int),
+		strain:         newStrainState(),
+		alone:          newAloneLimit(),
 	}
 	c.quarantine = qlquarantine.New(c.quarantineConfig())
 	c.members = qlmember.New(qlmember.Config{
@@ -432,6 +452,7 @@
 	if now >= c.reconcileAt {
 		c.reconcileAt = now + _reconcileInterval
 		c.placer.Tick(now)
+		c.alone.expire(now)
 		c.quarantine.Tick(now, c.ownsTrials)
 		c.forgetDeadRouters(now)
 		c.sendRunning(now)
--- a/internal/qlowner/qlowner_test.go
+++ b/internal/qlowner/qlowner_test.go
@@ -43,6 +43,7 @@
 }
 
 type datagram struct {
+	arrivesAt time.Duration
 	deliverAt time.Duration
 	from      int
 	to        int
@@ -106,6 +107,7 @@
 			n.bytes += len(body)
 			if target, ok := n.byAddress[to]; ok && !n.isLost(i, target) {
 				n.inFlight = append(n.inFlight, datagram{
+					arrivesAt: n.now + _networkDelay,
 					deliverAt: n.handleAt(target),
 					from:      i,
 					to:        target,
@@ -205,7 +207,7 @@
 		n.t.Fatal(err)
 	}
 	if core := n.cores[d.to]; core != nil && !n.isLost(d.from, d.to) {
-		core.Receive(n.now, address(d.from), packet)
+		core.Receive(n.now, min(d.arrivesAt, n.now), address(d.from), packet)
 	}
 }
 
@@ -284,9 +286,9 @@
 	n.cores[owner] = nil
 	for request := uint64(2); request < 12; request++ {
 		n.ask(asker, request)
-		n.advance(AnswerTimeout + 5*time.Millisecond)
+		n.advance(_answerTimeout + 5*time.Millisecond)
 		if _, ok := n.decisions[n.ids[asker]][request]; !ok {
-			t.Fatalf("request %d is not decided after %v", request, AnswerTimeout)
+			t.Fatalf("request %d is not decided after %v", request, _answerTimeout)
 		}
 	}
 	last := n.decisions[n.ids[asker]][11]
@@ -456,7 +458,7 @@
 		OnInformed:     func() {},
 		OnMessageError: func(string, error) { reported++ },
 	})
-	core.Receive(0, "10.0.0.2:7400", &qlfleetwire.Packet{
+	core.Receive(0, 0, "10.0.0.2:7400", &qlfleetwire.Packet{
 		From:       "r2",
 		Membership: []byte{0xff},
 	})
--- a/internal/qlowner/runs.go
+++ b/internal/qlowner/runs.go
@@ -94,8 +94,9 @@
 }
 
 // sendRunning sends each router that knows of active requests of this one the list
-// of those still active, so that it drops requests whose end note was lost. Owners
-// and the routers of the last such round get a list even when it is empty.
+// of those still active, so that it drops requests whose end note was lost. Owners, the
+// routers of the last such round and those that did not answer lately get a list even when
+// it is empty.
 func (c *Core) sendRunning(now time.Duration) {
 	byRouter := make(map[string][]uint64)
 	for request, active := range c.activeRequests {
@@ -112,6 +113,14 @@
 		}
 	}
 	c.trackingRouters = c.trackingRouters[:0]
+	for to, rounds := range c.unansweredBy {
+		if c.unansweredBy[to]--; rounds <= 1 {
+			delete(c.unansweredBy, to)
+		}
+		if _, ok := byRouter[to]; !ok {
+			byRouter[to] = nil
+		}
+	}
 	for to, requests := range byRouter {
 		c.queueFor(now, to).packet.Running = encodeRunning(requests)
 		if len(requests) > 0 {
--- /dev/null
+++ b/internal/qlowner/strain_test.go
@@ -0,0 +1,71 @@
+package qlowner
+
+import (
+	"testing"
+	"time"
+)
+
+// TestStrainedOwnerIsKnownAndKept guards against an owner that decides questions whose routers
+// no longer wait, and against routers that take one which drops them for lost.
+func TestStrainedOwnerIsKnownAndKept(t *testing.T) {
+	n := newNetwork(t, 3)
+	owner := n.owner()
+	asker := (owner + 1) % 3
+	core := n.cores[asker]
+	turned := false
+	n.onOwnerChange = func(_ int, from, _ string) { turned = turned || from != "" }
+	decidedBefore := n.cores[owner].Stats().DecidedForOthers
+	n.lag = func(router int) time.Duration {
+		if router == owner {
+			return 2 * _maxQuestionWait
+		}
+		return 0
+	}
+	const questions = 40
+	for request := range uint64(questions) {
+		n.ask(asker, request+1)
+		n.advance(25 * time.Millisecond)
+	}
+	n.advance(100 * time.Millisecond)
+	stats := n.cores[owner].Stats()
+	if got := stats.QuestionsDropped; got != questions {
+		t.Errorf("questions dropped: got %d, want %d", got, questions)
+	}
+	if got := stats.DecidedForOthers - decidedBefore; got != 0 {
+		t.Errorf("questions decided after their routers had: got %d, want 0", got)
+	}
+	if !core.OwnerStrained(n.now) {
+		t.Error("the router does not know that its owner is strained")
+	}
+	if turned {
+		t.Error("a router turned from an owner that is strained")
+	}
+	if got := len(n.decisions[n.ids[asker]]); got != questions {
+		t.Errorf("requests with a decision: got %d, want %d", got, questions)
+	}
+	n.lag = nil
+	n.advance(100 * time.Millisecond)
+	n.ask(asker, questions+1)
+	n.advance(_strainHold + 20*time.Millisecond)
+	n.ask(asker, questions+2)
+	n.advance(20 * time.Millisecond)
+	if core.OwnerStrained(n.now) {
+		t.Error("the router takes its owner for strained after the strain")
+	}
+	if got, want := n.decisions[n.ids[asker]][questions+2].Decider, n.ids[owner]; got != want {
+		t.Errorf("decided after the strain by %q, want %q", got, want)
+	}
+}
+
+// TestDroppedQuestionsAreDemand guards against shares that leave out what an owner has dropped.
+func TestDroppedQuestionsAreDemand(t *testing.T) {
+	n := newNetwork(t, 3)
+	owner := n.owner()
+	n.lag = func(int) time.Duration { return 2 * _maxQuestionWait }
+	n.ask((owner+1)%3, 1)
+	n.advance(200 * time.Millisecond)
+	shares := n.cores[owner].Placer().Shares()[0].State()
+	if len(shares) != 1 || shares[0].Demand != 1100 {
+		t.Errorf("shares: got %+v, want a demand of 1100 tokens of one customer", shares)
+	}
+}
--- a/internal/qlplace/load_test.go
+++ b/internal/qlplace/load_test.go
@@ -149,7 +149,7 @@
 	if s.objective > 0 {
 		r.LatencyObjective = s.objective
 	}
-	cost := costOf(&r.Prompt)
+	cost := r.Cost()
 	s.demand[customer] += cost
 	decision := s.placer.Decide(now, r)
 	if decision.Engine == "" {
--- a/internal/qlplace/qlplace.go
+++ b/internal/qlplace/qlplace.go
@@ -242,6 +242,12 @@
 	p.divideCapacity()
 }
 
+// Capacity returns the throughput of all engines together, in tokens per second; 0
+// when unknown.
+func (p *Placer) Capacity() float64 {
+	return p.capacity
+}
+
 // divideCapacity divides the capacity evenly between the groups, which are of
 // about equal size.
 func (p *Placer) divideCapacity() {
@@ -347,7 +353,7 @@
 
 // Decide decides on a request and, if it is admitted, records its placement.
 func (p *Placer) Decide(now time.Duration, request *Request) Decision {
-	cost := costOf(&request.Prompt)
+	cost := request.Cost()
 	pool := p.pool(request)
 	shares := p.shares[pool.group]
 	shares.AddDemand(now, request.Customer, cost)
@@ -389,8 +395,10 @@
 	}
 }
 
-func costOf(prompt *qlengine.Prompt) float64 {
-	return float64(prompt.Tokens + _outputTokenCost*prompt.MaxOutputTokens)
+// RecordDemand records a request that this router does not decide on, so that its
+// customer's demand counts in the fair shares.
+func (p *Placer) RecordDemand(now time.Duration, request *Request) {
+	p.shares[p.pool(request).group].AddDemand(now, request.Customer, request.Cost())
 }
 
 // RecordPlacement records that a request was placed on the engine, here or by
--- a/internal/qlplace/types.go
+++ b/internal/qlplace/types.go
@@ -40,6 +40,11 @@
 	AlreadyAdmitted bool
 }
 
+// Cost returns what the request takes from the engines' stated throughput, in tokens.
+func (r *Request) Cost() float64 {
+	return float64(r.Prompt.Tokens + _outputTokenCost*r.Prompt.MaxOutputTokens)
+}
+
 // Reason is why a request was refused, or Admitted.
 type Reason int
 
