--- a/internal/qlplace/division_test.go
+++ b/internal/qlplace/division_test.go
@@ -11,7 +11,7 @@
 // among customers above their share that follows how often they ask.
 func TestCustomerThatAsksThirtyTimesAsMuchGetsNoMore(t *testing.T) {
 	const (
-		engines = 140
+		engines = 70
 		begin   = 4 * time.Second
 		end     = 12 * time.Second
 		// Others that send less than the highest gets have to get nearly all of it, those that
@@ -19,14 +19,14 @@
 		wantOfDemand  = 0.9
 		wantOfHighest = 0.7
 	)
-	for _, lowerRate := range []float64{300, 600, 900} {
-		s := newSim(engines, 2_900_000)
+	for _, lowerRate := range []float64{150, 300, 450} {
+		s := newSim(engines, 1_450_000)
 		s.speed.tokensPerSecond = 41_400
 		s.segments, s.ownSegments = 200, true
 		for i := range 10 {
-			s.sendAtRate(fmt.Sprintf("small-%d", i), 20, 0, end)
+			s.sendAtRate(fmt.Sprintf("small-%d", i), 10, 0, end)
 		}
-		s.sendAtRate("lowest", 125, 0, end)
+		s.sendAtRate("lowest", 62, 0, end)
 		s.sendAtRate("lower", lowerRate, 0, end)
 		s.sendAtRate("highest", 30*lowerRate, 0, end)
 		demandBefore, grantedBefore := map[string]float64{}, map[string]float64{}
