A lagging owner is strained, too; routers alone in fleets without a stated throughput place the engines' part

Cause: an owner whose processor is taken by its own callers reads its packets late: they wait in the kernel, where their wait isn't seen, so that routers were told nothing. A router without history could place nothing alone where no throughput is stated. Change: a lag of more than 30 ms, from which on an owner calls its own times late, counts as strain. Without a stated throughput the engines' learned prefill speed takes its place. The model of an owner behind its questions handles decisions in their order and logs why the lower customer is refused. Result: TestLaggingOwnerIsStrained fails without the first part (not strained at 31 ms).

--- a/internal/qlowner/alone.go
+++ b/internal/qlowner/alone.go
@@ -135,8 +135,8 @@
 	}
 }
 
-// minAloneRate returns the part of the engines' stated throughput that falls to this router,
-// in cost per second; 0 if none is stated.
+// minAloneRate returns the part of the engines' throughput that falls to this router, in cost
+// per second.
 func (c *Core) minAloneRate() float64 {
 	return c.placer.Capacity() / float64(max(len(c.live), 1))
 }
--- a/internal/qlowner/ask.go
+++ b/internal/qlowner/ask.go
@@ -151,6 +151,7 @@
 	c.lag = lag
 	if lag > _laggingThreshold {
 		c.laggingUntil = c.now + lag + _laggingHold
+		c.strain.until = c.now + _strainHold
 	}
 }
 
--- a/internal/qlowner/overload_test.go
+++ b/internal/qlowner/overload_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -256,9 +258,9 @@
 // collect starts requests that were decided on their engines.
 func (o *overload) collect() {
 	for router, id := range o.ids {
-		for request, decision := range o.decisions[id] {
+		for _, request := range slices.Sorted(maps.Keys(o.decisions[id])) {
+			decision, r := o.decisions[id][request], o.open[request]
 			delete(o.decisions[id], request)
-			r := o.open[request]
 			delete(o.open, request)
 			if decision.Engine == "" {
 				if decision.Reason == qlplace.OverShare {
@@ -321,6 +323,7 @@
 func (o *overload) measure(span time.Duration, what string) (all overloadCounts, small, lower float64) {
 	o.t.Helper()
 	clear(o.counts)
+	o.cores[o.owner].Placer().TakeShareRefusals()
 	o.run(span)
 	all, below := o.sum()
 	small = float64(below.inTime) / float64(below.sent)
@@ -330,8 +333,8 @@
 		alone += core.Stats().PlacedAlone
 		missed += core.Stats().AnswersMissed
 	}
-	o.t.Logf("%s, %v: %+v, below their share %.3f, lower %.2f (%+v), hot %+v; since the start %d answers missed, %d placed alone",
-		what, span, all, small, lower, *o.countsOf("lower"), *o.countsOf("hot"), missed, alone)
+	o.t.Logf("%s, %v: %+v, below their share %.3f, lower %.2f (%+v, refused %+v), hot %+v; since the start %d answers missed, %d placed alone",
+		what, span, all, small, lower, *o.countsOf("lower"), o.cores[o.owner].Placer().TakeShareRefusals()["lower"], *o.countsOf("hot"), missed, alone)
 	return all, small, lower
 }
 
--- a/internal/qlowner/strain.go
+++ b/internal/qlowner/strain.go
@@ -17,7 +17,7 @@
 	// time within which the answer is needed for the network and for the other router.
 	_maxQuestionWait = _answerTimeout / 2
 	// _strainedWait is the wait of a packet from which this router is strained, for
-	// _strainHold after the last such packet.
+	// _strainHold after the last such packet. A lagging router is strained, too.
 	_strainedWait = 10 * time.Millisecond
 	_strainHold   = time.Second
 	// _strainNoticeInterval is the least time between two packets that only tell a router
--- a/internal/qlowner/strain_test.go
+++ b/internal/qlowner/strain_test.go
@@ -69,3 +69,19 @@
 		t.Errorf("shares: got %+v, want a demand of 1100 tokens of one customer", shares)
 	}
 }
+
+// TestLaggingOwnerIsStrained guards against an owner whose processor is taken by its own callers
+// and that is asked as much as before.
+func TestLaggingOwnerIsStrained(t *testing.T) {
+	n := newNetwork(t, 3)
+	owner := n.owner()
+	asker := (owner + 1) % 3
+	for _, lag := range []time.Duration{_laggingThreshold, _laggingThreshold + time.Millisecond} {
+		n.cores[owner].SetLag(lag)
+		n.ask(asker, uint64(lag))
+		n.advance(20 * time.Millisecond)
+		if got, want := n.cores[asker].OwnerStrained(n.now), lag > _laggingThreshold; got != want {
+			t.Errorf("lag %v: strained: got %v, want %v", lag, got, want)
+		}
+	}
+}
--- a/internal/qlplace/qlplace.go
+++ b/internal/qlplace/qlplace.go
@@ -242,10 +242,19 @@
 	p.divideCapacity()
 }
 
-// Capacity returns the throughput of all engines together, in tokens per second; 0
-// when unknown.
+// Capacity returns the throughput of all engines together, in tokens per second. If none
+// is stated, it is what they prefill at the learned speed.
 func (p *Placer) Capacity() float64 {
-	return p.capacity
+	if p.capacity > 0 {
+		return p.capacity
+	}
+	capacity := 0.0
+	for _, groups := range p.pools {
+		for _, pool := range groups {
+			capacity += float64(len(pool.engines)) / pool.speed.TokenPrefill().Seconds()
+		}
+	}
+	return capacity
 }
 
 // divideCapacity divides the capacity evenly between the groups, which are of
