A planned stop belongs to one start of a router, and the others tell each other of it and of its end

Cause: the owner is restarted as planned (stop at 15.0 s, start at 19.6 s). A router took it for leaving until a message about membership came from it directly, which with 89 routers takes up to 26 s: gossip told of its new start, but not that it was no longer leaving. Routers that started while it was leaving took it for the owner at once. So two owners decided from 16 to 35 s, each with its own account of who was granted what; the one customer's callers asked both. Class: a mark that outlives the process it was set for. Evidence: owner-changed of 66 routers spread from 19.6 to 35 s; share-state of both owners: the customer granted 2.4 to 3.5 M in 4 s by the one and 2.3 to 4.8 M by the other from 22 to 26 s. Change: leaving is a part of a member's incarnation: gossip, introductions and relayed answers say it, a later start ends it, and routers pass both on. The own interface does the same.

--- a/internal/qlcore/qlcore.go
+++ b/internal/qlcore/qlcore.go
@@ -218,6 +218,7 @@
 		// The sender has restarted, so its usage home is empty.
 		delete(c.lastAnsweredReport, from)
 		c.dispatcher.StartEpoch(c.now, from, epoch)
+		c.members.MarkStarted(c.now, from, epoch, false)
 	}
 	c.members.MarkHeard(c.now, from)
 	c.handle(from, epoch, message)
--- a/internal/qlmember/gossip.go
+++ b/internal/qlmember/gossip.go
@@ -32,7 +32,7 @@
 	if previous == Suspect && state == Alive {
 		m.falseSuspicions++
 	}
-	m.gossipState(id, incarnation, state)
+	m.gossipState(id, incarnation, state, peer.leaving)
 	if (previous == Dead) != (state == Dead) {
 		if state == Dead {
 			m.config.OnMemberGone(id)
@@ -53,12 +53,13 @@
 // gossipState starts to gossip a member's state. The update is sent along with
 // a number of probes and answers that grows with the logarithm of the fleet's
 // size.
-func (m *Members) gossipState(id string, incarnation uint64, state State) {
+func (m *Members) gossipState(id string, incarnation uint64, state State, leaving bool) {
 	m.gossip[id] = &gossipUpdate{
 		update: &qlwire.MemberUpdate{
 			Id:          id,
 			Incarnation: incarnation,
 			State:       uint32(state),
+			Leaving:     leaving,
 		},
 		sendsLeft: 3 * bits.Len(uint(len(m.members)+1)),
 	}
@@ -75,6 +76,7 @@
 			Id:          to,
 			Incarnation: peer.incarnation,
 			State:       uint32(peer.state),
+			Leaving:     peer.leaving,
 		})
 	}
 	ids := make([]string, 0, len(m.gossip))
@@ -109,24 +111,31 @@
 		return
 	}
 	if peer := m.members[from]; peer != nil && peer.leaving != digest.GetLeaving() {
-		peer.leaving = digest.GetLeaving()
-		m.config.OnLiveChange()
+		m.setLeaving(from, peer, digest.GetLeaving())
 	}
 	for _, update := range digest.GetUpdates() {
-		m.applyUpdate(now, update.GetId(), update.GetIncarnation(), State(update.GetState()))
+		m.applyUpdate(now, update.GetId(), update.GetIncarnation(), State(update.GetState()), update.GetLeaving())
 	}
 	m.config.OnDigest(from, digest)
 }
 
+// setLeaving records whether a member has announced a planned stop, and gossips it: the
+// member itself may reach this router long before it reaches others.
+func (m *Members) setLeaving(id string, peer *member, leaving bool) {
+	peer.leaving = leaving
+	m.gossipState(id, peer.incarnation, peer.state, leaving)
+	m.config.OnLiveChange()
+}
+
 // applyUpdate applies an update about a member. A higher incarnation has
 // precedence over a lower one; within an incarnation, dead has precedence over
-// suspect, and suspect over alive. An update that reports this router itself as
-// not alive is refuted by a higher incarnation.
-func (m *Members) applyUpdate(now time.Duration, id string, incarnation uint64, state State) {
+// suspect, and suspect over alive, and leaving over not leaving. An update that
+// reports this router itself as not alive is refuted by a higher incarnation.
+func (m *Members) applyUpdate(now time.Duration, id string, incarnation uint64, state State, leaving bool) {
 	if id == m.config.Self {
 		if state != Alive && incarnation >= m.incarnation {
 			m.incarnation = incarnation + 1
-			m.gossipState(id, m.incarnation, Alive)
+			m.gossipState(id, m.incarnation, Alive, m.config.Digest().GetLeaving())
 		}
 		return
 	}
@@ -135,12 +144,15 @@
 		// A state that is unknown here, as from a later version, is ignored.
 		return
 	}
-	if incarnation == peer.incarnation && state <= peer.state {
-		return
+	isLater := incarnation > peer.incarnation
+	if isLater || state > peer.state {
+		if state == peer.state {
+			peer.incarnation = incarnation
+		} else {
+			m.setState(now, id, peer, incarnation, state)
+		}
 	}
-	if state == peer.state {
-		peer.incarnation = incarnation
-		return
+	if leaving != peer.leaving && (isLater || leaving) {
+		m.setLeaving(id, peer, leaving)
 	}
-	m.setState(now, id, peer, incarnation, state)
 }
--- a/internal/qlmember/probe.go
+++ b/internal/qlmember/probe.go
@@ -166,6 +166,7 @@
 				Sequence:           probe.GetSequence(),
 				Digest:             m.newDigest(from),
 				SubjectIncarnation: m.incarnation,
+				SubjectLeaving:     m.config.Digest().GetLeaving(),
 			},
 		},
 	})
@@ -202,6 +203,7 @@
 					Sequence:           r.sequence,
 					Subject:            from,
 					SubjectIncarnation: ack.GetSubjectIncarnation(),
+					SubjectLeaving:     ack.GetSubjectLeaving(),
 				},
 			},
 		})
@@ -216,5 +218,5 @@
 			p.answered = true
 		}
 	}
-	m.applyUpdate(now, subject, ack.GetSubjectIncarnation(), Alive)
+	m.applyUpdate(now, subject, ack.GetSubjectIncarnation(), Alive, ack.GetSubjectLeaving())
 }
--- a/internal/qlmember/qlmember.go
+++ b/internal/qlmember/qlmember.go
@@ -114,8 +114,8 @@
 	Leaving bool
 }
 
-// member is another listed router. Its leaving flag is from its own digests,
-// while listed.Leaving is from the VM list.
+// member is another listed router. Its leaving flag is from its own digests or
+// gossip about them, while listed.Leaving is from the VM list.
 type member struct {
 	listed      ListedRouter
 	incarnation uint64
@@ -306,18 +306,25 @@
 }
 
 // MarkStarted records the incarnation at which a member was started, as its own
-// messages or other routers state it. A member of an earlier incarnation that was
-// taken for dead is alive again.
-func (m *Members) MarkStarted(now time.Duration, id string, incarnation uint64) {
-	if peer := m.members[id]; peer != nil && incarnation > peer.incarnation {
-		m.applyUpdate(now, id, incarnation, Alive)
+// messages or other routers state it, and whether it has announced a planned stop
+// since. A member of an earlier incarnation that was taken for dead, or was leaving,
+// is alive again.
+func (m *Members) MarkStarted(now time.Duration, id string, incarnation uint64, leaving bool) {
+	if peer := m.members[id]; peer != nil && (leaving || incarnation > peer.incarnation) {
+		m.applyUpdate(now, id, incarnation, Alive, leaving)
 	}
 }
 
+// IsLeaving reports whether a member has announced a planned stop.
+func (m *Members) IsLeaving(id string) bool {
+	peer := m.members[id]
+	return peer != nil && peer.leaving
+}
+
 // MarkDead records that another router takes a member for dead in an incarnation, as
 // gossip would. It has no effect if a later incarnation is known.
 func (m *Members) MarkDead(now time.Duration, id string, incarnation uint64) {
-	m.applyUpdate(now, id, incarnation, Dead)
+	m.applyUpdate(now, id, incarnation, Dead, m.IsLeaving(id))
 }
 
 // DeadFor returns for how long a member has been taken for dead; 0 if it is not.
--- a/internal/qlowner/packet.go
+++ b/internal/qlowner/packet.go
@@ -182,7 +182,7 @@
 			continue
 		}
 		router := c.routers[id]
-		router.Incarnation, router.Dead = c.members.Incarnation(id), dead
+		router.Incarnation, router.Dead, router.Leaving = c.members.Incarnation(id), dead, c.members.IsLeaving(id)
 		routers = append(routers, router)
 	}
 	return routers
@@ -246,12 +246,12 @@
 			c.send(source, reply)
 		}
 	}
+	c.members.MarkHeard(now, from)
+	c.members.MarkStarted(now, from, packet.GetIncarnation(), false)
 	if len(packet.GetMembership()) > 0 {
 		c.receiveMembership(now, from, packet.GetMembership())
 		c.compareEvidence(now, from, packet.GetEvidenceDigest())
 	}
-	c.members.MarkHeard(now, from)
-	c.members.MarkStarted(now, from, packet.GetIncarnation())
 	if packet.GetLate() {
 		c.placer.MarkLagging(now, from)
 	}
@@ -327,7 +327,7 @@
 			c.members.MarkDead(now, router.GetId(), router.GetIncarnation())
 			continue
 		}
-		c.members.MarkStarted(now, router.GetId(), router.GetIncarnation())
+		c.members.MarkStarted(now, router.GetId(), router.GetIncarnation(), router.GetLeaving())
 	}
 }
 
