--- a/internal/qledge/operations.go
+++ b/internal/qledge/operations.go
@@ -140,6 +140,7 @@
 			"configuration-revision": configuration,
 			"list-revision":          list,
 			"owners":                 e.fleet.Core().Owners(),
+			"owner-strained":         e.fleet.OwnerStrained(),
 			"members":                e.fleet.Core().Members(),
 			"decisions":              e.fleet.Core().Stats(),
 			"engines":                e.fleet.Core().Placer().State(now),
