Membership: take a digest once for the answer to a probe

Cause: the answer to a probe took the digest's mark of a planned stop from the config's function a second time, next to the digest that it had just taken.

Change: one digest, its mark used in both places. No change of behaviour.

Result: qlowner's tests, which drive the membership, pass.

--- a/internal/qlmember/probe.go
+++ b/internal/qlmember/probe.go
@@ -160,13 +160,14 @@
 // ReceiveProbe applies a probe's digest and answers its sender.
 func (m *Members) ReceiveProbe(now time.Duration, from string, probe *qlwire.Probe) {
 	m.receiveDigest(now, from, probe.GetDigest())
+	digest := m.newDigest(from)
 	m.config.Send(from, &qlwire.Message{
 		Body: &qlwire.Message_ProbeAck{
 			ProbeAck: &qlwire.ProbeAck{
 				Sequence:           probe.GetSequence(),
-				Digest:             m.newDigest(from),
+				Digest:             digest,
 				SubjectIncarnation: m.incarnation,
-				SubjectLeaving:     m.config.Digest().GetLeaving(),
+				SubjectLeaving:     digest.GetLeaving(),
 			},
 		},
 	})
