Test of a strained owner that stalls for less than the silence limit, red

Evidence, by the traces: r5 turns at 12,748 ms. It last heard of the owner at 12,344 ms, of questions dropped at 12,340; the owner handled more of its questions at 12,391 and 12,420 ms, dropped them, and said nothing, as a notice is sent each 100 ms at most and the next one only with the next dropped question. In another the router had heard of the owner 361 ms before it turned, 400 are wanted: a question asked before that counts from when it was asked.

Change: a test without chance. A router asks a strained owner each 10 ms; the owner handles nothing for 340 ms, which may not turn the router.

--- a/internal/qlowner/strain_test.go
+++ b/internal/qlowner/strain_test.go
@@ -3,6 +3,9 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/quetzallane/quetzallane/internal/qlfleetwire"
+	"google.golang.org/protobuf/proto"
 )
 
 // TestStrainedOwnerIsKnownAndKept guards against an owner that decides questions whose routers
@@ -57,6 +60,56 @@
 	}
 }
 
+// stallsOwner has one router ask a strained owner every 10 ms, and the owner handle nothing for
+// the span once it has dropped questions for 500 ms and the phase. It returns whether the router
+// turned to another owner.
+func stallsOwner(t *testing.T, span, phase time.Duration) (turned bool) {
+	t.Helper()
+	n := newNetwork(t, 3)
+	owner := n.owner()
+	asker := (owner + 1) % 3
+	n.onOwnerChange = func(_ int, from, _ string) { turned = turned || from != "" }
+	// Probes and their answers would show that the owner lives.
+	n.deliver = func(d datagram) {
+		packet := &qlfleetwire.Packet{}
+		if err := proto.Unmarshal(d.packet, packet); err != nil {
+			t.Fatal(err)
+		}
+		if d.from != owner || packet.Membership == nil && packet.Introduction == nil {
+			n.receive(d)
+		}
+	}
+	const lag = 2 * _maxQuestionWait
+	stallAt := n.now + 500*time.Millisecond + phase
+	n.lag = func(router int) time.Duration {
+		if router != owner {
+			return 0
+		}
+		if at := n.now + _networkDelay + lag; at >= stallAt && at < stallAt+span {
+			return stallAt + span - n.now - _networkDelay
+		}
+		return lag
+	}
+	request := uint64(0)
+	for end := stallAt + span; n.now < end; {
+		request++
+		n.ask(asker, request)
+		n.advance(10 * time.Millisecond)
+	}
+	return turned
+}
+
+// TestStrainedOwnerIsKeptInStall guards against an owner that is taken for silent since it told
+// nothing of the last questions that it dropped.
+func TestStrainedOwnerIsKeptInStall(t *testing.T) {
+	const stall = _silenceLimit - _answerTimeout - 10*time.Millisecond
+	for phase := time.Duration(0); phase < 100*time.Millisecond; phase += 10 * time.Millisecond {
+		if stallsOwner(t, stall, phase) {
+			t.Errorf("phase %v: the router turned from an owner that handled nothing for %v, want so from %v on", phase, stall, _silenceLimit)
+		}
+	}
+}
+
 // TestDroppedQuestionsAreDemand guards against shares that leave out what an owner has dropped.
 func TestDroppedQuestionsAreDemand(t *testing.T) {
 	n := newNetwork(t, 3)
