A strained owner tells of the last questions that it drops, too

Cause: notices of dropped questions go out each 100 ms at most; a question dropped between two of them was never told of, unless another one followed. And a question asked before a notice arrived moved the begin of the owner's silence back before that notice. So an owner 200 to 400 ms late seemed silent for 400 ms after 300 to 360.

Change: the owner remembers which routers it owes a notice and sends it with the next tick after the interval. Silence counts from the later of the first missed question and the owner's last word.

Why it works: a router hears at most 100 ms and a tick after its last question was handled.

--- a/internal/qlowner/ask.go
+++ b/internal/qlowner/ask.go
@@ -187,7 +187,7 @@
 func (c *Core) recordMiss(now time.Duration, q question) {
 	p := c.penalties[q.owner]
 	if p.misses == 0 || q.askedAt < p.silentSince {
-		p.silentSince = q.askedAt
+		p.silentSince = max(q.askedAt, p.strainedAt)
 	}
 	p.misses++
 	if p.until > 0 || p.misses >= _missLimit && now-p.silentSince >= _silenceLimit {
--- a/internal/qlowner/packet.go
+++ b/internal/qlowner/packet.go
@@ -349,6 +349,7 @@
 			delete(c.penalties, id)
 			delete(c.strain.ofOthers, id)
 			delete(c.strain.noticedAt, id)
+			delete(c.strain.unnoticed, id)
 			delete(c.evidence.exchangedAt, id)
 			forgotten++
 		}
--- a/internal/qlowner/qlowner.go
+++ b/internal/qlowner/qlowner.go
@@ -199,8 +199,10 @@
 // when it is skipped for them; 0 if it is not.
 type penalty struct {
 	misses int
-	// silentSince is when the first of these questions was asked.
+	// silentSince is when the first of these questions was asked, or when the owner last
+	// said that it is strained, if that was later.
 	silentSince time.Duration
+	strainedAt  time.Duration
 	until       time.Duration
 }
 
@@ -445,6 +447,7 @@
 	}
 	c.placer.AssumeFirstEvents(now)
 	c.placer.SetFleet(c.Fleet())
+	c.noticeAllDropped(now)
 	c.members.Tick(now)
 	c.introduce(now)
 	c.expireInformed(now)
--- a/internal/qlowner/strain.go
+++ b/internal/qlowner/strain.go
@@ -33,12 +33,15 @@
 	ofOthers map[string]time.Duration
 	// noticedAt is when a router was last told that its questions were dropped.
 	noticedAt map[string]time.Duration
+	// unnoticed are the routers of which questions were dropped since.
+	unnoticed map[string]bool
 }
 
 func newStrainState() strainState {
 	return strainState{
 		ofOthers:  make(map[string]time.Duration),
 		noticedAt: make(map[string]time.Duration),
+		unnoticed: make(map[string]bool),
 	}
 }
 
@@ -61,7 +64,7 @@
 	}
 	c.strain.ofOthers[from] = now + _strainHold
 	if p, ok := c.penalties[from]; ok {
-		p.silentSince, p.until = now, 0
+		p.silentSince, p.strainedAt, p.until = now, now, 0
 		c.penalties[from] = p
 	}
 }
@@ -73,11 +76,26 @@
 	for _, ask := range asks {
 		c.placer.RecordDemand(now, decodeAsk(from, ask))
 	}
-	if last, ok := c.strain.noticedAt[from]; ok && now-last < _strainNoticeInterval {
+	c.strain.unnoticed[from] = true
+	c.noticeDropped(now, from)
+}
+
+// noticeDropped tells a router that questions of it were dropped, unless it was told so
+// within _strainNoticeInterval.
+func (c *Core) noticeDropped(now time.Duration, to string) {
+	if last, ok := c.strain.noticedAt[to]; ok && now-last < _strainNoticeInterval {
 		return
 	}
-	c.strain.noticedAt[from] = now
-	c.queueFor(now, from).urgent = true
+	c.strain.noticedAt[to] = now
+	delete(c.strain.unnoticed, to)
+	c.queueFor(now, to).urgent = true
+}
+
+// noticeAllDropped sends the notices that are due.
+func (c *Core) noticeAllDropped(now time.Duration) {
+	for to := range c.strain.unnoticed {
+		c.noticeDropped(now, to)
+	}
 }
 
 // OwnerStrained reports whether an owner that this router asks gets more questions than it
--- a/internal/qlowner/strain_test.go
+++ b/internal/qlowner/strain_test.go
@@ -102,7 +102,7 @@
 // TestStrainedOwnerIsKeptInStall guards against an owner that is taken for silent since it told
 // nothing of the last questions that it dropped.
 func TestStrainedOwnerIsKeptInStall(t *testing.T) {
-	const stall = _silenceLimit - _answerTimeout - 10*time.Millisecond
+	const stall = _silenceLimit - 20*time.Millisecond
 	for phase := time.Duration(0); phase < 100*time.Millisecond; phase += 10 * time.Millisecond {
 		if stallsOwner(t, stall, phase) {
 			t.Errorf("phase %v: the router turned from an owner that handled nothing for %v, want so from %v on", phase, stall, _silenceLimit)
