Routers alone place an even part of theirs for each customer, also of one above its share

A customer of which the owner refused one request for its share counts as above it while the owner does not answer, and then gets what was placed of it lately, of which what is placed alone counts by half: its rate falls to nothing. One refusal by chance suffices, as of a customer below its share that asks a little more for a moment.

Change: whatever was placed of a customer, an even part, among the customers of this router, of the router's part of the engines' throughput is permitted.

Why it works: the parts of all customers and routers add up to the throughput, so that the bound in all stays, and a customer within its part needs no history.

--- a/internal/qlowner/alone.go
+++ b/internal/qlowner/alone.go
@@ -69,7 +69,8 @@
 }
 
 // aloneLimit bounds what a router places while the owner of the engines does not answer: in
-// all what was placed lately, and of a customer above its share what was placed of that one.
+// all what was placed lately, and of a customer above its share what was placed of that one,
+// but no less than an even part of what falls to this router.
 type aloneLimit struct {
 	total     placedRate
 	customers map[string]*customerRate
@@ -81,15 +82,16 @@
 	}
 }
 
-// customer returns a customer's rate as of now.
-func (l *aloneLimit) customer(now time.Duration, name string) *customerRate {
+// customer returns a customer's rate as of now. Whatever was placed of it, an even part of
+// minRate among the customers of this router is permitted.
+func (l *aloneLimit) customer(now time.Duration, name string, minRate float64) *customerRate {
 	r := l.customers[name]
 	if r == nil {
 		r = &customerRate{}
 		r.updatedAt = now
 		l.customers[name] = r
 	}
-	r.advance(now, 1, 0)
+	r.advance(now, 1, minRate/float64(len(l.customers)))
 	return r
 }
 
@@ -98,7 +100,7 @@
 // in any case, in cost per second.
 func (l *aloneLimit) admit(now time.Duration, customer string, minRate float64) (ok, aboveShare bool) {
 	l.total.advance(now, _aloneMargin, minRate)
-	r := l.customer(now, customer)
+	r := l.customer(now, customer, minRate)
 	if now < r.aboveShareUntil && r.allowance <= 0 {
 		// Nobody says when that ends while the owner does not answer.
 		r.aboveShareUntil = now + _aboveShareHold
@@ -109,7 +111,7 @@
 
 // record records the decision on a request, which is an owner's if byOwner is set.
 func (l *aloneLimit) record(now time.Duration, request *qlplace.Request, decision *qlplace.Decision, byOwner bool, minRate float64) {
-	r := l.customer(now, request.Customer)
+	r := l.customer(now, request.Customer, minRate)
 	if byOwner && decision.Reason == qlplace.OverShare {
 		r.aboveShareUntil = now + _aboveShareHold
 	}
@@ -126,9 +128,9 @@
 }
 
 // expire forgets customers of which nothing was placed lately.
-func (l *aloneLimit) expire(now time.Duration) {
-	for name, r := range l.customers {
-		r.advance(now, 1, 0)
+func (l *aloneLimit) expire(now time.Duration, minRate float64) {
+	for name := range l.customers {
+		r := l.customer(now, name, minRate)
 		if r.rate < _forgottenRate && now >= r.aboveShareUntil {
 			delete(l.customers, name)
 		}
--- a/internal/qlowner/alone_test.go
+++ b/internal/qlowner/alone_test.go
@@ -72,17 +72,61 @@
 	}
 }
 
+// TestCustomerRefusedOnceKeepsItsPart guards against a customer that is held back for as long as
+// the owner does not answer because the owner once refused a request of it for its share.
+func TestCustomerRefusedOnceKeepsItsPart(t *testing.T) {
+	const (
+		cost     = 1000
+		rate     = 20
+		calm     = 4 * time.Second
+		silent   = 8 * time.Second
+		others   = 1
+		minRate  = 1.2 * (1 + others) * rate * cost
+		interval = time.Second / rate
+	)
+	request := func(customer string) *qlplace.Request {
+		return &qlplace.Request{
+			Customer: customer,
+			Prompt: qlengine.Prompt{
+				Tokens: cost,
+			},
+		}
+	}
+	l := newAloneLimit()
+	for now := time.Duration(0); now < calm; now += interval {
+		l.record(now, request("a"), &qlplace.Decision{Engine: "e"}, true, minRate)
+		l.record(now, request("b"), &qlplace.Decision{Engine: "e"}, true, minRate)
+	}
+	l.record(calm, request("a"), &qlplace.Decision{Reason: qlplace.OverShare}, true, minRate)
+	asked, placed := 0, 0
+	for now := calm; now < calm+silent; now += interval {
+		asked++
+		for _, customer := range []string{"a", "b"} {
+			if ok, _ := l.admit(now, customer, minRate); !ok {
+				continue
+			}
+			l.record(now, request(customer), &qlplace.Decision{Engine: "e"}, false, minRate)
+			if customer == "a" {
+				placed++
+			}
+		}
+	}
+	if got, want := float64(placed)/float64(asked), 0.9; got < want {
+		t.Errorf("placed of a customer whose demand is within its part: got %.2f, want %.2f at least", got, want)
+	}
+}
+
 // TestCustomersWithoutRequestsAreForgotten guards against a table that grows with the customers
 // ever seen.
 func TestCustomersWithoutRequestsAreForgotten(t *testing.T) {
 	l := newAloneLimit()
 	l.admit(0, "a", 1)
 	l.record(0, &qlplace.Request{Customer: "b", Prompt: qlengine.Prompt{Tokens: 1000}}, &qlplace.Decision{Engine: "e"}, true, 0)
-	l.expire(time.Second)
+	l.expire(time.Second, 0)
 	if got, want := len(l.customers), 1; got != want {
 		t.Errorf("customers after a second: got %d, want %d", got, want)
 	}
-	l.expire(time.Minute)
+	l.expire(time.Minute, 0)
 	if got := len(l.customers); got != 0 {
 		t.Errorf("customers after a minute: got %d, want 0", got)
 	}
--- a/internal/qlowner/qlowner.go
+++ b/internal/qlowner/qlowner.go
@@ -455,7 +455,7 @@
 	if now >= c.reconcileAt {
 		c.reconcileAt = now + _reconcileInterval
 		c.placer.Tick(now)
-		c.alone.expire(now)
+		c.alone.expire(now, c.minAloneRate())
 		c.quarantine.Tick(now, c.ownsTrials)
 		c.forgetDeadRouters(now)
 		c.sendRunning(now)
