--- a/internal/qlowner/flood_test.go
+++ b/internal/qlowner/flood_test.go
@@ -70,7 +70,7 @@
 
 func newFlood(t *testing.T, seed uint64) *flood {
 	f := &flood{
-		network:  newNetwork(t, _floodRouters),
+		network:  newSeededNetwork(t, _floodRouters, seed),
 		random:   rand.New(rand.NewPCG(seed, 1)),
 		lagRange: func(int) (time.Duration, time.Duration) { return 0, 0 },
 		events:   map[time.Duration][]func(){},
@@ -279,7 +279,7 @@
 		{name: "200 to 400 ms late", least: 200 * time.Millisecond, most: 400 * time.Millisecond, minServed: 0.8},
 		{name: "all 60 to 150 ms late", least: 60 * time.Millisecond, most: 150 * time.Millisecond, allHot: true, minServed: 0.7},
 	} {
-		for seed := range uint64(3) {
+		for seed := range uint64(8) {
 			f, owner := newHotOwnerFlood(t, seed)
 			f.lagRange = func(router int) (time.Duration, time.Duration) {
 				if c.allHot || router == owner {
--- a/internal/qlowner/late_test.go
+++ b/internal/qlowner/late_test.go
@@ -174,3 +174,38 @@
 		}
 	}
 }
+
+// TestLateRouterIsNotTakenForDead guards against membership that declares a router dead that is
+// late, as it learns too late that it is suspected.
+func TestLateRouterIsNotTakenForDead(t *testing.T) {
+	const (
+		late     = 3
+		lag      = 400 * time.Millisecond
+		span     = 20 * time.Second
+		interval = 10 * time.Millisecond
+	)
+	for seed := range uint64(10) {
+		n := newSeededNetwork(t, 7, seed)
+		n.lag = func(router int) time.Duration {
+			if router == late {
+				return lag
+			}
+			return 0
+		}
+		// byRouter is for how long each other router took the late one for dead.
+		byRouter := map[int]time.Duration{}
+		for end := n.now + span; n.now < end; {
+			n.advance(interval)
+			for i, core := range n.cores {
+				for _, member := range core.Members() {
+					if i != late && member.ID == n.ids[late] && member.State == "dead" {
+						byRouter[i] += interval
+					}
+				}
+			}
+		}
+		if len(byRouter) > 0 {
+			t.Errorf("seed %d: a router that answers %v late was taken for dead, by router: got %v, want none", seed, lag, byRouter)
+		}
+	}
+}
--- a/internal/qlowner/qlowner_test.go
+++ b/internal/qlowner/qlowner_test.go
@@ -23,6 +23,8 @@
 	ids      []string
 	inFlight []datagram
 	random   *rand.Rand
+	// seed makes the routers of one network draw other random numbers than those of another.
+	seed uint64
 	// isLost reports whether a packet between the two routers is lost. It is called
 	// when the packet is sent and again when it would arrive.
 	isLost func(from, to int) bool
@@ -79,8 +81,14 @@
 }
 
 func newNetwork(t *testing.T, routers int) *network {
+	t.Helper()
+	return newSeededNetwork(t, routers, 0)
+}
+
+func newSeededNetwork(t *testing.T, routers int, seed uint64) *network {
 	t.Helper()
 	n := newEmptyNetwork(t, routers)
+	n.seed = seed
 	for i := range routers {
 		id := fmt.Sprintf("r%d", i)
 		n.ids = append(n.ids, id)
@@ -97,7 +105,7 @@
 		Zone:        fmt.Sprintf("z%d", i%3),
 		Address:     address(i),
 		Incarnation: incarnation,
-		Random:      rand.New(rand.NewPCG(uint64(i), incarnation)),
+		Random:      rand.New(rand.NewPCG(uint64(i), incarnation+n.seed<<32)),
 		Seeds:       n.seeds,
 		Send: func(to string, packet *qlfleetwire.Packet) {
 			body, err := proto.Marshal(packet)
