Membership: a member that is suspected is told at once

Cause: a suspected member has 1 s to refute, and learns of it from the next probe that some router that knows of the suspicion happens to send to it, a few in a second. One that is late by 400 ms, or whose refutation reaches a router only through others, is sometimes declared dead while packets of it arrive: every router that asks it turns away, and back 10 to 300 ms later.

What callers saw: two owners beside each other for up to 0.62 s.

Evidence: traces of owner changes (a copy): the owner is dead in the view of the one that turns, its last packet arrived 0 to 50 ms before.

Change: the router whose probes got no answer sends the member another probe at once, whose digest says that it is suspected. One datagram for each suspicion.

Why it works: the suspicion is refuted by the answer after one round trip and the lag; gossip has the rest of the second.

--- a/internal/qlmember/probe.go
+++ b/internal/qlmember/probe.go
@@ -152,6 +152,9 @@
 		}
 		failed++
 		m.setState(now, p.target, peer, peer.incarnation, Suspect)
+		// One that is late, not dead, learns of it from this probe's digest, in time to refute it.
+		m.sequence++
+		m.sendProbe(p.target, m.sequence)
 	}
 	m.probes = m.probes[:0]
 	return failed
