--- a/internal/qlmember/probe.go
+++ b/internal/qlmember/probe.go
@@ -139,7 +139,7 @@
 }
 
 // concludeProbes suspects the targets of the last probes from which nobody got an
-// answer, and returns how many there are. Probes that this process evaluates late
+// answer, tells them so, and returns how many there are. Probes that this process evaluates late
 // say nothing: it may not have read the answers yet.
 func (m *Members) concludeProbes(now time.Duration) (failed int) {
 	for _, p := range m.probes {
@@ -152,7 +152,7 @@
 		}
 		failed++
 		m.setState(now, p.target, peer, peer.incarnation, Suspect)
-		// One that is late, not dead, learns of it from this probe's digest, in time to refute it.
+		// The probe's digest tells the target, which refutes it in time if it is only late.
 		m.sequence++
 		m.sendProbe(p.target, m.sequence)
 	}
--- a/internal/qlmember/qlmember.go
+++ b/internal/qlmember/qlmember.go
@@ -4,11 +4,11 @@
 // The platform's VM list says which routers may be members, but it lags behind
 // failures. Each router therefore probes one other router at a time, in a
 // shuffled order. If that router does not answer, a few others are asked to
-// probe it. A router that answers none of them is suspected, and declared dead
-// after SuspicionTimeout. Updates about suspected and dead members are sent
-// along with probes and their answers (gossip). A router that receives such an
-// update about itself refutes it with a higher incarnation. The traffic of each
-// router does not grow with the fleet.
+// probe it. A router that answers none of them is suspected, told so, and
+// declared dead after SuspicionTimeout. Updates about suspected and dead members
+// are sent along with probes and their answers (gossip). A router that receives
+// such an update about itself refutes it with a higher incarnation. The traffic
+// of each router does not grow with the fleet.
 //
 // Views differ between routers at any time, and both sides of a partition
 // declare each other dead. Nothing here prevents that; docs/DESIGN.md says for
--- a/internal/qlowner/qlowner.go
+++ b/internal/qlowner/qlowner.go
@@ -199,8 +199,8 @@
 // when it is skipped for them; 0 if it is not.
 type penalty struct {
 	misses int
-	// silentSince is when the first of these questions was asked, or when the owner last
-	// said that it is strained, if that was later.
+	// silentSince is when the first of these questions was asked, but not before
+	// strainedAt, when the owner last said that it is strained.
 	silentSince time.Duration
 	strainedAt  time.Duration
 	until       time.Duration
--- a/internal/qlowner/strain_test.go
+++ b/internal/qlowner/strain_test.go
@@ -60,10 +60,10 @@
 	}
 }
 
-// stallsOwner has one router ask a strained owner every 10 ms, and the owner handle nothing for
-// the span once it has dropped questions for 500 ms and the phase. It returns whether the router
-// turned to another owner.
-func stallsOwner(t *testing.T, span, phase time.Duration) (turned bool) {
+// turnsFromStalledOwner has a router ask a strained owner every 10 ms. The owner drops the
+// questions for 500 ms and the phase, and then handles nothing for the span. It returns whether
+// the router turned to another owner.
+func turnsFromStalledOwner(t *testing.T, span, phase time.Duration) (turned bool) {
 	t.Helper()
 	n := newNetwork(t, 3)
 	owner := n.owner()
@@ -104,8 +104,8 @@
 func TestStrainedOwnerIsKeptInStall(t *testing.T) {
 	const stall = _silenceLimit - 20*time.Millisecond
 	for phase := time.Duration(0); phase < 100*time.Millisecond; phase += 10 * time.Millisecond {
-		if stallsOwner(t, stall, phase) {
-			t.Errorf("phase %v: the router turned from an owner that handled nothing for %v, want so from %v on", phase, stall, _silenceLimit)
+		if turnsFromStalledOwner(t, stall, phase) {
+			t.Errorf("phase %v: the router turned from an owner that handled nothing for %v, want so after %v at the earliest", phase, stall, _silenceLimit)
 		}
 	}
 }
