A notice of a strained owner ends the count of missed answers, as an answer does

A notice moved the begin of the owner's silence and kept the count of missed answers. So after a pause of a router's questions one missed answer, 50 ms after the question, was taken for a silence as long as the pause.

Change: after a notice nothing is missed. The router knows by the notice itself that the owner is strained (OwnerStrained).

Why it works: it turns only if two answers are missed after the owner's last word and 0.4 s have passed since the first of these questions.

--- a/internal/qlowner/strain.go
+++ b/internal/qlowner/strain.go
@@ -63,9 +63,10 @@
 		return
 	}
 	c.strain.ofOthers[from] = now + _strainHold
-	if p, ok := c.penalties[from]; ok {
-		p.silentSince, p.strainedAt, p.until = now, now, 0
-		c.penalties[from] = p
+	if _, ok := c.penalties[from]; ok {
+		c.penalties[from] = penalty{
+			strainedAt: now,
+		}
 	}
 }
 
--- a/internal/qlowner/strain_test.go
+++ b/internal/qlowner/strain_test.go
@@ -60,6 +60,20 @@
 	}
 }
 
+// loseMembership loses the packets about membership from one router to another, which show that
+// the router lives.
+func (n *network) loseMembership(from, to int) {
+	n.deliver = func(d datagram) {
+		packet := &qlfleetwire.Packet{}
+		if err := proto.Unmarshal(d.packet, packet); err != nil {
+			n.t.Fatal(err)
+		}
+		if d.from != from || d.to != to || packet.Membership == nil && packet.Introduction == nil {
+			n.receive(d)
+		}
+	}
+}
+
 // turnsFromStalledOwner has a router ask a strained owner every 10 ms. The owner drops the
 // questions for 500 ms and the phase, and then handles nothing for the span. It returns whether
 // the router turned to another owner.
@@ -69,16 +83,7 @@
 	owner := n.owner()
 	asker := (owner + 1) % 3
 	n.onOwnerChange = func(_ int, from, _ string) { turned = turned || from != "" }
-	// Probes and their answers would show that the owner lives.
-	n.deliver = func(d datagram) {
-		packet := &qlfleetwire.Packet{}
-		if err := proto.Unmarshal(d.packet, packet); err != nil {
-			t.Fatal(err)
-		}
-		if d.from != owner || packet.Membership == nil && packet.Introduction == nil {
-			n.receive(d)
-		}
-	}
+	n.loseMembership(owner, asker)
 	const lag = 2 * _maxQuestionWait
 	stallAt := n.now + 500*time.Millisecond + phase
 	n.lag = func(router int) time.Duration {
@@ -110,6 +115,32 @@
 	}
 }
 
+// TestStrainedOwnerIsKeptByRareQuestions guards against routers that take a pause between their
+// questions for the silence of an owner that had nothing to answer.
+func TestStrainedOwnerIsKeptByRareQuestions(t *testing.T) {
+	n := newNetwork(t, 3)
+	owner := n.owner()
+	asker := (owner + 1) % 3
+	n.lag = func(router int) time.Duration {
+		if router == owner {
+			return 2 * _maxQuestionWait
+		}
+		return 0
+	}
+	n.loseMembership(owner, asker)
+	n.onOwnerChange = func(router int, from, _ string) {
+		if from != "" {
+			t.Errorf("router %d turned at %v from the owner, which tells of each question", router, n.now)
+		}
+	}
+	for request := range uint64(5) {
+		n.ask(asker, 2*request)
+		n.advance(_answerTimeout + 5*time.Millisecond)
+		n.ask(asker, 2*request+1)
+		n.advance(2 * _silenceLimit)
+	}
+}
+
 // TestDroppedQuestionsAreDemand guards against shares that leave out what an owner has dropped.
 func TestDroppedQuestionsAreDemand(t *testing.T) {
 	n := newNetwork(t, 3)
