Membership: a suspicion of a later incarnation starts anew

Cause: a member that refutes a suspicion does so by a higher incarnation. A router that missed the refutation and then hears of a suspicion of that incarnation took over the incarnation and kept the time of the first suspicion, so that it declared the member dead before it could refute the second; gossip then made it dead for all. It is as old as membership.

What callers saw: all routers turned from a late owner for 50 to 600 ms, and two owners decided.

A copy with traces: r4 suspects r3 in incarnation 9 at 10,004 ms, misses incarnation 10, of which the others know from 10,408 on, hears of its suspicion at about 10,900 and declares it dead at 11,050.

Change: the time of the suspicion is taken over with the incarnation.

Why it works: only the member itself raises its incarnation, so it lived after the earlier suspicion. A dead one raises none: its detection takes as long as before.

Result: TestSuspicionOfLaterIncarnationStartsAnew failed before; passes.

--- a/internal/qlmember/gossip.go
+++ b/internal/qlmember/gossip.go
@@ -147,7 +147,8 @@
 	isLater := incarnation > peer.incarnation
 	if isLater || state > peer.state {
 		if state == peer.state {
-			peer.incarnation = incarnation
+			// The member has refuted the suspicion of the earlier incarnation.
+			peer.incarnation, peer.suspectedAt = incarnation, now
 		} else {
 			m.setState(now, id, peer, incarnation, state)
 		}
