--- a/internal/qlcatalog/qlcatalog_test.go
+++ b/internal/qlcatalog/qlcatalog_test.go
@@ -4,13 +4,35 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/quetzallane/quetzallane/internal/qlposition"
 )
 
+// at returns the position of the revision in the first era.
+func at(revision uint64) qlposition.Position {
+	return inEra(1, revision)
+}
+
+func inEra(era, revision uint64) qlposition.Position {
+	return qlposition.Position{
+		Era:      era,
+		Revision: revision,
+	}
+}
+
 func entry(id string, state State, revision uint64) Entry {
 	return Entry{
 		ID:       id,
 		State:    state,
-		Revision: revision,
+		Position: at(revision),
+	}
+}
+
+// listAt returns the complete list of the revision in the first era.
+func listAt(revision uint64, entries ...Entry) List {
+	return List{
+		Entries:  entries,
+		Position: at(revision),
 	}
 }
 
@@ -24,8 +46,8 @@
 
 func TestDeletedEntryIsRemovedAtOnce(t *testing.T) {
 	c := New()
-	c.Replace(0, []Entry{entry("a", Ready, 1), entry("b", Ready, 2)}, 2)
-	c.Delete(time.Second, "a", 3)
+	c.Replace(0, listAt(2, entry("a", Ready, 1), entry("b", Ready, 2)))
+	c.Delete(time.Second, "a", at(3))
 	if got, want := ids(c), "b"; got != want {
 		t.Errorf("entries: got %q, want %q", got, want)
 	}
@@ -33,13 +55,13 @@
 
 func TestExpiredEntriesAreKeptAroundAnOutage(t *testing.T) {
 	c := New()
-	c.Replace(0, []Entry{entry("a", Ready, 1), entry("b", Ready, 2), entry("c", Draining, 3)}, 3)
+	c.Replace(0, listAt(3, entry("a", Ready, 1), entry("b", Ready, 2), entry("c", Draining, 3)))
 	c.StoreLost()
 	regainedAt := 10 * time.Second
 	c.StoreRegained(regainedAt)
-	c.Delete(regainedAt, "a", 4)
-	c.Delete(regainedAt, "b", 5)
-	c.Delete(regainedAt, "c", 6)
+	c.Delete(regainedAt, "a", at(4))
+	c.Delete(regainedAt, "b", at(5))
+	c.Delete(regainedAt, "c", at(6))
 	c.Tick(regainedAt)
 	if got, want := ids(c), "a b"; got != want {
 		t.Errorf("after the outage: got %q, want %q (the draining entry is removed)", got, want)
@@ -55,10 +77,10 @@
 
 func TestReplaceAfterAnOutageKeepsMissingEntries(t *testing.T) {
 	c := New()
-	c.Replace(0, []Entry{entry("a", Ready, 1), entry("b", Ready, 2)}, 2)
+	c.Replace(0, listAt(2, entry("a", Ready, 1), entry("b", Ready, 2)))
 	c.StoreLost()
 	c.StoreRegained(time.Second)
-	c.Replace(time.Second, []Entry{entry("b", Ready, 2)}, 9)
+	c.Replace(time.Second, listAt(9, entry("b", Ready, 2)))
 	if got, want := ids(c), "a b"; got != want {
 		t.Errorf("entries: got %q, want %q", got, want)
 	}
@@ -69,16 +91,16 @@
 
 func TestOlderRevisionsAreIgnored(t *testing.T) {
 	c := New()
-	c.Replace(0, []Entry{entry("a", Draining, 8)}, 8)
+	c.Replace(0, listAt(8, entry("a", Draining, 8)))
 	c.Put(entry("a", Ready, 7))
-	c.Replace(0, []Entry{entry("a", Ready, 6), entry("z", Ready, 5)}, 7)
+	c.Replace(0, listAt(7, entry("a", Ready, 6), entry("z", Ready, 5)))
 	if got, want := ids(c), "a"; got != want {
 		t.Errorf("entries: got %q, want %q", got, want)
 	}
 	if got, want := c.Entries()[0].State, Draining; got != want {
 		t.Errorf("state: got %d, want %d", got, want)
 	}
-	c.Delete(0, "a", 7)
+	c.Delete(0, "a", at(7))
 	if got, want := ids(c), "a"; got != want {
 		t.Errorf("after an outdated removal: got %q, want %q", got, want)
 	}
@@ -90,15 +112,15 @@
 func TestRemovedEntryIsNotRestoredByARouter(t *testing.T) {
 	connected, disconnected := New(), New()
 	for _, c := range []*Catalog{connected, disconnected} {
-		c.Replace(0, []Entry{entry("a", Ready, 1), entry("b", Ready, 2)}, 2)
+		c.Replace(0, listAt(2, entry("a", Ready, 1), entry("b", Ready, 2)))
 	}
 	disconnected.StoreLost()
-	connected.Delete(time.Second, "a", 3)
-	disconnected.Merge(connected.StoreEntries(), 3, connected.InSync(time.Second))
+	connected.Delete(time.Second, "a", at(3))
+	disconnected.Merge(time.Second, listAt(3, connected.StoreEntries()...), connected.InSync(time.Second))
 	if got, want := ids(disconnected), "b"; got != want {
 		t.Errorf("at the router without the store: got %q, want %q", got, want)
 	}
-	connected.Merge([]Entry{entry("a", Ready, 1), entry("b", Ready, 2)}, 9, false)
+	connected.Merge(time.Second, listAt(9, entry("a", Ready, 1), entry("b", Ready, 2)), false)
 	if got, want := ids(connected), "b"; got != want {
 		t.Errorf("at the router with the store: got %q, want %q", got, want)
 	}
@@ -110,8 +132,8 @@
 
 func TestListOfARouterNotInSyncRemovesNothing(t *testing.T) {
 	c := New()
-	c.Replace(0, []Entry{entry("a", Ready, 1), entry("b", Ready, 2)}, 2)
-	c.Merge([]Entry{entry("b", Ready, 2), entry("c", Ready, 5)}, 5, false)
+	c.Replace(0, listAt(2, entry("a", Ready, 1), entry("b", Ready, 2)))
+	c.Merge(time.Second, listAt(5, entry("b", Ready, 2), entry("c", Ready, 5)), false)
 	if got, want := ids(c), "a b c"; got != want {
 		t.Errorf("entries: got %q, want %q", got, want)
 	}
@@ -124,13 +146,13 @@
 		return Entry{
 			ID:       id,
 			State:    Ready,
-			Revision: revision,
+			Position: at(revision),
 		}
 	}
-	c.Replace(0, []Entry{entry("u1", 3), entry("u2", 5)}, 10)
+	c.Replace(0, listAt(10, entry("u1", 3), entry("u2", 5)))
 	c.Put(entry("u3", 11))
-	c.Delete(0, "u1", 12)
-	c.Advance(12)
+	c.Delete(0, "u1", at(12))
+	c.Advance(at(12))
 	for _, test := range []struct {
 		since   uint64
 		changed int
@@ -142,7 +164,7 @@
 		{since: 11, removed: 1, ok: true},
 		{since: 12, ok: true},
 	} {
-		changed, removed, ok := c.Since(test.since)
+		changed, removed, ok := c.Since(at(test.since))
 		if len(changed) != test.changed || len(removed) != test.removed || ok != test.ok {
 			t.Errorf("since %d: got %d changed, %d removed, %v, want %d, %d, %v", test.since,
 				len(changed), len(removed), ok, test.changed, test.removed, test.ok)
@@ -150,12 +172,12 @@
 	}
 	c.StoreLost()
 	c.StoreRegained(time.Second)
-	c.Delete(time.Second, "u2", 13)
-	if _, _, ok := c.Since(12); ok {
+	c.Delete(time.Second, "u2", at(13))
+	if _, _, ok := c.Since(at(12)); ok {
 		t.Error("while an expired entry is kept: got ok, want the changes reported as incomplete")
 	}
 	c.Tick(10 * time.Second)
-	if _, removed, ok := c.Since(12); !ok || removed["u2"] != 13 {
+	if _, removed, ok := c.Since(at(12)); !ok || removed["u2"] != at(13) {
 		t.Errorf("after the grace period: got %v, %v, want u2 removed at 13", removed, ok)
 	}
 }
@@ -172,8 +194,8 @@
 		return e
 	}
 	c := New()
-	c.Replace(0, []Entry{started("a", 1, 1, 0), started("b", 1, 2, 0), started("c", 1, 3, 0)}, 3)
-	c.Delete(time.Second, "b", 4)
+	c.Replace(0, listAt(3, started("a", 1, 1, 0), started("b", 1, 2, 0), started("c", 1, 3, 0)))
+	c.Delete(time.Second, "b", at(4))
 	c.Put(started("a", 2, 5, time.Minute))
 	c.Put(started("b", 2, 6, time.Minute))
 	c.Put(started("c", 1, 3, time.Minute))
--- a/internal/qlcatalog/zone.go
+++ b/internal/qlcatalog/zone.go
@@ -1,6 +1,11 @@
 package qlcatalog
 
-import "sort"
+import (
+	"maps"
+	"sort"
+
+	"github.com/quetzallane/quetzallane/internal/qlposition"
+)
 
 // _maxZones limits the zones that are remembered, apart from evacuated ones.
 const _maxZones = 1024
@@ -10,9 +15,9 @@
 	Name string
 	// Evacuated is set from the order to evacuate the zone until its withdrawal.
 	Evacuated bool
-	// Revision is the store's revision of the order or of its withdrawal. A withdrawal that
-	// was seen only as an absence from a complete list has the revision of that list.
-	Revision uint64
+	// Position is that of the order or of its withdrawal. A withdrawal that was seen only as
+	// an absence from a complete list has the position of that list.
+	Position qlposition.Position
 }
 
 // SetZone applies an order about a zone, unless a newer one is already known. Unlike
@@ -20,14 +25,18 @@
 // period after an outage of the store.
 func (c *Catalog) SetZone(zone Zone) {
 	old, known := c.zones[zone.Name]
-	if zone.Name == "" || known && old.Revision >= zone.Revision {
+	if zone.Name == "" || c.isOutdated(zone.Position) || known && !zone.Position.After(old.Position) {
+		return
+	}
+	if withheld, ok := c.withheldZones[zone.Name]; ok && !zone.Position.After(withheld.Position) {
 		return
 	}
+	delete(c.withheldZones, zone.Name)
 	if !known && len(c.zones) >= _maxZones {
 		c.forgetWithdrawals()
 	}
 	c.zones[zone.Name] = zone
-	c.changeRevision = max(c.changeRevision, zone.Revision)
+	c.lastChange = c.lastChange.Max(zone.Position)
 	c.changed = c.changed || zone.Evacuated != old.Evacuated
 }
 
@@ -37,46 +46,47 @@
 	for name, zone := range c.zones {
 		if !zone.Evacuated {
 			delete(c.zones, name)
-			c.removalsCompleteFrom = c.revision
+			c.removalsCompleteFrom = c.position
 		}
 	}
 }
 
-// ReplaceZones applies the store's complete list of evacuated zones at the revision. It must
-// be called before Replace with the list of entries at the same revision. A list that is
-// older than this one is ignored.
-func (c *Catalog) ReplaceZones(zones []Zone, revision uint64) {
-	if c.loaded && revision < c.revision {
-		return
-	}
-	listed := make(map[string]bool, len(zones))
-	for _, zone := range zones {
+// replaceZones applies the orders of a complete list. If withhold is set, the list is the
+// first of a new era, and orders that it contradicts stay as they are for now.
+func (c *Catalog) replaceZones(list List, withhold bool) {
+	listed := make(map[string]bool, len(list.Zones))
+	for _, zone := range list.Zones {
 		listed[zone.Name] = true
+		if known, ok := c.zones[zone.Name]; withhold && ok && !known.Evacuated {
+			c.withheldZones[zone.Name] = zone
+			continue
+		}
 		c.SetZone(zone)
 	}
 	for _, zone := range c.EvacuatedZones() {
-		if !listed[zone.Name] {
+		if listed[zone.Name] {
+			continue
+		}
+		withdrawal := Zone{
+			Name:     zone.Name,
+			Position: list.Position,
+		}
+		if withheld, ok := c.withheldZones[zone.Name]; withhold || ok && !withheld.Evacuated {
+			c.withheldZones[zone.Name] = withdrawal
+			continue
+		}
+		c.SetZone(withdrawal)
+	}
+	for name, zone := range c.withheldZones {
+		if zone.Evacuated && !listed[name] {
 			c.SetZone(Zone{
-				Name:     zone.Name,
-				Revision: revision,
+				Name:     name,
+				Position: list.Position,
 			})
 		}
 	}
 }
 
-// MergeZones applies another router's complete list of evacuated zones. It must be called
-// before Merge with the list of entries. If that router's list is not in sync with the
-// store, the list only adds zones.
-func (c *Catalog) MergeZones(zones []Zone, revision uint64, inSync bool) {
-	if inSync {
-		c.ReplaceZones(zones, revision)
-		return
-	}
-	for _, zone := range zones {
-		c.SetZone(zone)
-	}
-}
-
 // IsEvacuated reports whether the zone is evacuated.
 func (c *Catalog) IsEvacuated(zone string) bool {
 	return c.zones[zone].Evacuated
@@ -84,8 +94,28 @@
 
 // EvacuatedZones returns the evacuated zones, sorted by name.
 func (c *Catalog) EvacuatedZones() []Zone {
+	return evacuated(c.zones)
+}
+
+// StoreZones returns the zones that are evacuated by the store's orders, sorted by name:
+// with the withheld orders in place of those that hold until the grace period ends.
+func (c *Catalog) StoreZones() []Zone {
+	return evacuated(c.storeZones())
+}
+
+// storeZones returns the last orders as the store has them.
+func (c *Catalog) storeZones() map[string]Zone {
+	if len(c.withheldZones) == 0 {
+		return c.zones
+	}
+	zones := maps.Clone(c.zones)
+	maps.Copy(zones, c.withheldZones)
+	return zones
+}
+
+func evacuated(zones map[string]Zone) []Zone {
 	var evacuated []Zone
-	for _, zone := range c.zones {
+	for _, zone := range zones {
 		if zone.Evacuated {
 			evacuated = append(evacuated, zone)
 		}
@@ -94,17 +124,18 @@
 	return evacuated
 }
 
-// ZoneRevision returns the revision of the last known order about the zone, or 0.
-func (c *Catalog) ZoneRevision(zone string) uint64 {
-	return c.zones[zone].Revision
+// ZonePosition returns the position of the last order in force about the zone, or the zero
+// position.
+func (c *Catalog) ZonePosition(zone string) qlposition.Position {
+	return c.zones[zone].Position
 }
 
-// ZonesSince returns the zones whose order was given or withdrawn after the revision. They
+// ZonesSince returns the zones whose order was given or withdrawn after the position. They
 // are complete if Since reports that its changes are.
-func (c *Catalog) ZonesSince(revision uint64) []Zone {
+func (c *Catalog) ZonesSince(position qlposition.Position) []Zone {
 	var changed []Zone
-	for _, zone := range c.zones {
-		if zone.Revision > revision {
+	for _, zone := range c.storeZones() {
+		if zone.Position.After(position) {
 			changed = append(changed, zone)
 		}
 	}
--- a/internal/qlcatalog/zone_test.go
+++ b/internal/qlcatalog/zone_test.go
@@ -10,17 +10,22 @@
 	return Zone{
 		Name:      zone,
 		Evacuated: true,
-		Revision:  revision,
+		Position:  at(revision),
 	}
 }
 
 func withdrawal(zone string, revision uint64) Zone {
 	return Zone{
 		Name:     zone,
-		Revision: revision,
+		Position: at(revision),
 	}
 }
 
+func withZones(list List, zones ...Zone) List {
+	list.Zones = zones
+	return list
+}
+
 // TestOrdersAboutZones guards against an old item that undoes a newer one, and against
 // lists that return a zone, or keep it evacuated, against the store's newest state. Each
 // case begins with an order about z2 at revision 20 and ends with whether z2 is evacuated.
@@ -41,16 +46,16 @@
 			c.SetZone(withdrawal("z2", 21))
 			c.SetZone(order("z2", 22))
 		}, want: true},
-		{name: "full list with the order", change: func(c *Catalog) { c.ReplaceZones([]Zone{order("z2", 20)}, 30) }, want: true},
-		{name: "full list without the order", change: func(c *Catalog) { c.ReplaceZones(nil, 30) }},
+		{name: "full list with the order", change: func(c *Catalog) { c.Replace(0, withZones(listAt(30, c.Entries()...), order("z2", 20))) }, want: true},
+		{name: "full list without the order", change: func(c *Catalog) { c.Replace(0, listAt(30, c.Entries()...)) }},
 		{name: "old order after a full list without it", change: func(c *Catalog) {
-			c.ReplaceZones(nil, 30)
+			c.Replace(0, listAt(30, c.Entries()...))
 			c.SetZone(order("z2", 20))
 		}},
-		{name: "full list from before the order", change: func(c *Catalog) { c.ReplaceZones(nil, 15) }, want: true},
+		{name: "full list from before the order", change: func(c *Catalog) { c.Replace(0, listAt(15, c.Entries()...)) }, want: true},
 		{name: "full list that is older than this one", change: func(c *Catalog) {
-			c.Advance(40)
-			c.ReplaceZones(nil, 30)
+			c.Advance(at(40))
+			c.Replace(0, listAt(30, c.Entries()...))
 		}, want: true},
 		{name: "the store is lost", change: func(c *Catalog) {
 			c.StoreLost()
@@ -61,11 +66,11 @@
 			c.StoreRegained(time.Second)
 			c.SetZone(withdrawal("z2", 21))
 		}},
-		{name: "list of a router that is not in sync", change: func(c *Catalog) { c.MergeZones(nil, 30, false) }, want: true},
-		{name: "list of a router that is in sync", change: func(c *Catalog) { c.MergeZones(nil, 30, true) }},
+		{name: "list of a router that is not in sync", change: func(c *Catalog) { c.Merge(0, listAt(30, c.Entries()...), false) }, want: true},
+		{name: "list of a router that is in sync", change: func(c *Catalog) { c.Merge(0, listAt(30, c.Entries()...), true) }},
 	} {
 		catalog := New()
-		catalog.Replace(0, []Entry{{ID: "a", Zone: "z1", Revision: 1}, {ID: "b", Zone: "z2", Revision: 2}}, 10)
+		catalog.Replace(0, listAt(10, Entry{ID: "a", Zone: "z1", Position: at(1)}, Entry{ID: "b", Zone: "z2", Position: at(2)}))
 		catalog.SetZone(order("z2", 20))
 		c.change(catalog)
 		if got := catalog.IsEvacuated("z2"); got != c.want {
@@ -81,20 +86,19 @@
 // and against changes that are reported as complete although withdrawals were forgotten.
 func TestManyOrdersAreForgottenTogether(t *testing.T) {
 	c := New()
-	c.ReplaceZones(nil, 10)
-	c.Replace(0, nil, 10)
+	c.Replace(0, listAt(10))
 	for i := range uint64(3 * _maxZones) {
 		c.SetZone(order(fmt.Sprint(i), 11+2*i))
 		c.SetZone(withdrawal(fmt.Sprint(i), 12+2*i))
-		c.Advance(12 + 2*i)
+		c.Advance(at(12 + 2*i))
 	}
 	if got, want := len(c.zones), _maxZones; got > want {
 		t.Errorf("zones: got %d, want %d at most", got, want)
 	}
-	if _, _, ok := c.Since(10); ok {
+	if _, _, ok := c.Since(at(10)); ok {
 		t.Error("changes since a forgotten withdrawal: got complete, want incomplete")
 	}
-	if _, _, ok := c.Since(c.Revision()); !ok {
+	if _, _, ok := c.Since(c.Position()); !ok {
 		t.Error("changes since the last revision: got incomplete, want complete")
 	}
 }
--- a/internal/qledge/evacuate.go
+++ b/internal/qledge/evacuate.go
@@ -29,7 +29,7 @@
 		zones = append(zones, qlcatalog.Zone{
 			Name:      item.Zone,
 			Evacuated: !item.Deleted,
-			Revision:  item.Revision,
+			Position:  item.Position,
 		})
 	}
 	return others, zones
@@ -47,7 +47,7 @@
 	for _, zone := range zones {
 		items = append(items, encodeItem(Item{
 			Zone:     zone.Name,
-			Revision: zone.Revision,
+			Position: zone.Position,
 			Deleted:  !zone.Evacuated,
 		}))
 	}
@@ -82,7 +82,7 @@
 	}
 	replicas := replicasByZone(entries)
 	fields := func(zone string) []zap.Field {
-		return []zap.Field{zap.String("zone", zone), zap.Uint64("revision", e.catalog.ZoneRevision(zone)), zap.Int("replicas", replicas[zone])}
+		return []zap.Field{zap.String("zone", zone), zap.Inline(e.catalog.ZonePosition(zone)), zap.Int("replicas", replicas[zone])}
 	}
 	zones := make(map[string]bool, len(evacuated))
 	for _, zone := range evacuated {
@@ -120,7 +120,8 @@
 	for _, zone := range e.catalog.EvacuatedZones() {
 		states = append(states, map[string]any{
 			"zone":     zone.Name,
-			"revision": zone.Revision,
+			"era":      zone.Position.Era,
+			"revision": zone.Position.Revision,
 			"replicas": replicas[zone.Name],
 		})
 	}
--- a/internal/qledge/evacuate_test.go
+++ b/internal/qledge/evacuate_test.go
@@ -20,7 +20,7 @@
 	s.commit(func() {
 		s.events = append(s.events, Item{
 			Zone:     zone,
-			Revision: s.revision,
+			Position: s.at(s.revision),
 			Deleted:  deleted,
 			Fault:    fault,
 		})
@@ -70,13 +70,13 @@
 func TestMissedOrderCausesFetch(t *testing.T) {
 	fleet := startFleet(t, newFakeStore(), newFakeStore())
 	fleet[1].edge.fleet.Call(func(now time.Duration) {
-		fleet[1].edge.applyItems(now, []Item{{Zone: "z1", Revision: 9}}, "test")
+		fleet[1].edge.applyItems(now, []Item{{Zone: "z1", Position: at(9)}}, "test")
 	})
 	fleet[0].edge.fleet.Call(func(now time.Duration) {
 		e := fleet[0].edge
-		e.applyItems(now, []Item{{Zone: "z1", Revision: 19, Deleted: true}, {Zone: "z2", Revision: 20}}, "test")
-		e.catalog.Advance(20)
-		e.sendChanges(now, []Item{{Zone: "z3", Revision: 21}}, 20, 21)
+		e.applyItems(now, []Item{{Zone: "z1", Position: at(19), Deleted: true}, {Zone: "z2", Position: at(20)}}, "test")
+		e.catalog.Advance(at(20))
+		e.sendChanges(now, []Item{{Zone: "z3", Position: at(21)}}, at(20), at(21))
 	})
 	fleet[1].awaitZones(t, "z2")
 }
@@ -93,6 +93,7 @@
 	r.awaitZones(t, "z3")
 	r.edge.fleet.Call(func(now time.Duration) {
 		r.edge.receiveUpdate(now, "", &qlfleetwire.Update{
+			Era:      1,
 			After:    10,
 			Revision: 13,
 			Items:    []*qlfleetwire.Item{{Zone: "z2", Revision: 11}, {Zone: "z3", Revision: 12, Deleted: true}},
@@ -111,19 +112,19 @@
 	}
 	entries := []qlcatalog.Entry{{ID: "u1", Zone: "z2"}}
 	e.logEvacuations(entries, nil)
-	e.setZones([]qlcatalog.Zone{{Name: "z2", Evacuated: true, Revision: 11}, {Name: "nowhere", Evacuated: true, Revision: 12}})
+	e.setZones([]qlcatalog.Zone{{Name: "z2", Evacuated: true, Position: at(11)}, {Name: "nowhere", Evacuated: true, Position: at(12)}})
 	e.logEvacuations(entries, []string{"orders"})
 	e.logEvacuations(entries, []string{"orders"})
-	e.setZones([]qlcatalog.Zone{{Name: "z2", Revision: 13}})
+	e.setZones([]qlcatalog.Zone{{Name: "z2", Position: at(13)}})
 	e.logEvacuations(entries, nil)
 	got := ""
 	for _, line := range lines.All() {
 		got += fmt.Sprintln(line.Message, line.ContextMap())
 	}
-	want := `zone-unknown map[replicas:0 revision:12 zone:nowhere]
-zone-evacuated map[replicas:1 revision:11 zone:z2]
+	want := `zone-unknown map[era:1 replicas:0 revision:12 zone:nowhere]
+zone-evacuated map[era:1 replicas:1 revision:11 zone:z2]
 service-evacuated map[service:orders]
-zone-returned map[replicas:1 revision:13 zone:z2]
+zone-returned map[era:1 replicas:1 revision:13 zone:z2]
 service-returned map[service:orders]
 `
 	if got != want {
--- a/internal/qledge/operations.go
+++ b/internal/qledge/operations.go
@@ -91,6 +91,7 @@
 		{name: "offloads-unreachable", value: int64(offloads.Unreachable)},
 		{name: "quarantines", value: int64(len(e.quarantines.Load().Quarantines()))},
 		{name: "quarantines-started", value: e.quarantinesStarted.Load()},
+		{name: "store-eras-begun", value: e.erasBegun.Load()},
 		{name: "zones-evacuated", value: int64(e.forwarder.EvacuatedZones())},
 	}
 	if e.settings.WeighPrefixes {
@@ -138,7 +139,9 @@
 			"uptime":                 now.String(),
 			"ready":                  e.ready(),
 			"configuration-revision": configuration,
-			"list-revision":          list,
+			"list-era":               list.Era,
+			"list-revision":          list.Revision,
+			"store-position":         e.storeState(now),
 			"owners":                 e.fleet.Core().Owners(),
 			"owner-strained":         e.fleet.OwnerStrained(),
 			"members":                e.fleet.Core().Members(),
--- a/internal/qledge/qledge.go
+++ b/internal/qledge/qledge.go
@@ -130,6 +130,8 @@
 	// revision is that of the configuration in force.
 	revision        atomic.Uint64
 	documentsLoaded atomic.Bool
+	// erasBegun counts the store's eras after the first one that this router has known.
+	erasBegun atomic.Int64
 	// quarantines are those in force.
 	quarantines        atomic.Pointer[qlquarantine.List]
 	quarantinesStarted atomic.Int64
--- a/internal/qledge/reader.go
+++ b/internal/qledge/reader.go
@@ -6,6 +6,7 @@
 
 	"github.com/juju/errors"
 	"github.com/quetzallane/quetzallane/internal/qlfeed"
+	"github.com/quetzallane/quetzallane/internal/qlposition"
 	"github.com/quetzallane/quetzallane/internal/qlring"
 	"go.uber.org/zap"
 )
@@ -16,9 +17,11 @@
 
 // storeCall describes the next call to the store.
 type storeCall struct {
-	// after is the revision up to which this router has the documents. It is 0
-	// when the router has none, and all documents are to be read.
-	after uint64
+	// after is the position up to which this router has the documents.
+	after qlposition.Position
+	// readAll is set when this router has no documents, or lacks changes that the store no
+	// longer reports: all documents are to be read.
+	readAll bool
 	// delay is how long this router may rely on the watchers before it calls.
 	delay time.Duration
 	// fullReadDelay is how much longer than usual the answer to a read of all
@@ -37,22 +40,20 @@
 			e.pause(ctx, next.delay)
 			continue
 		}
-		if readAll {
-			next.after = 0
-		}
+		next.readAll = next.readAll || readAll
 		began := time.Now()
-		revision, err := e.queryStore(ctx, next)
+		position, err := e.queryStore(ctx, next)
 		switch {
 		case err == nil:
 			readAll = false
 			if storeLost {
 				storeLost = false
-				e.log.Info("store-regained", zap.Uint64("revision", revision))
+				e.log.Info("store-regained", zap.Inline(position))
 			}
 			sleep(ctx, _minCallInterval-time.Since(began))
 			continue
 		case errors.Is(err, ErrHistoryLost):
-			e.log.Info("store-history-lost", zap.Uint64("revision", next.after))
+			e.log.Info("store-history-lost", zap.Inline(next.after), zap.Error(err))
 			readAll = true
 			continue
 		case ctx.Err() != nil:
@@ -60,7 +61,7 @@
 		}
 		if !storeLost {
 			storeLost = true
-			e.log.Warn("store-lost", zap.Uint64("revision", next.after), zap.Duration("waited", time.Since(began)), zap.Error(err))
+			e.log.Warn("store-lost", zap.Inline(next.after), zap.Duration("waited", time.Since(began)), zap.Error(err))
 		}
 		e.pause(ctx, e.jitter(e.recordStoreFailure()))
 	}
@@ -68,35 +69,39 @@
 
 func (e *Edge) nextStoreCall() (next storeCall) {
 	e.fleet.Call(func(now time.Duration) {
-		if e.catalog.Loaded() {
-			next.after = e.catalog.Revision()
-		}
+		next.after, next.readAll = e.catalog.Position(), !e.catalog.Loaded()
 		next.delay, next.fullReadDelay = e.feed.CallDelay(now), e.feed.FullReadDelay()
 	})
 	return next
 }
 
-// queryStore reads all documents, or waits for changes after the revision, and
-// passes them to the control goroutine. It returns the revision of the store's
-// answer.
-func (e *Edge) queryStore(ctx context.Context, next storeCall) (uint64, error) {
+// queryStore reads all documents, or waits for changes after the position, and
+// passes them to the control goroutine. It returns the position of the store's
+// answer. A watch that is answered in a later era reports none of the changes that the
+// store has lost, so it fails with ErrHistoryLost.
+func (e *Edge) queryStore(ctx context.Context, next storeCall) (qlposition.Position, error) {
 	source := &e.config.Source
-	if next.after == 0 {
-		items, revision, err := source.Read(ctx, next.fullReadDelay)
+	if next.readAll {
+		items, position, err := source.Read(ctx, next.fullReadDelay)
 		if err != nil {
-			return 0, errors.Trace(err)
+			return position, errors.Trace(err)
 		}
 		items = e.withoutFaulty(items)
-		e.fleet.Post(func(now time.Duration) { e.applyAllDocuments(now, items, revision) })
-		return revision, nil
+		e.fleet.Post(func(now time.Duration) { e.applyAllDocuments(now, items, position) })
+		return position, nil
 	}
-	items, revision, err := source.Watch(ctx, next.after, qlfeed.WatchTimeout)
-	if err != nil {
-		return 0, errors.Trace(err)
+	items, position, err := source.Watch(ctx, next.after, qlfeed.WatchTimeout)
+	switch {
+	case err != nil:
+		return position, errors.Trace(err)
+	case position.Era > next.after.Era:
+		return position, errors.Annotatef(ErrHistoryLost, "the store is in era %d", position.Era)
+	case position.Era < next.after.Era:
+		return position, errors.Errorf("the store answered in the earlier era %d", position.Era)
 	}
 	items = e.withoutFaulty(items)
-	e.fleet.Post(func(now time.Duration) { e.applyStoreChanges(now, items, next.after, revision) })
-	return revision, nil
+	e.fleet.Post(func(now time.Duration) { e.applyStoreChanges(now, items, next.after, position) })
+	return position, nil
 }
 
 // withoutFaulty logs the items that cannot be read. Those of an upstream stay, since they
@@ -105,8 +110,8 @@
 	kept := items[:0]
 	for _, item := range items {
 		if item.Fault != nil {
-			e.log.Info("store-item-faulty", zap.String("upstream", item.ID), zap.String("zone", item.Zone), zap.Uint64("revision", item.Revision), zap.Error(item.Fault))
-			if item.ID == "" && item.Zone == "" || item.Revision == 0 {
+			e.log.Info("store-item-faulty", zap.String("upstream", item.ID), zap.String("zone", item.Zone), zap.Inline(item.Position), zap.Error(item.Fault))
+			if item.ID == "" && item.Zone == "" || item.Position.Revision == 0 {
 				continue
 			}
 		}
--- a/internal/qledge/reader_test.go
+++ b/internal/qledge/reader_test.go
@@ -91,7 +91,7 @@
 		store.events = append(store.events, Item{
 			ID:       "u9",
 			Value:    []byte("bad"),
-			Revision: store.revision,
+			Position: store.at(store.revision),
 		})
 	})
 	store.put("u2")
@@ -190,20 +190,20 @@
 			{
 				ID:       "u2",
 				Value:    []byte("u2"),
-				Revision: 19,
+				Position: at(19),
 			},
 			{
 				ID:       "u1",
-				Revision: 20,
+				Position: at(20),
 				Deleted:  true,
 			},
 		}, "test")
-		e.catalog.Advance(20)
+		e.catalog.Advance(at(20))
 		e.sendChanges(now, []Item{{
 			ID:       "u3",
 			Value:    []byte("u3"),
-			Revision: 21,
-		}}, 20, 21)
+			Position: at(21),
+		}}, at(20), at(21))
 	})
 	fleet[1].awaitState(t, "1 u2")
 }
@@ -213,6 +213,7 @@
 func (r *runningEdge) receiveUpdateOfU2() {
 	r.edge.fleet.Call(func(now time.Duration) {
 		r.edge.receiveUpdate(now, "", &qlfleetwire.Update{
+			Era:      1,
 			After:    10,
 			Revision: 30,
 			Settled:  true,
@@ -233,8 +234,8 @@
 	fleet[0].receiveUpdateOfU2()
 	fleet[1].awaitState(t, "1 u1 u2")
 	fleet[1].edge.fleet.Call(func(time.Duration) {
-		if got, want := fleet[1].edge.catalog.Revision(), uint64(30); got != want {
-			t.Errorf("revision of the recipient: got %d, want %d", got, want)
+		if got, want := fleet[1].edge.catalog.Position(), at(30); got != want {
+			t.Errorf("revision of the recipient: got %v, want %v", got, want)
 		}
 	})
 }
@@ -254,7 +255,7 @@
 			store.events = append(store.events, Item{
 				ID:       ids[i+1],
 				Value:    []byte(ids[i+1]),
-				Revision: store.revision,
+				Position: store.at(store.revision),
 			})
 		}
 	})
@@ -299,6 +300,7 @@
 	r.edge.fleet.Call(func(now time.Duration) {
 		request := r.edge.newFetchRequest()
 		r.edge.applyFetchReply(now, "r2", request, &qlfleetwire.FetchReply{
+			Era:          request.GetEra(),
 			ListRevision: request.GetListRevision(),
 			Settled:      true,
 		})
--- a/internal/qledge/source.go
+++ b/internal/qledge/source.go
@@ -7,11 +7,12 @@
 
 	"github.com/juju/errors"
 	"github.com/quetzallane/quetzallane/internal/qlcatalog"
+	"github.com/quetzallane/quetzallane/internal/qlposition"
 	"github.com/quetzallane/quetzallane/internal/qlroute"
 )
 
 // ErrHistoryLost is returned by a watch when the store no longer has all
-// changes after the revision: all documents have to be read.
+// changes after the position: all documents have to be read.
 const ErrHistoryLost = errors.ConstError("history lost")
 
 // Item is one document of the store, or its removal: the configuration, an upstream's
@@ -24,22 +25,23 @@
 	// item needs no value, so it is valid whatever its Fault.
 	Zone     string
 	Value    []byte
-	Revision uint64
+	Position qlposition.Position
 	Deleted  bool
 	// Fault is why an item of the store cannot be read. Its value is then unknown, and its
-	// id and revision are as far as they can be read.
+	// id and position are as far as they can be read.
 	Fault error
 }
 
-// Source reads the platform's documents. All revisions are the store's. A call
+// Source reads the platform's documents. All positions are the store's. A call
 // fails if it makes no progress for some time beyond its wait.
 type Source struct {
-	// Read returns all documents and the revision from which to watch. The
-	// answer may take longer than usual to begin, by up to the wait.
-	Read func(ctx context.Context, wait time.Duration) (items []Item, revision uint64, err error)
-	// Watch returns the changes after the revision as soon as there are any, or
-	// none when the wait is over.
-	Watch               func(ctx context.Context, after uint64, wait time.Duration) (items []Item, revision uint64, err error)
+	// Read returns all documents, which are of one era, and the position from which to
+	// watch. The answer may take longer than usual to begin, by up to the wait.
+	Read func(ctx context.Context, wait time.Duration) (items []Item, position qlposition.Position, err error)
+	// Watch returns the changes after the position as soon as there are any, or
+	// none when the wait is over. The items and the position that it returns are of the
+	// era in which the store has answered, which may be another one than asked for.
+	Watch               func(ctx context.Context, after qlposition.Position, wait time.Duration) (items []Item, position qlposition.Position, err error)
 	DecodeConfiguration func(data []byte) (*qlroute.Document, error)
 	DecodeUpstream      func(id string, data []byte) (qlcatalog.Entry, error)
 	// Calls returns the number of calls made so far.
@@ -51,11 +53,11 @@
 // requests of the whole process.
 func (s Source) withoutPanics() Source {
 	guarded := s
-	guarded.Read = func(ctx context.Context, wait time.Duration) (items []Item, revision uint64, err error) {
+	guarded.Read = func(ctx context.Context, wait time.Duration) (items []Item, position qlposition.Position, err error) {
 		defer recoverError("read", &err)
 		return s.Read(ctx, wait)
 	}
-	guarded.Watch = func(ctx context.Context, after uint64, wait time.Duration) (items []Item, revision uint64, err error) {
+	guarded.Watch = func(ctx context.Context, after qlposition.Position, wait time.Duration) (items []Item, position qlposition.Position, err error) {
 		defer recoverError("watch", &err)
 		return s.Watch(ctx, after, wait)
 	}
--- a/internal/qledge/standin_test.go
+++ b/internal/qledge/standin_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -14,6 +15,7 @@
 	"github.com/quetzallane/quetzallane/internal/qlcatalog"
 	"github.com/quetzallane/quetzallane/internal/qlforward"
 	"github.com/quetzallane/quetzallane/internal/qlloopbacktest"
+	"github.com/quetzallane/quetzallane/internal/qlposition"
 	"github.com/quetzallane/quetzallane/internal/qlroute"
 	"github.com/quetzallane/quetzallane/internal/qlsetting"
 	"github.com/quetzallane/quetzallane/pkg/qljson"
@@ -38,7 +40,9 @@
 // fakeStore stands in for a platform's store. Its configuration is only a
 // revision, and its upstreams are only ids.
 type fakeStore struct {
-	mu        sync.Mutex
+	mu sync.Mutex
+	// era rises when the store is restored from an older copy.
+	era       uint64
 	revision  uint64
 	config    uint64
 	upstreams map[string]uint64
@@ -70,6 +74,7 @@
 
 func newFakeStore() *fakeStore {
 	return &fakeStore{
+		era:       1,
 		revision:  10,
 		config:    1,
 		upstreams: map[string]uint64{"u1": 5},
@@ -96,7 +101,7 @@
 		s.events = append(s.events, Item{
 			ID:       id,
 			Value:    []byte(id),
-			Revision: s.revision,
+			Position: s.at(s.revision),
 		})
 	})
 }
@@ -106,7 +111,7 @@
 		delete(s.upstreams, id)
 		s.events = append(s.events, Item{
 			ID:       id,
-			Revision: s.revision,
+			Position: s.at(s.revision),
 			Deleted:  true,
 		})
 	})
@@ -121,22 +126,22 @@
 
 func (s *fakeStore) source() Source {
 	return Source{
-		Read: func(_ context.Context, wait time.Duration) ([]Item, uint64, error) {
+		Read: func(_ context.Context, wait time.Duration) ([]Item, qlposition.Position, error) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.reads++
 			if wait+_replyTimeout < s.readStartDelay {
-				return nil, 0, errors.New("no progress")
+				return nil, qlposition.Position{}, errors.New("no progress")
 			}
 			items := []Item{s.configuration()}
 			for id, revision := range s.upstreams {
 				items = append(items, Item{
 					ID:       id,
 					Value:    []byte(id),
-					Revision: revision,
+					Position: s.at(revision),
 				})
 			}
-			return items, s.revision, s.availableErr()
+			return items, s.at(s.revision), s.availableErr()
 		},
 		Watch: s.watch,
 		DecodeConfiguration: func(data []byte) (*qlroute.Document, error) {
@@ -195,25 +200,66 @@
 	return Item{
 		Configuration: true,
 		Value:         []byte(fmt.Sprint(s.config)),
-		Revision:      s.config,
+		Position:      s.at(s.config),
 	}
 }
 
 // changes returns the changes after the revision.
 func (s *fakeStore) changes(after uint64) []Item {
 	var items []Item
-	if item := s.configuration(); item.Revision > after {
+	if item := s.configuration(); item.Position.Revision > after {
 		items = append(items, item)
 	}
 	for _, item := range s.events {
-		if item.Revision > after {
+		if item.Position.Revision > after {
+			item.Position.Era = s.era
 			items = append(items, item)
 		}
 	}
 	return items
 }
 
-func (s *fakeStore) watch(ctx context.Context, after uint64, wait time.Duration) ([]Item, uint64, error) {
+// at returns the position of a revision in the store's era.
+func (s *fakeStore) at(revision uint64) qlposition.Position {
+	return qlposition.Position{
+		Era:      s.era,
+		Revision: revision,
+	}
+}
+
+// at returns the position of a revision in the first era.
+func at(revision uint64) qlposition.Position {
+	return newFakeStore().at(revision)
+}
+
+// storeCopy is what a store held at a time.
+type storeCopy struct {
+	revision, config uint64
+	upstreams        map[string]uint64
+	events           int
+}
+
+// copy returns a copy of what the store holds.
+func (s *fakeStore) copy() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return storeCopy{
+		revision:  s.revision,
+		config:    s.config,
+		upstreams: maps.Clone(s.upstreams),
+		events:    len(s.events),
+	}
+}
+
+// restore replaces what the store holds by the copy. The caller holds the lock.
+func (s *fakeStore) restore(from storeCopy) {
+	s.era++
+	s.revision, s.config = from.revision, from.config
+	s.upstreams = maps.Clone(from.upstreams)
+	s.events = s.events[:from.events:from.events]
+}
+
+func (s *fakeStore) watch(ctx context.Context, after qlposition.Position, wait time.Duration) ([]Item, qlposition.Position, error) {
 	panics := false
 	s.withLock(func() {
 		s.watches++
@@ -224,7 +270,8 @@
 	}
 	for end := time.Now().Add(wait); ; {
 		s.mu.Lock()
-		err, hang, historyLost, revision, items := s.availableErr(), s.watchesHang, s.historyLost, s.revision, s.changes(after)
+		err, hang, historyLost, position, items := s.availableErr(), s.watchesHang, s.historyLost, s.at(s.revision), s.changes(after.Revision)
+		historyLost = historyLost || after.Revision > s.revision
 		s.mu.Unlock()
 		switch {
 		case hang:
@@ -232,18 +279,18 @@
 			case <-ctx.Done():
 			case <-time.After(wait + _replyTimeout):
 			}
-			return nil, 0, errors.New("no progress")
+			return nil, qlposition.Position{}, errors.New("no progress")
 		case err != nil:
-			return nil, 0, err
+			return nil, position, err
 		case historyLost:
 			s.withLock(func() { s.historyLost = false })
-			return nil, 0, errors.Trace(ErrHistoryLost)
+			return nil, position, errors.Trace(ErrHistoryLost)
 		case len(items) > 0 || time.Now().After(end):
-			return items, revision, nil
+			return items, position, nil
 		}
 		select {
 		case <-ctx.Done():
-			return nil, 0, errors.Trace(ctx.Err())
+			return nil, position, errors.Trace(ctx.Err())
 		case <-time.After(5 * time.Millisecond):
 		}
 	}
--- a/internal/qledge/state.go
+++ b/internal/qledge/state.go
@@ -7,6 +7,7 @@
 	"github.com/quetzallane/quetzallane/internal/qlengine"
 	"github.com/quetzallane/quetzallane/internal/qlforward"
 	"github.com/quetzallane/quetzallane/internal/qlplace"
+	"github.com/quetzallane/quetzallane/internal/qlposition"
 	"github.com/quetzallane/quetzallane/internal/qlroute"
 	"github.com/quetzallane/quetzallane/internal/qlsetting"
 	"go.uber.org/zap"
@@ -50,7 +51,7 @@
 		e.log.Info("upstream-ignored", zap.String("upstream", item.ID), zap.Error(err))
 		return entry, false
 	}
-	entry.Revision = item.Revision
+	entry.Position = item.Position
 	e.learnWarmUp(&entry)
 	return entry, true
 }
@@ -82,17 +83,20 @@
 			e.catalog.Put(entry)
 			continue
 		}
-		e.catalog.Delete(now, item.ID, item.Revision)
+		e.catalog.Delete(now, item.ID, item.Position)
 	}
 }
 
 // applyAllDocuments replaces the documents in force by those that the store
-// holds at the revision.
-func (e *Edge) applyAllDocuments(now time.Duration, items []Item, revision uint64) {
+// holds at the position.
+func (e *Edge) applyAllDocuments(now time.Duration, items []Item, position qlposition.Position) {
+	if e.isOutdated(position, _storeSource) {
+		return
+	}
 	e.catalog.StoreRegained(now)
+	since := e.feed.Age(now)
 	e.feed.RecordFullAnswer(now)
 	items, zones := splitZones(items)
-	e.catalog.ReplaceZones(zones, revision)
 	var upstreams []Item
 	for _, item := range items {
 		if item.Configuration {
@@ -101,21 +105,55 @@
 		}
 		upstreams = append(upstreams, item)
 	}
-	e.catalog.Replace(now, e.decodeUpstreams(upstreams), revision)
+	known := e.catalog.Position()
+	e.catalog.Replace(now, qlcatalog.List{
+		Entries:  e.decodeUpstreams(upstreams),
+		Zones:    zones,
+		Position: position,
+	})
+	e.recordEra(known, since, _storeSource)
 	e.publishIfChanged(now)
 	// The update has no items: routers with older documents fetch the new ones.
-	e.sendChanges(now, nil, revision, revision)
+	e.sendChanges(now, nil, position, position)
 }
 
 // applyStoreChanges applies all changes that the store reports between the two
-// revisions.
-func (e *Edge) applyStoreChanges(now time.Duration, items []Item, after, revision uint64) {
+// positions, which are of one era.
+func (e *Edge) applyStoreChanges(now time.Duration, items []Item, after, position qlposition.Position) {
+	if e.isOutdated(position, _storeSource) {
+		return
+	}
 	e.catalog.StoreRegained(now)
 	e.feed.RecordAnswer(now)
 	e.applyItems(now, items, _storeSource)
-	e.catalog.Advance(revision)
+	e.catalog.Advance(position)
 	e.publishIfChanged(now)
-	e.sendChanges(now, items, after, revision)
+	e.sendChanges(now, items, after, position)
+}
+
+// isOutdated reports, and logs, whether documents are of an earlier era than the list in
+// force: they arrived late, or come from a router that does not know of the store's
+// restoration yet. They say nothing about the store as it is.
+func (e *Edge) isOutdated(position qlposition.Position, source string) bool {
+	known := e.catalog.LastChange()
+	if position.Era >= known.Era {
+		return false
+	}
+	e.log.Info("documents-outdated", zap.String("source", source), zap.Inline(position), zap.Uint64("known-era", known.Era))
+	return true
+}
+
+// recordEra logs and counts the begin of an era, if the list has one. known is the position
+// before the list was applied, and since the time since the documents were known to match
+// the store.
+func (e *Edge) recordEra(known qlposition.Position, since time.Duration, source string) {
+	position := e.catalog.Position()
+	if position.Era == known.Era || known == (qlposition.Position{}) {
+		return
+	}
+	e.erasBegun.Add(1)
+	e.log.Warn("store-era-changed", zap.String("source", source), zap.Uint64("known-era", known.Era), zap.Uint64("known-revision", known.Revision),
+		zap.Inline(position), zap.Duration("unconfirmed-for", since), zap.Int("lapsed", e.catalog.Expired()), zap.Int("withheld", e.catalog.Withheld()))
 }
 
 // publishIfChanged removes expired entries whose grace period is over, and
@@ -132,7 +170,7 @@
 		}
 	}
 	e.log.Info("upstreams-changed", zap.Int("ready", ready), zap.Int("lapsed", e.catalog.Expired()),
-		zap.Uint64("revision", e.catalog.Revision()))
+		zap.Int("withheld", e.catalog.Withheld()), zap.Inline(e.catalog.Position()))
 }
 
 // publish makes the configuration and the list of upstreams visible to requests
@@ -142,7 +180,7 @@
 		return
 	}
 	entries := e.catalog.Entries()
-	view := qlforward.NewView(e.table, entries, e.catalog.Revision()).WithoutZones(zoneNames(e.catalog.EvacuatedZones()))
+	view := qlforward.NewView(e.table, entries, e.catalog.Position()).WithoutZones(zoneNames(e.catalog.EvacuatedZones()))
 	e.forwarder.SetView(view)
 	e.fleet.Core().Placer().SetEngines(e.engineInfos(e.catalog.UsableEntries()))
 	e.logEvacuations(entries, view.EvacuatedServices())
@@ -180,13 +218,27 @@
 	return infos
 }
 
-// revisions returns the revisions of the configuration and of the list of
-// upstreams in force.
-func (e *Edge) revisions() (configuration, list uint64) {
+// revisions returns the revision of the configuration in force, and the position of the
+// last change to the list of upstreams. The operator numbers configurations, so an older one
+// that the store returns with is not adopted.
+func (e *Edge) revisions() (configuration uint64, list qlposition.Position) {
 	if e.table != nil {
 		configuration = e.table.Revision()
 	}
-	return configuration, e.catalog.ChangeRevision()
+	return configuration, e.catalog.LastChange()
+}
+
+// storeState returns this router's position in the store's changes for the state dump.
+func (e *Edge) storeState(now time.Duration) map[string]any {
+	position := e.catalog.Position()
+	return map[string]any{
+		"era":      position.Era,
+		"revision": position.Revision,
+		"era-age":  e.catalog.EraAge(now).String(),
+		"age":      e.feed.Age(now).String(),
+		"lapsed":   e.catalog.Expired(),
+		"withheld": e.catalog.Withheld(),
+	}
 }
 
 // placementPolicy returns the placement policy that a setting names.
--- a/internal/qledge/update.go
+++ b/internal/qledge/update.go
@@ -6,6 +6,7 @@
 
 	"github.com/quetzallane/quetzallane/internal/qlcatalog"
 	"github.com/quetzallane/quetzallane/internal/qlfleetwire"
+	"github.com/quetzallane/quetzallane/internal/qlposition"
 	"go.uber.org/zap"
 )
 
@@ -20,12 +21,12 @@
 )
 
 // sendChanges sends the store's changes to this router's recipients, if it is a
-// watcher. The items are all changes between the two revisions.
-func (e *Edge) sendChanges(now time.Duration, items []Item, after, revision uint64) {
+// watcher. The items are all changes between the two positions, which are of one era.
+func (e *Edge) sendChanges(now time.Duration, items []Item, after, position qlposition.Position) {
 	if !e.feed.IsWatcher() {
 		return
 	}
-	e.sendUpdates(e.feed.Recipients(), e.newUpdates(now, items, after, revision))
+	e.sendUpdates(e.feed.Recipients(), e.newUpdates(now, items, after, position))
 }
 
 func (e *Edge) sendUpdates(recipients []string, updates []*qlfleetwire.Update) {
@@ -37,27 +38,28 @@
 }
 
 // newUpdates divides changes into as many updates as they need. Each update
-// begins at the revision where the one before ends, so a receiver that misses
+// begins at the position where the one before ends, so a receiver that misses
 // one notices and fetches the documents.
-func (e *Edge) newUpdates(now time.Duration, items []Item, after, revision uint64) []*qlfleetwire.Update {
+func (e *Edge) newUpdates(now time.Duration, items []Item, after, position qlposition.Position) []*qlfleetwire.Update {
 	newUpdate := func(after, revision uint64) *qlfleetwire.Update {
 		return &qlfleetwire.Update{
+			Era:      position.Era,
 			After:    after,
 			Revision: revision,
 			AgeMs:    uint32(e.feed.Age(now).Milliseconds()),
 			Settled:  e.catalog.InSync(now),
 		}
 	}
-	last := newUpdate(after, revision)
+	last := newUpdate(after.Revision, position.Revision)
 	updates := []*qlfleetwire.Update{last}
 	size := 0
 	for _, item := range items {
 		if len(item.Value) > _maxUpdateBytes {
-			return []*qlfleetwire.Update{newUpdate(revision, revision)}
+			return []*qlfleetwire.Update{newUpdate(position.Revision, position.Revision)}
 		}
 		if size += len(item.Value) + len(item.Zone); size > _maxUpdateBytes {
 			last.Revision = last.GetItems()[len(last.GetItems())-1].GetRevision()
-			last = newUpdate(last.GetRevision(), revision)
+			last = newUpdate(last.GetRevision(), position.Revision)
 			updates = append(updates, last)
 			size = len(item.Value) + len(item.Zone)
 		}
@@ -70,7 +72,7 @@
 	return &qlfleetwire.Item{
 		Id:            item.ID,
 		Value:         item.Value,
-		Revision:      item.Revision,
+		Revision:      item.Position.Revision,
 		Deleted:       item.Deleted,
 		Configuration: item.Configuration,
 		Zone:          item.Zone,
@@ -81,11 +83,12 @@
 	return encodeItem(Item{
 		ID:       entry.ID,
 		Value:    entry.Raw,
-		Revision: entry.Revision,
+		Position: entry.Position,
 	})
 }
 
-func decodeItems(items []*qlfleetwire.Item) []Item {
+// decodeItems returns the items of a message whose revisions are of the era.
+func decodeItems(items []*qlfleetwire.Item, era uint64) []Item {
 	decoded := make([]Item, 0, len(items))
 	for _, item := range items {
 		decoded = append(decoded, Item{
@@ -93,8 +96,11 @@
 			Configuration: item.GetConfiguration(),
 			Zone:          item.GetZone(),
 			Value:         item.GetValue(),
-			Revision:      item.GetRevision(),
 			Deleted:       item.GetDeleted(),
+			Position: qlposition.Position{
+				Era:      era,
+				Revision: item.GetRevision(),
+			},
 		})
 	}
 	return decoded
@@ -103,22 +109,26 @@
 // receiveUpdate applies an update from a watcher. It runs in the control
 // goroutine.
 func (e *Edge) receiveUpdate(now time.Duration, from string, update *qlfleetwire.Update) {
-	known := e.catalog.Revision()
+	known := e.catalog.Position()
+	position := qlposition.Position{
+		Era:      update.GetEra(),
+		Revision: update.GetRevision(),
+	}
 	switch {
-	case update.GetRevision() < known:
+	case position.Before(known):
 		// The sender is behind this router.
 		return
-	case update.GetAfter() > known || !e.catalog.Loaded():
+	case position.Era > known.Era || update.GetAfter() > known.Revision || !e.catalog.Loaded():
 		e.fetch(from, 0)
 		return
 	}
 	e.recordConfirmation(now, update.GetAgeMs(), update.GetSettled())
-	e.applyItems(now, decodeItems(update.GetItems()), from)
-	e.catalog.Advance(update.GetRevision())
+	e.applyItems(now, decodeItems(update.GetItems(), position.Era), from)
+	e.catalog.Advance(position)
 	e.publishIfChanged(now)
 	// The next update of this watcher begins at its new revision, so its
 	// recipients need the changes that lead there.
-	if e.feed.IsWatcher() && (update.GetRevision() > known || e.feed.StoreUnavailable()) {
+	if e.feed.IsWatcher() && (position.After(known) || e.feed.StoreUnavailable()) {
 		e.sendUpdates(e.feed.ZoneRecipients(), []*qlfleetwire.Update{update})
 	}
 }
@@ -143,7 +153,7 @@
 
 // fetchNewerDocuments is called when a probe shows that the router at the
 // address has newer documents.
-func (e *Edge) fetchNewerDocuments(address string, _, _ uint64) {
+func (e *Edge) fetchNewerDocuments(address string) {
 	e.fetch(address, _fetchDelay)
 }
 
@@ -184,76 +194,111 @@
 	request := &qlfleetwire.FetchRequest{}
 	request.ConfigurationRevision, _ = e.revisions()
 	if e.catalog.Loaded() {
-		request.ListRevision = e.catalog.Revision()
+		position := e.catalog.Position()
+		request.Era, request.ListRevision = position.Era, position.Revision
 	}
 	return request
 }
 
 // applyFetchReply applies the documents that another router sent. A complete
 // reply is equivalent to the store's: upstreams that its list lacks are
-// removed, and evacuations that it lacks are withdrawn.
+// removed, and evacuations that it lacks are withdrawn. Of a reply of an earlier era, only
+// the configuration counts.
 func (e *Edge) applyFetchReply(now time.Duration, from string, request *qlfleetwire.FetchRequest, reply *qlfleetwire.FetchReply) {
 	if len(reply.GetConfiguration()) > 0 {
 		e.adoptConfiguration(reply.GetConfiguration(), from)
 	}
-	items, zones := splitZones(decodeItems(reply.GetItems()))
+	changed := qlposition.Position{
+		Era:      reply.GetEra(),
+		Revision: reply.GetListRevision(),
+	}
+	if e.isOutdated(changed, from) {
+		return
+	}
+	items, zones := splitZones(decodeItems(reply.GetItems(), changed.Era))
 	// A router that has no newer list sends none.
-	hasList := reply.GetListRevision() > request.GetListRevision()
-	if reply.GetComplete() == 0 {
-		if hasList {
-			e.catalog.MergeZones(zones, reply.GetListRevision(), reply.GetSettled())
-			e.catalog.Merge(e.decodeUpstreams(items), reply.GetListRevision(), reply.GetSettled())
-			e.publishIfChanged(now)
+	hasList := changed.After(requestedPosition(request))
+	known, since := e.catalog.Position(), e.feed.Age(now)
+	isComplete := reply.GetComplete() > 0
+	complete := qlposition.Position{
+		Era:      changed.Era,
+		Revision: reply.GetComplete(),
+	}
+	if isComplete {
+		e.recordConfirmation(now, reply.GetAgeMs(), reply.GetSettled())
+	}
+	list := func(position qlposition.Position) qlcatalog.List {
+		return qlcatalog.List{
+			Entries:  e.decodeUpstreams(items),
+			Zones:    zones,
+			Position: position,
+			EraAge:   time.Duration(reply.GetEraAgeMs()) * time.Millisecond,
 		}
-		return
 	}
-	e.recordConfirmation(now, reply.GetAgeMs(), reply.GetSettled())
 	switch {
+	case !hasList:
+	case !isComplete:
+		e.catalog.Merge(now, list(changed), reply.GetSettled())
 	case reply.GetPartial():
 		e.setZones(zones)
 		e.applyItems(now, items, from)
-	case hasList:
-		e.catalog.ReplaceZones(zones, reply.GetComplete())
-		e.catalog.Replace(now, e.decodeUpstreams(items), reply.GetComplete())
+	default:
+		e.catalog.Replace(now, list(complete))
+	}
+	if isComplete {
+		e.catalog.Advance(complete)
 	}
-	e.catalog.Advance(reply.GetComplete())
+	e.recordEra(known, since, from)
 	e.publishIfChanged(now)
 }
 
+// requestedPosition returns the position up to which the sender of a request has the list.
+func requestedPosition(request *qlfleetwire.FetchRequest) qlposition.Position {
+	return qlposition.Position{
+		Era:      request.GetEra(),
+		Revision: request.GetListRevision(),
+	}
+}
+
 // answerFetch returns the documents that another router lacks. It runs in the
 // control goroutine.
 func (e *Edge) answerFetch(request *qlfleetwire.FetchRequest) *qlfleetwire.FetchReply {
 	now := e.clock()
+	configuration, list := e.revisions()
 	reply := &qlfleetwire.FetchReply{
-		Settled: e.catalog.InSync(now),
+		ConfigurationRevision: configuration,
+		Era:                   list.Era,
+		EraAgeMs:              uint32(e.catalog.EraAge(now).Milliseconds()),
+		ListRevision:          list.Revision,
+		Settled:               e.catalog.InSync(now),
 	}
 	if e.catalog.Loaded() && e.feed.Fresh(now) {
-		reply.Complete = e.catalog.Revision()
+		reply.Complete = e.catalog.Position().Revision
 		reply.AgeMs = uint32(e.feed.Age(now).Milliseconds())
 	}
-	reply.ConfigurationRevision, reply.ListRevision = e.revisions()
-	if reply.GetConfigurationRevision() > request.GetConfigurationRevision() {
+	if configuration > request.GetConfigurationRevision() {
 		reply.Configuration = e.rawConfiguration
 	}
-	if reply.GetListRevision() <= request.GetListRevision() {
+	requested := requestedPosition(request)
+	if !list.After(requested) {
 		return reply
 	}
-	if changed, removed, ok := e.catalog.Since(request.GetListRevision()); ok && reply.GetComplete() > 0 {
+	if changed, removed, ok := e.catalog.Since(requested); ok && reply.GetComplete() > 0 {
 		reply.Partial = true
-		reply.Items = encodeZones(e.catalog.ZonesSince(request.GetListRevision()))
+		reply.Items = encodeZones(e.catalog.ZonesSince(requested))
 		for _, entry := range changed {
 			reply.Items = append(reply.Items, encodeEntry(&entry))
 		}
-		for id, revision := range removed {
+		for id, position := range removed {
 			reply.Items = append(reply.Items, encodeItem(Item{
 				ID:       id,
-				Revision: revision,
+				Position: position,
 				Deleted:  true,
 			}))
 		}
 		return reply
 	}
-	reply.Items = encodeZones(e.catalog.EvacuatedZones())
+	reply.Items = encodeZones(e.catalog.StoreZones())
 	for _, entry := range e.catalog.StoreEntries() {
 		reply.Items = append(reply.Items, encodeEntry(&entry))
 	}
--- a/internal/qlfleet/qlfleet_test.go
+++ b/internal/qlfleet/qlfleet_test.go
@@ -12,6 +12,7 @@
 	"github.com/quetzallane/quetzallane/internal/qlfleetwire"
 	"github.com/quetzallane/quetzallane/internal/qlowner"
 	"github.com/quetzallane/quetzallane/internal/qlplace"
+	"github.com/quetzallane/quetzallane/internal/qlposition"
 	"go.uber.org/zap"
 )
 
@@ -41,8 +42,8 @@
 				Incarnation:      1,
 				Random:           rand.New(rand.NewPCG(1, uint64(i))),
 				Seeds:            []string{"127.0.0.1:" + port},
-				Revisions:        func() (uint64, uint64) { return 0, 0 },
-				OnNewerDocuments: func(string, uint64, uint64) {},
+				Revisions:        func() (uint64, qlposition.Position) { return 0, qlposition.Position{} },
+				OnNewerDocuments: func(string) {},
 			},
 			AnswerFetch: func(request *qlfleetwire.FetchRequest) *qlfleetwire.FetchReply {
 				return &qlfleetwire.FetchReply{
--- a/internal/qlforward/evacuate.go
+++ b/internal/qlforward/evacuate.go
@@ -24,7 +24,7 @@
 	}
 	view := &View{
 		table:              v.table,
-		listRevision:       v.listRevision,
+		listPosition:       v.listPosition,
 		readyByService:     make(map[string][]qlcatalog.Entry),
 		readyByID:          make(map[string]qlcatalog.Entry, len(v.readyByID)),
 		evacuatedZones:     make(map[string]bool, len(zones)),
--- a/internal/qlforward/evacuate_test.go
+++ b/internal/qlforward/evacuate_test.go
@@ -8,6 +8,7 @@
 	"github.com/quetzallane/quetzallane/internal/qlcatalog"
 	"github.com/quetzallane/quetzallane/internal/qlengine"
 	"github.com/quetzallane/quetzallane/internal/qlplace"
+	"github.com/quetzallane/quetzallane/internal/qlposition"
 )
 
 // newZoneHarness returns a harness with three upstreams in zone z1 and one in z2, and a
@@ -32,7 +33,7 @@
 		}
 	}
 	evacuate = func(zones ...string) {
-		h.forwarder.SetView(NewView(testTable(t), entries, 30).WithoutZones(zones))
+		h.forwarder.SetView(NewView(testTable(t), entries, qlposition.Position{Revision: 30}).WithoutZones(zones))
 	}
 	evacuate()
 	return h, upstreams, evacuate
--- a/internal/qlforward/metrics.go
+++ b/internal/qlforward/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/quetzallane/quetzallane/internal/qlconn"
 	"github.com/quetzallane/quetzallane/internal/qloutcome"
 	"github.com/quetzallane/quetzallane/internal/qlplace"
+	"github.com/quetzallane/quetzallane/internal/qlposition"
 	"github.com/quetzallane/quetzallane/internal/qlroute"
 	"github.com/quetzallane/quetzallane/pkg/qlcode"
 	"go.uber.org/zap"
@@ -216,9 +217,9 @@
 	if x.service != nil {
 		f.metrics.byService.Add(x.service.Name()+"/"+code.Name(), 1)
 	}
-	revision, listRevision := uint64(0), uint64(0)
+	revision, list := uint64(0), qlposition.Position{}
 	if x.view != nil {
-		revision, listRevision = x.view.table.Revision(), x.view.listRevision
+		revision, list = x.view.table.Revision(), x.view.listPosition
 	}
 	event := "request-ended"
 	if code == qlcode.Answered && status < http.StatusInternalServerError {
@@ -243,7 +244,8 @@
 		zap.String("decided-by", x.decider),
 		x.offloadField(),
 		zap.Uint64("revision", revision),
-		zap.Uint64("list-revision", listRevision),
+		zap.Uint64("list-era", list.Era),
+		zap.Uint64("list-revision", list.Revision),
 		zap.Int64("last-event", x.lastEventID),
 		zap.String("cause", x.cause))
 }
--- a/internal/qlforward/qlforward.go
+++ b/internal/qlforward/qlforward.go
@@ -14,7 +14,7 @@
 // # Usage
 //
 //	forwarder := qlforward.New(qlforward.Config{Dialect: dialect, Placement: placement, Log: log})
-//	forwarder.SetView(qlforward.NewView(table, entries, revision))
+//	forwarder.SetView(qlforward.NewView(table, entries, position))
 //	server := &http.Server{Handler: forwarder}
 package qlforward
 
--- a/internal/qlforward/standin_test.go
+++ b/internal/qlforward/standin_test.go
@@ -21,6 +21,7 @@
 	"github.com/quetzallane/quetzallane/internal/qlcatalog"
 	"github.com/quetzallane/quetzallane/internal/qlengine"
 	"github.com/quetzallane/quetzallane/internal/qlplace"
+	"github.com/quetzallane/quetzallane/internal/qlposition"
 	"github.com/quetzallane/quetzallane/internal/qlquarantine"
 	"github.com/quetzallane/quetzallane/internal/qlroute"
 	"go.uber.org/zap"
@@ -275,7 +276,7 @@
 			})
 		}
 	}
-	h.forwarder.SetView(NewView(testTable(t), entries, 30))
+	h.forwarder.SetView(NewView(testTable(t), entries, qlposition.Position{Revision: 30}))
 	h.server = httptest.NewServer(h.forwarder)
 	t.Cleanup(h.server.Close)
 	return h
--- a/internal/qlforward/types.go
+++ b/internal/qlforward/types.go
@@ -8,6 +8,7 @@
 	"github.com/quetzallane/quetzallane/internal/qlcatalog"
 	"github.com/quetzallane/quetzallane/internal/qlengine"
 	"github.com/quetzallane/quetzallane/internal/qlplace"
+	"github.com/quetzallane/quetzallane/internal/qlposition"
 	"github.com/quetzallane/quetzallane/internal/qlquarantine"
 	"github.com/quetzallane/quetzallane/internal/qlroute"
 )
@@ -167,8 +168,8 @@
 	// readyByService and readyByID hold the upstreams that are ready.
 	readyByService map[string][]qlcatalog.Entry
 	readyByID      map[string]qlcatalog.Entry
-	// listRevision is the revision of the list of upstreams.
-	listRevision uint64
+	// listPosition is the store's position of the list of upstreams.
+	listPosition qlposition.Position
 	// evacuatedZones are the zones whose upstreams are left out, and evacuatedByService the
 	// ids of these upstreams.
 	evacuatedZones     map[string]bool
@@ -176,11 +177,11 @@
 }
 
 // NewView returns the view of a routing table and the list of upstreams at the
-// given revision. Upstreams that are not ready are left out.
-func NewView(table *qlroute.Table, entries []qlcatalog.Entry, listRevision uint64) *View {
+// given position. Upstreams that are not ready are left out.
+func NewView(table *qlroute.Table, entries []qlcatalog.Entry, listPosition qlposition.Position) *View {
 	view := &View{
 		table:          table,
-		listRevision:   listRevision,
+		listPosition:   listPosition,
 		readyByService: make(map[string][]qlcatalog.Entry),
 		readyByID:      make(map[string]qlcatalog.Entry, len(entries)),
 	}
--- a/internal/qlforward/warmup_test.go
+++ b/internal/qlforward/warmup_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/quetzallane/quetzallane/internal/qlcatalog"
+	"github.com/quetzallane/quetzallane/internal/qlposition"
 	"github.com/quetzallane/quetzallane/internal/qlroute"
 	"github.com/quetzallane/quetzallane/internal/qlwarmup"
 )
@@ -61,7 +62,7 @@
 			Live:  1,
 		}
 	}
-	h.forwarder.SetView(NewView(table, []qlcatalog.Entry{entry(cold, time.Second), entry(warm, 0)}, 1))
+	h.forwarder.SetView(NewView(table, []qlcatalog.Entry{entry(cold, time.Second), entry(warm, 0)}, qlposition.Position{Revision: 1}))
 	// The harness's clock stands still, so the cold one has room for one request.
 	for range 8 {
 		if got := h.send(t, "POST", "/x", nil, ""); got.status != 200 {
@@ -71,7 +72,7 @@
 	if got := cold.count(); got > 1 {
 		t.Errorf("requests to the cold upstream: got %d, want 1 at most", got)
 	}
-	h.forwarder.SetView(NewView(table, []qlcatalog.Entry{entry(cold, time.Second)}, 2))
+	h.forwarder.SetView(NewView(table, []qlcatalog.Entry{entry(cold, time.Second)}, qlposition.Position{Revision: 2}))
 	for range 2 {
 		got := h.send(t, "POST", "/x", nil, "")
 		if got.status != 200 && (got.status != 429 || got.header.Get("Retry-After") == "") {
--- a/internal/qlowner/fuzz_test.go
+++ b/internal/qlowner/fuzz_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/quetzallane/quetzallane/internal/qlfleetwire"
 	"github.com/quetzallane/quetzallane/internal/qlplace"
+	"github.com/quetzallane/quetzallane/internal/qlposition"
 	"github.com/quetzallane/quetzallane/internal/qlquarantine"
 	"github.com/quetzallane/quetzallane/internal/qlring"
 	"google.golang.org/protobuf/proto"
@@ -51,8 +52,8 @@
 			Random:           rand.New(rand.NewPCG(1, 1)),
 			Send:             func(string, *qlfleetwire.Packet) {},
 			OnDecision:       func(uint64, qlplace.Decision) { decided++ },
-			Revisions:        func() (uint64, uint64) { return 1, 1 },
-			OnNewerDocuments: func(string, uint64, uint64) {},
+			Revisions:        func() (uint64, qlposition.Position) { return 1, qlposition.Position{Revision: 1} },
+			OnNewerDocuments: func(string) {},
 			OnUpdate:         func(time.Duration, string, *qlfleetwire.Update) {},
 			OnLiveChange:     func([]qlring.Node) {},
 			OnInformed:       func() {},
--- a/internal/qlowner/qlowner.go
+++ b/internal/qlowner/qlowner.go
@@ -40,6 +40,7 @@
 	"github.com/quetzallane/quetzallane/internal/qlfleetwire"
 	"github.com/quetzallane/quetzallane/internal/qlmember"
 	"github.com/quetzallane/quetzallane/internal/qlplace"
+	"github.com/quetzallane/quetzallane/internal/qlposition"
 	"github.com/quetzallane/quetzallane/internal/qlquarantine"
 	"github.com/quetzallane/quetzallane/internal/qlring"
 	"github.com/quetzallane/quetzallane/internal/qlwire"
@@ -130,11 +131,12 @@
 	Send func(address string, packet *qlfleetwire.Packet)
 	// OnDecision is called with the decision on a request of this router.
 	OnDecision func(request uint64, decision qlplace.Decision)
-	// Revisions returns the revisions of the documents in force.
-	Revisions func() (configuration, list uint64)
+	// Revisions returns the revision of the configuration in force and the position of the
+	// last change to the list of upstreams.
+	Revisions func() (configuration uint64, list qlposition.Position)
 	// OnNewerDocuments is called when the router at the address has newer
 	// documents than this one.
-	OnNewerDocuments func(address string, configuration, list uint64)
+	OnNewerDocuments func(address string)
 	// OnUpdate is called with updates from a watcher of the platform's store.
 	OnUpdate func(now time.Duration, address string, update *qlfleetwire.Update)
 	// OnLiveChange is called with the live routers when they change, and first by
@@ -418,15 +420,20 @@
 	configuration, list := c.config.Revisions()
 	return &qlwire.Digest{
 		ConfigurationRevision: configuration,
-		ListRevision:          list,
+		ListRevision:          list.Revision,
+		ListEra:               list.Era,
 		Leaving:               c.leaving,
 	}
 }
 
 func (c *Core) receiveDigest(from string, digest *qlwire.Digest) {
 	configuration, list := c.config.Revisions()
-	if digest.GetConfigurationRevision() > configuration || digest.GetListRevision() > list {
-		c.config.OnNewerDocuments(c.members.Address(from), digest.GetConfigurationRevision(), digest.GetListRevision())
+	theirs := qlposition.Position{
+		Era:      digest.GetListEra(),
+		Revision: digest.GetListRevision(),
+	}
+	if digest.GetConfigurationRevision() > configuration || theirs.After(list) {
+		c.config.OnNewerDocuments(c.members.Address(from))
 	}
 }
 
--- a/internal/qlowner/qlowner_test.go
+++ b/internal/qlowner/qlowner_test.go
@@ -9,6 +9,7 @@
 	"github.com/quetzallane/quetzallane/internal/qlengine"
 	"github.com/quetzallane/quetzallane/internal/qlfleetwire"
 	"github.com/quetzallane/quetzallane/internal/qlplace"
+	"github.com/quetzallane/quetzallane/internal/qlposition"
 	"github.com/quetzallane/quetzallane/internal/qlquarantine"
 	"github.com/quetzallane/quetzallane/internal/qlring"
 	"google.golang.org/protobuf/proto"
@@ -132,8 +133,8 @@
 			}
 		},
 		OnMessageError:   func(router string, err error) { panic(router + ": " + err.Error()) },
-		Revisions:        func() (uint64, uint64) { return 0, 0 },
-		OnNewerDocuments: func(string, uint64, uint64) {},
+		Revisions:        func() (uint64, qlposition.Position) { return 0, qlposition.Position{} },
+		OnNewerDocuments: func(string) {},
 		OnLiveChange:     func([]qlring.Node) {},
 		OnInformed:       func() {},
 		Quarantine: qlquarantine.Config{
