A router whose list is not known to be complete fetches again

Cause: the list that it fetched was not known to be complete, since no router had heard from the store lately; it told that list's revision as its own, so no probe showed a newer one, and being its zone's only watcher it got no updates.

Change: until its list is complete a router reports none, so each probe makes it fetch again, once a second at most.

--- a/internal/qledge/reader_test.go
+++ b/internal/qledge/reader_test.go
@@ -310,3 +310,34 @@
 		t.Errorf("documents in force: got %q, want %q", got, want)
 	}
 }
+
+// TestIncompleteListIsFetchedAgain guards against a router that never becomes ready: the store
+// fails for all others when it starts, so that the list which it gets is not known to be
+// complete, it never reaches the store itself, and being its zone's only watcher it gets no updates.
+func TestIncompleteListIsFetchedAgain(t *testing.T) {
+	store, none := newFakeStore(), newFakeStore()
+	none.down = true
+	fleet := startSizedFleet(t, []float64{0.5}, store)
+	first := fleet[0]
+	first.awaitState(t, "1 u1")
+	store.withLock(func() { store.down = true })
+	for fresh := true; fresh; time.Sleep(time.Millisecond) {
+		first.edge.fleet.Call(func(now time.Duration) { fresh = first.edge.feed.Fresh(now) })
+	}
+	_, port, err := net.SplitHostPort(first.edge.settings.PeerAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	second := startEdge(t, "r2", none, func(settings *qlsetting.Edge) {
+		settings.PeerAddress = net.JoinHostPort(qlloopbacktest.IP(2), port)
+		settings.Seeds = []string{qlloopbacktest.IP(1) + ":1"}
+		settings.ProcessorFraction = 1
+	})
+	second.awaitState(t, "1 u1")
+	store.withLock(func() { store.down = false })
+	for end := time.Now().Add(4 * time.Second); !second.edge.documentsLoaded.Load(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the router has no complete list 4 s after the store is back for the other one")
+		}
+	}
+}
--- a/internal/qledge/state.go
+++ b/internal/qledge/state.go
@@ -225,6 +225,10 @@
 	if e.table != nil {
 		configuration = e.table.Revision()
 	}
+	if !e.catalog.Loaded() {
+		// What is known may be incomplete, so any other router's list is newer.
+		return configuration, list
+	}
 	return configuration, e.catalog.LastChange()
 }
 
--- a/internal/qledge/update.go
+++ b/internal/qledge/update.go
@@ -15,6 +15,9 @@
 	// fetches documents from a router whose probe showed that it has newer
 	// ones.
 	_fetchDelay = 200 * time.Millisecond
+	// _incompleteFetchPause is how long a router that got a list, but none that is known to be
+	// complete, waits until it fetches again.
+	_incompleteFetchPause = time.Second
 	// _maxUpdateBytes bounds the documents in one update, which is sent as one
 	// datagram. Receivers fetch the documents if one of them is larger.
 	_maxUpdateBytes = 1200
@@ -167,6 +170,11 @@
 	go func() {
 		time.Sleep(delay)
 		e.fetchFrom(address)
+		loaded := false
+		e.fleet.Call(func(time.Duration) { loaded = e.catalog.Loaded() })
+		if !loaded {
+			time.Sleep(_incompleteFetchPause)
+		}
 		e.fleet.Post(func(time.Duration) { e.fetching = false })
 	}()
 }
@@ -264,7 +272,8 @@
 // control goroutine.
 func (e *Edge) answerFetch(request *qlfleetwire.FetchRequest) *qlfleetwire.FetchReply {
 	now := e.clock()
-	configuration, list := e.revisions()
+	configuration, _ := e.revisions()
+	list := e.catalog.LastChange()
 	reply := &qlfleetwire.FetchReply{
 		ConfigurationRevision: configuration,
 		Era:                   list.Era,
