Customers above their share are compared second by second, not over the window

Cause: what a customer above its share is held back by, its excess, divided all that it was granted in 4 s by one level for these 4 s. A customer that had been granted much while there was room for all was held back by 5 times and got next to nothing once others rose, for up to 4 s, until its old grants had left the window; those that rose had a claim from the time when they asked for little, took everything, and were then held back themselves. The rule compares second by second.

Evidence: a model of the placement with 30 customers of which some rise and fall in turns. One that asked 1.7 M tokens a second all the time and got them was granted 0.2, 0, 0.06, 1.6, 0.3, 0 and 0.06 M in the seconds after others rose.

Change: the level is computed for each quarter second of the window from what was granted and asked in it, and the excess is what was granted to what these levels give of its demand. A customer that asks for less than the level now counts as lower by that part, so that it gets all of it, as before. share-state has the excess.

TestExcessCountsWhatWasAskedAtTheSameTime is new.

--- a/internal/qledge/load.go
+++ b/internal/qledge/load.go
@@ -161,7 +161,7 @@
 		for _, customer := range customers[:min(_maxLoggedShares, len(customers))] {
 			e.log.Info("share-state", zap.Int("group", group), zap.String("customer", customer.Customer),
 				zap.Float64("asked", customer.Demand), zap.Float64("granted", customer.Granted), zap.Float64("level", shares.MaxMinLevel()),
-				zap.Float64("ratio", customer.Ratio), zap.Float64("reached", shares.GrantedLevel()),
+				zap.Float64("ratio", customer.Ratio), zap.Float64("excess", customer.Excess), zap.Float64("reached", shares.GrantedLevel()),
 				zap.Int("refused-load", refusals[customer.Customer].Load), zap.Int("refused-wait", refusals[customer.Customer].Wait),
 				zap.Int("refused-read-again", refusals[customer.Customer].Recompute))
 		}
--- a/internal/qlplace/load_test.go
+++ b/internal/qlplace/load_test.go
@@ -139,7 +139,8 @@
 	s.schedule(from+gap(), send)
 }
 
-func (s *sim) request(now time.Duration, customer string) {
+// draw returns a new request of the customer.
+func (s *sim) draw(customer string) *Request {
 	s.lastRequest++
 	segment := 10 + s.random.Uint64N(s.segments)
 	if s.ownSegments {
@@ -149,6 +150,11 @@
 	if s.objective > 0 {
 		r.LatencyObjective = s.objective
 	}
+	return r
+}
+
+func (s *sim) request(now time.Duration, customer string) {
+	r := s.draw(customer)
 	cost := r.Cost()
 	s.demand[customer] += cost
 	decision := s.placer.Decide(now, r)
@@ -156,6 +162,11 @@
 		return
 	}
 	s.granted[customer] += cost
+	s.start(now, r, customer, decision)
+}
+
+// start runs a request on the engine that was chosen for it.
+func (s *sim) start(now time.Duration, r *Request, customer string, decision Decision) {
 	engine := s.engines[decision.Engine]
 	tokens := r.Prompt.UniqueTokens()
 	for _, segment := range r.Prompt.Segments[:2] {
--- a/internal/qlshare/qlshare.go
+++ b/internal/qlshare/qlshare.go
@@ -14,6 +14,8 @@
 //	window.AddGrant(now, customer, cost)
 //	ratio := window.Ratio(now, customer) // above 1: more than its fair share
 //	excess := window.Excess(customer)    // above 1: more than by a max-min division of the grants, below 1: less
+//
+// Ratio says who is above its share of the window, Excess how much those get beside each other.
 package qlshare
 
 import (
@@ -23,6 +25,8 @@
 
 const (
 	_buckets = 16
+	// _recentBuckets is how many of the newest buckets show what customers ask for now.
+	_recentBuckets = 4
 )
 
 // Config configures a Window.
@@ -45,10 +49,11 @@
 	customers map[string]*usage
 	// currentBucket is the number of the newest bucket, counted from time 0.
 	currentBucket int64
-	// maxMinLevel and grantedLevel are the results of computeMaxMinLevel and
-	// computeGrantedLevel when levelBucket was the current bucket.
+	// maxMinLevel, grantedLevel and bucketLevels are the results of computeMaxMinLevel,
+	// computeGrantedLevel and computeBucketLevels when levelBucket was the current bucket.
 	maxMinLevel  float64
 	grantedLevel float64
+	bucketLevels [_buckets]float64
 	levelBucket  int64
 }
 
@@ -139,6 +144,7 @@
 		w.maxMinLevel = w.computeMaxMinLevel()
 		w.levelBucket = w.currentBucket
 		w.grantedLevel = w.computeGrantedLevel()
+		w.computeBucketLevels()
 	}
 	u := w.customers[customer]
 	if u == nil {
@@ -155,18 +161,36 @@
 	return sum(&u.granted) / fairShare
 }
 
-// Excess returns what the customer was granted divided by the granted level
-// (see GrantedLevel), or 1 if nothing was granted to anybody. The granted level
-// is computed by Ratio, once in each bucket of the window.
+// Excess compares what the customer was granted to a max-min division of everything that was
+// granted: 1 is an even part; it is 0 if nothing was granted to the customer, and 1 if nothing
+// was to anybody.
+//
+// The division is made in each bucket of the window, so that a customer owes nothing for what
+// it was granted while others asked for less, and has no claim from the time when it asked
+// for less itself. A customer that asks for less than the level now is to get all of it: its
+// result is lower by that part. The levels are computed by Ratio, once in each bucket.
 func (w *Window) Excess(customer string) float64 {
-	if w.grantedLevel <= 0 {
-		return 1
-	}
 	u := w.customers[customer]
 	if u == nil {
 		return 0
 	}
-	return sum(&u.granted) / w.grantedLevel
+	even, recentDemand, recentLevel := 0.0, 0.0, 0.0
+	for bucket, level := range w.bucketLevels {
+		even += min(u.demand[bucket], level)
+	}
+	for age := range int64(_recentBuckets) {
+		bucket := (w.currentBucket - age + _buckets) % _buckets
+		recentDemand += u.demand[bucket]
+		recentLevel += w.bucketLevels[bucket]
+	}
+	if even <= 0 {
+		return 1
+	}
+	excess := sum(&u.granted) / even
+	if recentDemand < recentLevel {
+		excess *= recentDemand / recentLevel
+	}
+	return excess
 }
 
 // GrantedLevel returns the highest grant that a customer would have if
@@ -184,6 +208,21 @@
 	return w.maxMin(granted)
 }
 
+// computeBucketLevels divides what was granted in each bucket by max-min fairness between the
+// demands in it.
+func (w *Window) computeBucketLevels() {
+	demands := make([]float64, 0, len(w.customers))
+	for bucket := range w.bucketLevels {
+		demands = demands[:0]
+		granted := 0.0
+		for _, u := range w.customers {
+			demands = append(demands, u.demand[bucket])
+			granted += u.granted[bucket]
+		}
+		w.bucketLevels[bucket] = maxMin(demands, granted)
+	}
+}
+
 // MaxMinLevel returns the max-min level: the highest fair share that a
 // customer can have in the window, as of the last computation by Ratio.
 func (w *Window) MaxMinLevel() float64 {
@@ -201,12 +240,18 @@
 }
 
 // maxMin returns the level at which the capacity is divided by max-min
-// fairness between the demands; it is the highest demand if all of them fit.
+// fairness between the demands in the window.
 func (w *Window) maxMin(capacity float64) float64 {
 	demands := make([]float64, 0, len(w.customers))
 	for _, u := range w.customers {
 		demands = append(demands, sum(&u.demand))
 	}
+	return maxMin(demands, capacity)
+}
+
+// maxMin returns the level at which the capacity is divided by max-min fairness between the
+// demands, which it sorts; it is the highest demand if all of them fit.
+func maxMin(demands []float64, capacity float64) float64 {
 	sort.Float64s(demands)
 	for i, demand := range demands {
 		level := capacity / float64(len(demands)-i)
@@ -228,6 +273,8 @@
 	Granted  float64 `json:"granted"`
 	// Ratio is what was granted divided by the fair share.
 	Ratio float64 `json:"ratio"`
+	// Excess is the result of Window.Excess.
+	Excess float64 `json:"excess"`
 }
 
 // State returns the customers with demand or grants in the window, sorted by
@@ -240,6 +287,7 @@
 			Demand:   sum(&u.demand),
 			Granted:  sum(&u.granted),
 			Ratio:    w.ratio(u),
+			Excess:   w.Excess(name),
 		})
 	}
 	sort.Slice(states, func(i, j int) bool { return states[i].Customer < states[j].Customer })
--- a/internal/qlshare/qlshare_test.go
+++ b/internal/qlshare/qlshare_test.go
@@ -82,6 +82,43 @@
 	}
 }
 
+// TestExcessCountsWhatWasAskedAtTheSameTime guards against a debt of the customer that used
+// spare capacity, and against a claim of the one that asked for little then: once both ask for
+// more than there is, both count as having an even part.
+func TestExcessCountsWhatWasAskedAtTheSameTime(t *testing.T) {
+	w := New(Config{
+		Span:     4 * time.Second,
+		Capacity: 100,
+	})
+	add := func(at time.Duration, customer string, asked, granted float64) {
+		w.AddDemand(at, customer, asked)
+		w.AddGrant(at, customer, granted)
+	}
+	for at := time.Duration(0); at < 3*time.Second; at += 250 * time.Millisecond {
+		add(at, "steady", 100, 100)
+		add(at, "rising", 5, 5)
+		add(at, "small", 5, 5)
+	}
+	for at := 3 * time.Second; at < 4*time.Second; at += 250 * time.Millisecond {
+		add(at, "steady", 100, 50)
+		add(at, "rising", 900, 50)
+		add(at, "small", 5, 5)
+	}
+	w.Ratio(4*time.Second-1, "steady")
+	for customer, want := range map[string]float64{"steady": 1, "rising": 1, "small": 0.1} {
+		if got := w.Excess(customer); math.Abs(got-want) > 1e-9 {
+			t.Errorf("excess of %s: got %v, want %v", customer, got, want)
+		}
+	}
+	// Of what is granted next, the rising customer gets everything.
+	add(4*time.Second, "steady", 100, 0)
+	add(4*time.Second, "rising", 900, 100)
+	w.Ratio(4*time.Second, "steady")
+	if steady, rising := w.Excess("steady"), w.Excess("rising"); steady >= 1 || rising <= 1 {
+		t.Errorf("after a bucket for one alone: got %v and %v, want less than 1 and more", steady, rising)
+	}
+}
+
 func TestWindowSlides(t *testing.T) {
 	w := New(Config{
 		Span:     time.Second,
