--- a/internal/qlcatalog/era_test.go
+++ b/internal/qlcatalog/era_test.go
@@ -35,11 +35,11 @@
 	return text
 }
 
-// TestKnownStateHoldsAtTheBeginOfAnEra guards against a store from an older copy that brings
+// TestKnownStateHoldsAtTheStartOfAnEra guards against a store from an older copy that brings
 // back an upstream that has left, drops one that has registered since, or returns an
 // evacuated zone, for the time until that is written again; and against a router that keeps
 // what it knew for longer, or against what is written in the new era.
-func TestKnownStateHoldsAtTheBeginOfAnEra(t *testing.T) {
+func TestKnownStateHoldsAtTheStartOfAnEra(t *testing.T) {
 	const begin = 10 * time.Second
 	newCatalog := func() *Catalog {
 		c := New()
--- a/internal/qlcatalog/qlcatalog.go
+++ b/internal/qlcatalog/qlcatalog.go
@@ -103,8 +103,8 @@
 	zones map[string]Zone
 	// removedStarts holds when the removed upstreams had started, by id.
 	removedStarts map[string]int64
-	// withheld and withheldZones hold, by id and by name, what the store's list says in a
-	// new era and what applies only after the grace period.
+	// withheld and withheldZones hold, by id and by name, what the first list of a new era
+	// says otherwise than this router knew; it applies after the grace period.
 	withheld      map[string]Entry
 	withheldZones map[string]Zone
 	// removalsCompleteFrom is the position after which removed holds all
@@ -112,8 +112,8 @@
 	removalsCompleteFrom qlposition.Position
 	// position is the one up to which all changes were applied.
 	position qlposition.Position
-	// eraKnownSince is when the first router that this one heard of it from, or this one
-	// itself, learned of the store's era. eraChanged is set unless it is the first known era.
+	// eraKnownSince is when this router learned of the store's era, or earlier if the router
+	// that told it had known of it longer. eraChanged is set unless it is the first known era.
 	eraKnownSince time.Duration
 	eraChanged    bool
 	// storeLost is set while the store does not answer.
@@ -235,7 +235,7 @@
 
 // Delete applies the store's deletion of an entry at the position. A ready
 // entry is kept as expired during an outage of the store and the grace periods
-// after it and after the begin of an era.
+// after it and after the start of an era.
 func (c *Catalog) Delete(now time.Duration, id string, position qlposition.Position) {
 	if c.isOutdated(position) {
 		return
@@ -286,7 +286,7 @@
 }
 
 // inGracePeriod reports whether deleted entries are kept: during an outage of
-// the store, for _expiryGrace after it, and for as long after the begin of an era.
+// the store, for _expiryGrace after it, and for as long after the start of an era.
 func (c *Catalog) inGracePeriod(now time.Duration) bool {
 	return c.inOutage(now) || c.inNewEra(now)
 }
@@ -395,8 +395,7 @@
 	return removed && entry.StartMillis <= start
 }
 
-// Tick removes expired entries once the grace period is over, and applies what the first
-// list of a new era said otherwise. It reports whether the list or the evacuated zones
+// Tick removes expired entries and applies withheld ones once the grace period is over. It reports whether the list or the evacuated zones
 // changed since the last call.
 func (c *Catalog) Tick(now time.Duration) bool {
 	if len(c.expired) > 0 && !c.inGracePeriod(now) {
--- a/internal/qledge/state.go
+++ b/internal/qledge/state.go
@@ -143,7 +143,7 @@
 	return true
 }
 
-// recordEra logs and counts the begin of an era, if the list has one. known is the position
+// recordEra logs and counts the start of an era, if the list has begun one. known is the position
 // before the list was applied, and since the time since the documents were known to match
 // the store.
 func (e *Edge) recordEra(known qlposition.Position, since time.Duration, source string) {
--- a/internal/qledge/update.go
+++ b/internal/qledge/update.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/quetzallane/quetzallane/internal/qlcatalog"
@@ -277,7 +278,7 @@
 	reply := &qlfleetwire.FetchReply{
 		ConfigurationRevision: configuration,
 		Era:                   list.Era,
-		EraAgeMs:              uint32(e.catalog.EraAge(now).Milliseconds()),
+		EraAgeMs:              uint32(min(e.catalog.EraAge(now).Milliseconds(), math.MaxUint32)),
 		ListRevision:          list.Revision,
 		Settled:               e.catalog.InSync(now),
 	}
