--- a/internal/qlcatalog/era_test.go
+++ b/internal/qlcatalog/era_test.go
@@ -41,6 +41,13 @@
 // what it knew for longer, or against what is written in the new era.
 func TestKnownStateHoldsAtTheStartOfAnEra(t *testing.T) {
 	const begin = 10 * time.Second
+	// The copy has all that was known long before its revision, 20.
+	olderCopy := func(revision uint64) List {
+		zone3 := order("z3", 12)
+		zone3.Position.Era = 2
+		return withZones(secondEra(revision, restored("drains", Ready, 3, 5), restored("left", Ready, 4, 5),
+			restored("restarted", Ready, 5, 5), restored("same", Ready, 3, 5)), zone3)
+	}
 	newCatalog := func() *Catalog {
 		c := New()
 		e := func(id string, state State, revision uint64) Entry {
@@ -56,10 +63,7 @@
 		restarted.StartMillis = 9
 		c.Put(restarted)
 		c.Advance(at(40))
-		zone3 := order("z3", 12)
-		zone3.Position.Era = 2
-		c.Replace(begin, withZones(secondEra(20, restored("drains", Ready, 3, 5), restored("left", Ready, 4, 5),
-			restored("restarted", Ready, 5, 5), restored("same", Ready, 3, 5)), zone3))
+		c.Replace(begin, olderCopy(20))
 		return c
 	}
 	const kept, copied = "drains=2@5 new=1@5 restarted=1@9 same=1@5 ", "drains=1@5 left=1@5 restarted=1@5 same=1@5 "
@@ -74,12 +78,7 @@
 		{name: "before the end", after: _expiryGrace - 1, want: kept, zones: "z2"},
 		{name: "never written again", after: _expiryGrace, want: copied, zones: "z3"},
 		{name: "another router is in sync", change: (*Catalog).EndGracePeriod, want: kept, zones: "z2"},
-		{name: "read again", change: func(c *Catalog) {
-			zone3 := order("z3", 12)
-			zone3.Position.Era = 2
-			c.Replace(begin, withZones(secondEra(22, restored("drains", Ready, 3, 5), restored("left", Ready, 4, 5),
-				restored("restarted", Ready, 5, 5), restored("same", Ready, 3, 5)), zone3))
-		}, want: kept, zones: "z2"},
+		{name: "read again", change: func(c *Catalog) { c.Replace(begin, olderCopy(22)) }, want: kept, zones: "z2"},
 		{name: "written again", after: _expiryGrace, change: func(c *Catalog) {
 			c.Put(restored("drains", Draining, 21, 5))
 			c.Delete(begin, "left", inEra(2, 22))
